Whole path, thin: entry daemon, operators' client, stand-ins, tests

One binary with entry, ctl, check-config and version. A caller's request goes through receive, authenticate, admit, steer, forward and answer; an operator's command through parse, test run, one conditional update in the store, watch and apply.

--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,40 @@
+// Time sources. Decision code takes a Clock and never reads the system's time itself.
+#pragma once
+
+#include <chrono>
+
+namespace sapphirepass {
+
+using Duration = std::chrono::nanoseconds;
+// Time since boot of the instance, time spent suspended included.
+using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+// Calendar time in UTC; only for people to read, never for decisions.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual auto now() const -> MonotonicTime = 0;
+    virtual auto wallNow() const -> WallTime = 0;
+};
+
+// Reads CLOCK_BOOTTIME, so that leases lapse while an instance is suspended.
+class SystemClock final : public Clock {
+public:
+    auto now() const -> MonotonicTime override;
+    auto wallNow() const -> WallTime override;
+};
+
+// A clock that moves only when told to; for tests and experiments.
+class ManualClock final : public Clock {
+public:
+    auto now() const -> MonotonicTime override { return now_; }
+    auto wallNow() const -> WallTime override { return wall_; }
+    auto advance(Duration step) -> void;
+
+private:
+    MonotonicTime now_ { std::chrono::hours(1) };
+    WallTime wall_ { std::chrono::seconds(1'800'000'000) };
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/base/event_log.h
@@ -0,0 +1,26 @@
+// Writes numbered events to standard error, one line each:
+// 2026-12-03T10:00:00.000Z info 100 entry-started instance=e1 address=127.0.0.1:8001
+#pragma once
+
+#include "base/event_type.h"
+
+#include <fmt/format.h>
+#include <string>
+#include <string_view>
+
+namespace sapphirepass {
+
+auto describe(EventId id) -> const EventDescription&;
+auto logLevelName(LogLevel level) -> std::string_view;
+// Events less important than this are not written. Thread-safe.
+auto setLogLevel(LogLevel leastImportant) -> void;
+auto writeEvent(EventId id, std::string_view fields) -> void;
+
+// Writes one event. The format holds key=value fields separated by blanks.
+template <typename... Args>
+auto logEvent(EventId id, fmt::format_string<Args...> format, Args&&... args) -> void
+{
+    writeEvent(id, fmt::format(format, std::forward<Args>(args)...));
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/base/event_type.h
@@ -0,0 +1,58 @@
+// Numbers, levels and names of all log events. docs/LOG_EVENTS.md lists the same table.
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace sapphirepass {
+
+enum class LogLevel { Error,
+    Warning,
+    Info,
+    Debug };
+
+// The hundreds digit names the layer: 1 entry, 2 configuration and store, 3 fleet,
+// 4 admission, 5 steering, 6 forward. A number is never used again.
+enum class EventId : int {
+    EntryStarted = 100,
+    EntryDraining = 101,
+    EntryStopped = 102,
+    SettingsRefused = 103,
+    ListenFailed = 104,
+    RevisionApplied = 200,
+    LogCommandUnknown = 201,
+    StoreUnreachable = 202,
+    StoreReachable = 203,
+    StaleRevisionIgnored = 204,
+    CommandAccepted = 205,
+    CommandRefused = 206,
+    UpstreamCallFailed = 600,
+    AnswerCut = 601,
+};
+
+struct EventDescription {
+    EventId id_;
+    LogLevel level_;
+    std::string_view name_;
+    std::string_view meaning_;
+};
+
+// One row for each EventId, in ascending order of number.
+inline constexpr std::array eventTable {
+    EventDescription { EventId::EntryStarted, LogLevel::Info, "entry-started", "The daemon serves requests." },
+    EventDescription { EventId::EntryDraining, LogLevel::Info, "entry-draining", "A stop was asked for; requests in flight finish first." },
+    EventDescription { EventId::EntryStopped, LogLevel::Info, "entry-stopped", "The daemon has ended with no request in flight." },
+    EventDescription { EventId::SettingsRefused, LogLevel::Error, "settings-refused", "The settings file breaks a rule; one event for each violation." },
+    EventDescription { EventId::ListenFailed, LogLevel::Error, "listen-failed", "The configured address cannot be listened on." },
+    EventDescription { EventId::RevisionApplied, LogLevel::Info, "revision-applied", "A configuration revision is in force on this instance." },
+    EventDescription { EventId::LogCommandUnknown, LogLevel::Error, "log-command-unknown", "The command log holds a command this version cannot read; the instance stays at its revision." },
+    EventDescription { EventId::StoreUnreachable, LogLevel::Warning, "store-unreachable", "The platform's store stopped answering this instance." },
+    EventDescription { EventId::StoreReachable, LogLevel::Info, "store-reachable", "The platform's store answers again." },
+    EventDescription { EventId::StaleRevisionIgnored, LogLevel::Warning, "stale-revision-ignored", "A source offered a revision below the one in force." },
+    EventDescription { EventId::CommandAccepted, LogLevel::Info, "command-accepted", "An operator's command is durable in the store." },
+    EventDescription { EventId::CommandRefused, LogLevel::Info, "command-refused", "An operator's command was refused." },
+    EventDescription { EventId::UpstreamCallFailed, LogLevel::Warning, "upstream-call-failed", "A call to an upstream ended without an answer." },
+    EventDescription { EventId::AnswerCut, LogLevel::Warning, "answer-cut", "An upstream broke off an answer that was being passed on." },
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/base/field.h
@@ -0,0 +1,134 @@
+// Fields of declared items and settings: name, bounds and text form in one table row.
+#pragma once
+
+#include "base/socket_address.h"
+#include "base/time_format.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cstdint>
+#include <fmt/format.h>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace sapphirepass {
+
+struct Bounds {
+    std::int64_t least_ = 0;
+    std::int64_t most_ = std::numeric_limits<std::int64_t>::max();
+};
+
+enum class Presence { Required,
+    Optional };
+
+template <typename T>
+struct Field {
+    std::string_view name_;
+    Presence presence_;
+    // What a value looks like, for error messages and the reference.
+    std::string_view expected_;
+    Bounds bounds_;
+    // Stores the value read from text; false if the text is not what is expected.
+    auto(*read_)(const Field& field, std::string_view text, T& item) -> bool;
+    auto(*write_)(const T& item) -> std::string;
+};
+
+// One value of an enumeration. An enumeration E that is used as a field has a function choicesOf(E)
+// that returns the array of its choices.
+template <typename E>
+struct Choice {
+    E value_;
+    std::string_view name_;
+};
+
+// clang 14 does not deduce aggregates by itself.
+template <typename E>
+Choice(E, const char*) -> Choice<E>;
+
+inline auto readNumber(std::string_view text, const Bounds& bounds) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = failure == std::errc() && end == text.data() + text.size();
+    if (!whole || number < bounds.least_ || number > bounds.most_)
+        return std::nullopt;
+    return number;
+}
+
+template <typename V>
+auto readValue(std::string_view text, const Bounds& bounds, V& value) -> bool
+{
+    if constexpr (std::is_same_v<V, std::int64_t>) {
+        const auto number = readNumber(text, bounds);
+        value = number.value_or(value);
+        return number.has_value();
+    } else if constexpr (std::is_same_v<V, std::chrono::milliseconds>) {
+        const auto duration = parseDuration(text);
+        const bool inside = duration && duration->count() >= bounds.least_ && duration->count() <= bounds.most_;
+        value = inside ? *duration : value;
+        return inside;
+    } else if constexpr (std::is_same_v<V, SocketAddress>) {
+        const auto address = parseSocketAddress(text);
+        value = address.value_or(value);
+        return address.has_value();
+    } else {
+        const auto& choices = choicesOf(V {});
+        const auto* found = std::find_if(choices.begin(), choices.end(), [text](const auto& choice) { return choice.name_ == text; });
+        value = found == choices.end() ? value : found->value_;
+        return found != choices.end();
+    }
+}
+
+inline auto writeValue(std::int64_t value) -> std::string { return fmt::format("{}", value); }
+inline auto writeValue(std::chrono::milliseconds value) -> std::string { return formatDuration(value); }
+inline auto writeValue(const SocketAddress& value) -> std::string { return formatSocketAddress(value); }
+
+template <typename E>
+requires std::is_enum_v<E>
+auto writeValue(E value) -> std::string
+{
+    const auto& choices = choicesOf(value);
+    return std::string(std::find_if(choices.begin(), choices.end(), [value](const auto& choice) { return choice.value_ == value; })->name_);
+}
+
+template <typename M>
+struct MemberOf;
+template <typename T, typename V>
+struct MemberOf<V T::*> {
+    using Owner = T;
+    using Value = V;
+};
+
+template <auto Member>
+using OwnerOf = typename MemberOf<decltype(Member)>::Owner;
+
+// A field whose value has a text form of its own, inside bounds.
+template <auto Member>
+constexpr auto valueField(std::string_view name, Presence presence, std::string_view expected, Bounds bounds = {}) -> Field<OwnerOf<Member>>
+{
+    using T = OwnerOf<Member>;
+    return { name, presence, expected, bounds,
+        [](const Field<T>& field, std::string_view text, T& item) -> bool { return readValue(text, field.bounds_, item.*Member); },
+        [](const T& item) -> std::string { return writeValue(item.*Member); } };
+}
+
+// A text field that must satisfy a predicate.
+template <auto Member, auto Predicate>
+constexpr auto textField(std::string_view name, Presence presence, std::string_view expected) -> Field<OwnerOf<Member>>
+{
+    using T = OwnerOf<Member>;
+    return { name, presence, expected, Bounds {},
+        [](const Field<T>&, std::string_view text, T& item) -> bool {
+            if (!Predicate(text))
+                return false;
+            item.*Member = std::string(text);
+            return true;
+        },
+        [](const T& item) -> std::string { return item.*Member; } };
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/base/texts.h
@@ -0,0 +1,63 @@
+// The catalogue of texts that operators and callers see. Each is a format string of fmt.
+#pragma once
+
+#include <string_view>
+
+namespace sapphirepass::texts {
+
+// Configuration errors.
+inline constexpr std::string_view itemUnknown = "{} '{}' is not declared";
+inline constexpr std::string_view itemDeclared = "{} '{}' is declared already; use change";
+inline constexpr std::string_view kindUnknown = "'{}' is not a kind; expected one of: {}";
+inline constexpr std::string_view referenceUnknown = "{} '{}' refers to {} '{}', which is not declared";
+inline constexpr std::string_view itemStillUsed = "{} '{}' is still used by {}; add force to retire these as well";
+inline constexpr std::string_view keyWithdrawn = "key '{}' was withdrawn; its name cannot be used again";
+inline constexpr std::string_view fieldUnknown = "{} has no field '{}'; expected one of: {}";
+inline constexpr std::string_view fieldValueBad = "field '{}' of {} expects {}, not '{}'";
+inline constexpr std::string_view fieldMissing = "{} '{}' needs the field '{}': {}";
+inline constexpr std::string_view fieldTwice = "field '{}' is given twice";
+inline constexpr std::string_view nameBad = "'{}' cannot name a {}; expected {}";
+inline constexpr std::string_view pathTaken = "path {} is served by route '{}' already";
+inline constexpr std::string_view endsEqual = "{} '{}' needs two different regions";
+
+// Errors in the operators' language.
+inline constexpr std::string_view syntaxError = "line {}, column {}: expected {}";
+inline constexpr std::string_view emptyInput = "nothing to do: expected a command or a query";
+
+// Settings.
+inline constexpr std::string_view settingUnknown = "unknown setting [{}] {}";
+inline constexpr std::string_view settingBad = "[{}] {} expects {}, not '{}'";
+inline constexpr std::string_view settingMissing = "[{}] {} is required: {}";
+inline constexpr std::string_view settingTwice = "[{}] {} is set twice";
+inline constexpr std::string_view settingLineBad = "not a section, a setting or a comment";
+inline constexpr std::string_view fileUnreadable = "cannot read the file";
+
+// Refusals towards callers.
+inline constexpr std::string_view keyMissing = "this route needs a key: Authorization: Bearer KEY";
+inline constexpr std::string_view keyUnknown = "the key is not valid";
+inline constexpr std::string_view keyOfOtherWorkspace = "the key does not belong to workspace '{}'";
+inline constexpr std::string_view pathBad = "the path is not of the form /w/WORKSPACE/ROUTE and free of dot segments";
+inline constexpr std::string_view workspaceUnknown = "workspace '{}' is not declared";
+inline constexpr std::string_view routeUnknown = "no route serves this path";
+inline constexpr std::string_view lengthAmbiguous = "the length of the body is ambiguous";
+inline constexpr std::string_view headerTwice = "header '{}' is given twice";
+inline constexpr std::string_view headersTooLarge = "the headers exceed {} bytes";
+inline constexpr std::string_view bodyTooLarge = "the body exceeds {} bytes";
+inline constexpr std::string_view bodyLengthMissing = "a request with a body needs a Content-Length";
+inline constexpr std::string_view rateExceeded = "workspace '{}' is over its rate";
+inline constexpr std::string_view noUpstream = "no upstream can take the request now";
+inline constexpr std::string_view upstreamFailed = "the upstream ended the call without an answer";
+inline constexpr std::string_view instanceStopping = "this instance is stopping; look up another";
+inline constexpr std::string_view noInstance = "no live instance is known";
+inline constexpr std::string_view configurationMissing = "this instance has no configuration yet";
+inline constexpr std::string_view deadlinePassed = "the deadline has passed";
+inline constexpr std::string_view deadlineBad = "Request-Deadline-Ms expects a whole number of milliseconds from 1 to 3600000";
+
+// Control path.
+inline constexpr std::string_view storeDown = "the platform's store does not answer; nothing was changed";
+inline constexpr std::string_view outcomeUnknown = "the store's answer was lost; ask 'show commands where id = {}' before sending again";
+inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
+inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
+inline constexpr std::string_view headTooLarge = "the command log is full; nothing was changed";
+
+} // namespace sapphirepass::texts
--- /dev/null
+++ b/src/entry/http_request_pipeline.h
@@ -0,0 +1,57 @@
+// The request pipeline: receive, authenticate, admit, steer, forward, answer.
+#pragma once
+
+#include "admission/admitter.h"
+#include "admission/authenticate_func.h"
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "config/config_state.h"
+#include "entry/in_flight.h"
+#include "forward/http_upstream_client.h"
+#include "steering/steering.h"
+
+#include <atomic>
+#include <cpprest/http_msg.h>
+
+namespace sapphirepass {
+
+// What the pipeline is made of; all outlive it.
+struct PipelineParts {
+    const Clock& clock_;
+    const ConfigState& config_;
+    Admitter& admitter_;
+    Steering& steering_;
+    Metrics& metrics_;
+    InFlight& inFlight_;
+    std::size_t maxHeaderBytes_;
+};
+
+class HttpRequestPipeline {
+public:
+    explicit HttpRequestPipeline(const PipelineParts& parts);
+
+    // Answers the message, now or later on another thread.
+    auto handle(const web::http::http_request& message) -> void;
+    // From now on new requests are refused as not run.
+    auto refuseNew() -> void { refusing_ = true; }
+
+private:
+    struct Exchange;
+    using ExchangePtr = std::shared_ptr<Exchange>;
+
+    auto admit(const ExchangePtr& exchange) -> Result<Done, Refusal>;
+    auto collectBody(const ExchangePtr& exchange) -> void;
+    auto steer(const ExchangePtr& exchange) -> void;
+    auto forward(const ExchangePtr& exchange, const Assignment& assignment) -> void;
+    auto finishCall(const ExchangePtr& exchange, const Assignment& assignment, const UpstreamResult& result) -> void;
+    auto retryOrRefuse(const ExchangePtr& exchange, const Assignment& assignment, CallOutcome outcome, const Refusal& refusal) -> void;
+    auto answer(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
+    auto refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void;
+    auto reply(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
+
+    PipelineParts parts_;
+    HttpUpstreamClient upstreams_;
+    std::atomic<bool> refusing_ { false };
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/language/command_reader.cpp
@@ -0,0 +1,165 @@
+#include "language/command_reader.h"
+
+#include "base/texts.h"
+#include "config/kind_func.h"
+#include "config/snapshot.h"
+
+#include <fmt/format.h>
+#include <optional>
+#include <set>
+
+namespace sapphirepass {
+
+namespace {
+    constexpr std::string_view nameExpected = "letters, digits, '-', '_' and '.', at most 64";
+    constexpr std::string_view prefixExpected = "an IPv4 prefix such as 10.1.0.0/16";
+
+    template <typename... Args>
+    auto errorAt(const Word& word, fmt::format_string<Args...> format, Args&&... args) -> LanguageError
+    {
+        return { word.place_, fmt::format(format, std::forward<Args>(args)...) };
+    }
+
+    template <typename T>
+    auto checkName(const Word& name) -> std::optional<LanguageError>
+    {
+        constexpr bool isBlock = std::is_same_v<T, ClientBlock>;
+        if (isBlock ? isIpv4Prefix(name.text_) : isName(name.text_))
+            return std::nullopt;
+        return errorAt(name, texts::nameBad, name.text_, kindName<T>(), isBlock ? prefixExpected : nameExpected);
+    }
+
+    template <typename T>
+    auto checkAttributes(const CommandStatement& statement) -> std::optional<LanguageError>
+    {
+        std::set<std::string> seen;
+        for (const auto& attribute : statement.attributes_) {
+            const auto* field = findField<T>(attribute.name_.text_);
+            if (field == nullptr)
+                return errorAt(attribute.name_, texts::fieldUnknown, kindName<T>(), attribute.name_.text_, fieldNames<T>());
+            if (!seen.insert(attribute.name_.text_).second)
+                return errorAt(attribute.name_, texts::fieldTwice, attribute.name_.text_);
+            T scratch;
+            if (!field->read_(*field, attribute.value_.text_, scratch))
+                return errorAt(attribute.value_, texts::fieldValueBad, field->name_, kindName<T>(), field->expected_, attribute.value_.text_);
+        }
+        return std::nullopt;
+    }
+
+    template <typename T>
+    auto readDeclaration(const CommandStatement& statement) -> Result<Command, LanguageError>
+    {
+        T item;
+        item.name_ = statement.name_.text_;
+        std::set<std::string_view> given;
+        for (const auto& attribute : statement.attributes_) {
+            const auto* field = findField<T>(attribute.name_.text_);
+            field->read_(*field, attribute.value_.text_, item);
+            given.insert(field->name_);
+        }
+        for (const auto& field : fieldsOf<T>()) {
+            if (field.presence_ == Presence::Required && !given.contains(field.name_))
+                return errorAt(statement.name_, texts::fieldMissing, kindName<T>(), item.name_, field.name_, field.expected_);
+        }
+        return Command { DeclareCommand { Item { item } } };
+    }
+
+    auto readChange(const CommandStatement& statement) -> Command
+    {
+        ChangeCommand change { statement.kind_.text_, statement.name_.text_, {} };
+        for (const auto& attribute : statement.attributes_)
+            change.changes_.push_back({ attribute.name_.text_, attribute.value_.text_ });
+        return change;
+    }
+
+    template <typename T>
+    auto readForKind(const CommandStatement& statement) -> Result<Command, LanguageError>
+    {
+        const auto& verb = statement.verb_.text_;
+        if (auto error = checkName<T>(statement.name_))
+            return *error;
+        if (auto error = checkAttributes<T>(statement))
+            return *error;
+        if (verb == "declare" || verb == "issue")
+            return readDeclaration<T>(statement);
+        if (verb == "change")
+            return readChange(statement);
+        if (verb == "retire")
+            return Command { RetireCommand { statement.kind_.text_, statement.name_.text_, statement.force_ } };
+        return Command { WithdrawKeyCommand { statement.name_.text_ } };
+    }
+
+    // issue and withdraw are for keys only; force is for retire only; change needs a field.
+    auto checkVerb(const CommandStatement& statement) -> std::optional<LanguageError>
+    {
+        const auto& verb = statement.verb_.text_;
+        const bool isKey = statement.kind_.text_ == kindName<Key>();
+        if ((verb == "issue" || verb == "withdraw") && !isKey)
+            return LanguageError { statement.kind_.place_, fmt::format("key after {}", verb) };
+        if (verb == "change" && isKey)
+            return LanguageError { statement.kind_.place_, "a kind other than key; issue a new key instead" };
+        if (verb == "change" && statement.attributes_.empty())
+            return LanguageError { statement.name_.place_, "a field to change" };
+        if (statement.force_ && verb != "retire")
+            return LanguageError { statement.verb_.place_, "force only after retire" };
+        if ((verb == "retire" || verb == "withdraw") && !statement.attributes_.empty())
+            return LanguageError { statement.attributes_.front().name_.place_, fmt::format("no field after {}", verb) };
+        return std::nullopt;
+    }
+
+    auto writeCommand(const DeclareCommand& command) -> std::string { return canonicalText(command.item_); }
+
+    auto writeCommand(const ChangeCommand& command) -> std::string
+    {
+        auto text = fmt::format("change {} {}", command.kind_, command.name_);
+        for (const auto& change : command.changes_)
+            text += fmt::format(" {} {}", change.field_, change.value_);
+        return text;
+    }
+
+    auto writeCommand(const RetireCommand& command) -> std::string
+    {
+        return fmt::format("retire {} {}{}", command.kind_, command.name_, command.force_ ? " force" : "");
+    }
+
+    auto writeCommand(const WithdrawKeyCommand& command) -> std::string { return fmt::format("withdraw key {}", command.name_); }
+}
+
+auto readCommand(const CommandStatement& statement) -> Result<Command, LanguageError>
+{
+    if (auto error = checkVerb(statement))
+        return *error;
+    Result<Command, LanguageError> result = errorAt(statement.kind_, texts::kindUnknown, statement.kind_.text_, kindNames());
+    withKind(statement.kind_.text_, [&]<typename T>(std::type_identity<T>) { result = readForKind<T>(statement); });
+    return result;
+}
+
+auto readBatch(std::string_view text) -> Result<CommandBatch, LanguageError>
+{
+    const auto statements = parseStatements(text);
+    if (!isOk(statements))
+        return errorOf(statements);
+    CommandBatch batch;
+    for (const auto& statement : valueOf(statements)) {
+        const auto* command = std::get_if<CommandStatement>(&statement);
+        if (command == nullptr)
+            return LanguageError { std::get<QueryStatement>(statement).subject_.place_, "a command; queries stand alone" };
+        auto read = readCommand(*command);
+        if (!isOk(read))
+            return errorOf(read);
+        batch.push_back(valueOf(std::move(read)));
+    }
+    return batch;
+}
+
+auto writeBatch(const CommandBatch& batch) -> std::string
+{
+    std::string text;
+    for (const auto& command : batch) {
+        text += text.empty() ? "" : "; ";
+        text += std::visit([](const auto& alternative) { return writeCommand(alternative); }, command);
+    }
+    return text;
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/language/command_reader.h
@@ -0,0 +1,17 @@
+// Turns command statements into typed commands and back into their canonical text.
+#pragma once
+
+#include "base/result.h"
+#include "config/command_type.h"
+#include "language/parser.h"
+
+namespace sapphirepass {
+
+// Checks kinds, names, fields and values; the error points at the offending word.
+auto readCommand(const CommandStatement& statement) -> Result<Command, LanguageError>;
+// Reads a whole batch of commands; a query among them is an error.
+auto readBatch(std::string_view text) -> Result<CommandBatch, LanguageError>;
+// The text that readBatch() reads back as an equal batch; kept in the command log.
+auto writeBatch(const CommandBatch& batch) -> std::string;
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,120 @@
+// The sapphirepass binary: picks the subcommand.
+#include "base/event_log.h"
+#include "entry/run_entry.h"
+#include "operator/run_ctl.h"
+#include "settings/entry_settings.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <iostream>
+
+ABSL_FLAG(std::string, config, "", "entry: the settings file (INI)");
+ABSL_FLAG(std::string, entry, "", "ctl: address of an entry instance, such as 127.0.0.1:8000");
+ABSL_FLAG(std::string, output, "table", "ctl: table or json");
+ABSL_FLAG(std::string, who, "", "ctl: the operator's name for the audit trail; the default is the user's name");
+ABSL_FLAG(bool, test_run, false, "ctl: check the commands and change nothing");
+ABSL_FLAG(std::int64_t, only_at, -1, "ctl: refuse unless the configuration is at this revision");
+
+namespace sapphirepass {
+
+namespace {
+    constexpr std::string_view version = "0.1.0";
+    constexpr std::string_view usage = "steers request traffic for a shared service\n\n"
+                                       "  sapphirepass entry --config FILE            run an entry instance\n"
+                                       "  sapphirepass ctl --entry ADDRESS [TEXT]     run commands or a query; without TEXT, read lines from standard input\n"
+                                       "  sapphirepass check-config FILE              check a settings file\n"
+                                       "  sapphirepass version                        print the version\n\n"
+                                       "Exit codes: 0 done, 1 failed, 2 wrong usage or text, 3 refused, 4 unavailable, 5 outcome unknown\n";
+    constexpr int usageExit = 2;
+
+    auto failUsage(std::string_view message) -> int
+    {
+        std::cerr << fmt::format("sapphirepass: {}\nTry 'sapphirepass --help'.\n", message);
+        return usageExit;
+    }
+
+    auto entryCommand() -> int
+    {
+        const auto path = absl::GetFlag(FLAGS_config);
+        if (path.empty())
+            return failUsage("entry needs --config FILE");
+        const auto settings = loadEntrySettings(path);
+        if (isOk(settings))
+            return runEntry(valueOf(settings));
+        for (const auto& violation : errorOf(settings))
+            logEvent(EventId::SettingsRefused, "{}", renderViolation(path, violation));
+        return usageExit;
+    }
+
+    auto checkConfigCommand(const std::vector<char*>& arguments) -> int
+    {
+        if (arguments.size() != 1)
+            return failUsage("check-config needs one FILE");
+        const std::string path = arguments.front();
+        const auto settings = loadEntrySettings(path);
+        if (isOk(settings)) {
+            std::cout << path << ": ok\n";
+            return 0;
+        }
+        for (const auto& violation : errorOf(settings))
+            std::cerr << renderViolation(path, violation) << "\n";
+        return usageExit;
+    }
+
+    auto operatorName() -> std::string
+    {
+        const auto given = absl::GetFlag(FLAGS_who);
+        const char* user = std::getenv("USER");
+        return !given.empty() ? given : user == nullptr ? "operator"
+                                                        : user;
+    }
+
+    auto ctlCommand(const std::vector<char*>& arguments) -> int
+    {
+        const auto address = parseSocketAddress(absl::GetFlag(FLAGS_entry));
+        const auto output = absl::GetFlag(FLAGS_output);
+        if (!address)
+            return failUsage("ctl needs --entry ADDRESS, such as 127.0.0.1:8000");
+        if (output != "table" && output != "json")
+            return failUsage("--output expects table or json");
+        CtlOptions options { *address, output == "json" ? CtlOutput::Json : CtlOutput::Table, operatorName(), absl::GetFlag(FLAGS_test_run), std::nullopt };
+        if (absl::GetFlag(FLAGS_only_at) >= 0)
+            options.onlyAt_ = absl::GetFlag(FLAGS_only_at);
+        if (arguments.empty())
+            return static_cast<int>(runCtlLines(options, std::cin, std::cout, std::cerr));
+        std::string text;
+        for (const auto* argument : arguments)
+            text += (text.empty() ? "" : " ") + std::string(argument);
+        return static_cast<int>(runCtlText(options, text, std::cout, std::cerr));
+    }
+
+    auto dispatch(const std::vector<char*>& words) -> int
+    {
+        if (words.size() < 2)
+            return failUsage("expected a subcommand: entry, ctl, check-config or version");
+        const std::string_view subcommand = words[1];
+        const std::vector<char*> arguments(words.begin() + 2, words.end());
+        if (subcommand == "entry")
+            return arguments.empty() ? entryCommand() : failUsage("entry takes no argument");
+        if (subcommand == "ctl")
+            return ctlCommand(arguments);
+        if (subcommand == "check-config")
+            return checkConfigCommand(arguments);
+        if (subcommand == "version") {
+            std::cout << "sapphirepass " << version << "\n";
+            return 0;
+        }
+        return failUsage(fmt::format("unknown subcommand '{}'", subcommand));
+    }
+}
+
+} // namespace sapphirepass
+
+auto main(int argc, char** argv) -> int
+{
+    absl::SetProgramUsageMessage(sapphirepass::usage.data());
+    return sapphirepass::dispatch(absl::ParseCommandLine(argc, argv));
+}
--- /dev/null
+++ b/src/settings/entry_settings.h
@@ -0,0 +1,56 @@
+// Settings of the entry daemon, read from an INI file and checked against one table.
+#pragma once
+
+#include "base/event_type.h"
+#include "base/field.h"
+#include "base/result.h"
+
+#include <compare>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace sapphirepass {
+
+struct EntrySettings {
+    // Identity and place of the instance.
+    std::string name_;
+    std::string region_;
+    std::string domain_;
+    SocketAddress http_;
+    SocketAddress peer_;
+    // The platform's object API.
+    SocketAddress store_;
+    std::chrono::milliseconds storeTimeout_ { 2'000 };
+    // Upper bound of instances that the fleet may have at once.
+    std::int64_t maxInstances_ = 12;
+    std::int64_t maxHeaderBytes_ = 16 * 1024;
+    std::int64_t threads_ = 8;
+    LogLevel logLevel_ = LogLevel::Info;
+
+    auto operator<=>(const EntrySettings&) const = default;
+};
+
+// One row: section, field, unit or form, bounds. The default is the member's initial value.
+struct SettingRow {
+    std::string_view section_;
+    Field<EntrySettings> field_;
+};
+
+auto entrySettingTable() -> std::span<const SettingRow>;
+
+struct SettingsViolation {
+    // Line in the file, from 1; 0 where a required setting is missing.
+    int line_ = 0;
+    std::string message_;
+
+    auto operator<=>(const SettingsViolation&) const = default;
+};
+
+// All violations at once, in the order of lines.
+auto parseEntrySettings(const std::string& text) -> Result<EntrySettings, std::vector<SettingsViolation>>;
+auto loadEntrySettings(const std::string& path) -> Result<EntrySettings, std::vector<SettingsViolation>>;
+// FILE:LINE: message
+auto renderViolation(const std::string& path, const SettingsViolation& violation) -> std::string;
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/steering/least_in_flight.cpp
@@ -0,0 +1,57 @@
+#include "base/texts.h"
+#include "steering/steering.h"
+
+#include <limits>
+
+namespace sapphirepass {
+
+namespace {
+    // Asking again before a slot has become free is of no use.
+    constexpr std::chrono::milliseconds overloadRetryAfter { 1'000 };
+}
+
+LeastInFlightSteering::LeastInFlightSteering(std::string region)
+    : region_(std::move(region))
+{
+}
+
+auto LeastInFlightSteering::choose(const SteerRequest& request) -> Result<Assignment, Refusal>
+{
+    const std::lock_guard lock(mutex_);
+    const Upstream* best = nullptr;
+    auto bestRank = std::numeric_limits<std::int64_t>::max();
+    request.snapshot_->table<Upstream>().forEach([&](const Upstream& upstream) {
+        const auto running = inFlight_[upstream.name_];
+        const bool usable = upstream.service_ == request.service_ && upstream.state_ == UpstreamState::Active
+            && !request.tried_.contains(upstream.name_) && running < upstream.slots_;
+        if (!usable)
+            return;
+        const auto* domain = request.snapshot_->find<FailureDomain>(upstream.domain_);
+        const bool local = domain != nullptr && domain->region_ == region_;
+        // Any free local slot goes before a remote one; a count of requests stays far below this weight.
+        constexpr std::int64_t remoteWeight = 1'000'000;
+        const auto rank = running + (local ? 0 : remoteWeight);
+        if (rank < bestRank) {
+            bestRank = rank;
+            best = &upstream;
+        }
+    });
+    if (best == nullptr)
+        return Refusal { RefusalKind::Overloaded, std::string(texts::noUpstream), Executed::No, overloadRetryAfter };
+    ++inFlight_[best->name_];
+    return Assignment { *best };
+}
+
+auto LeastInFlightSteering::acquire(const SteerRequest& request, Handler handler) -> void
+{
+    handler(choose(request));
+}
+
+auto LeastInFlightSteering::release(const Assignment& assignment, CallOutcome) -> void
+{
+    const std::lock_guard lock(mutex_);
+    if (--inFlight_[assignment.upstream_.name_] == 0)
+        inFlight_.erase(assignment.upstream_.name_);
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/steering/steering.h
@@ -0,0 +1,71 @@
+// Chooses the upstream of each request.
+#pragma once
+
+#include "base/clock.h"
+#include "base/request_type.h"
+#include "base/result.h"
+#include "config/snapshot.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace sapphirepass {
+
+struct SteerRequest {
+    std::shared_ptr<const Snapshot> snapshot_;
+    std::string service_;
+    std::string workspace_;
+    Repeatability repeatability_ = Repeatability::Once;
+    MonotonicTime deadline_;
+    // Upstreams that this request has been tried on.
+    std::set<std::string> tried_;
+};
+
+// An upstream with one of its slots taken for a request.
+struct Assignment {
+    Upstream upstream_;
+
+    auto operator<=>(const Assignment&) const = default;
+};
+
+enum class CallOutcome {
+    Answered,
+    // The upstream said that it did not run the request.
+    Shed,
+    // Nothing was sent.
+    NotSent,
+    // Sent, but no answer arrived.
+    Lost,
+};
+
+class Steering {
+public:
+    using Handler = std::function<void(Result<Assignment, Refusal>)>;
+
+    virtual ~Steering() = default;
+    // Calls the handler once, now or later on another thread. Every assignment has to be released.
+    virtual auto acquire(const SteerRequest& request, Handler handler) -> void = 0;
+    virtual auto release(const Assignment& assignment, CallOutcome outcome) -> void = 0;
+};
+
+// Takes the upstream with the fewest requests of this instance in flight, those of the own region first.
+class LeastInFlightSteering final : public Steering {
+public:
+    explicit LeastInFlightSteering(std::string region);
+
+    auto acquire(const SteerRequest& request, Handler handler) -> void override;
+    auto release(const Assignment& assignment, CallOutcome outcome) -> void override;
+
+private:
+    auto choose(const SteerRequest& request) -> Result<Assignment, Refusal>;
+
+    std::string region_;
+    std::mutex mutex_;
+    std::map<std::string, std::int64_t> inFlight_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/tests/catalogue_test.cpp
@@ -0,0 +1,38 @@
+// The pages in docs/ list what the code has.
+#include "base/event_log.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+using namespace sapphirepass;
+
+namespace {
+
+auto readPage(const std::string& path) -> std::string
+{
+    std::ifstream file(std::string(SOURCE_DIR) + "/" + path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+}
+
+TEST_CASE("docs/LOG_EVENTS.md lists every event", "[docs]")
+{
+    const auto page = readPage("docs/LOG_EVENTS.md");
+    for (const auto& event : eventTable) {
+        const auto row = fmt::format("| {} | {} | {} | {} |", static_cast<int>(event.id_), logLevelName(event.level_), event.name_, event.meaning_);
+        CAPTURE(row);
+        CHECK(page.find(row) != std::string::npos);
+    }
+    CHECK(static_cast<std::size_t>(std::count(page.begin(), page.end(), '\n')) == eventTable.size() + 9);
+}
+
+TEST_CASE("event numbers ascend and are described", "[docs]")
+{
+    for (std::size_t i = 1; i < eventTable.size(); ++i)
+        CHECK(eventTable[i - 1].id_ < eventTable[i].id_);
+    CHECK(describe(EventId::AnswerCut).name_ == "answer-cut");
+}
--- /dev/null
+++ b/tests/language_test.cpp
@@ -0,0 +1,106 @@
+#include "config/command_func.h"
+#include "config/key_func.h"
+#include "language/command_reader.h"
+#include "language/query.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sapphirepass;
+
+namespace {
+
+// The snapshot after a text of valid commands.
+auto declared(std::string_view text) -> Snapshot
+{
+    return valueOf(applyBatch(Snapshot {}, valueOf(readBatch(text))));
+}
+
+auto applyError(const Snapshot& snapshot, std::string_view text) -> ConfigErrorKind
+{
+    return errorOf(applyBatch(snapshot, valueOf(readBatch(text)))).kind_;
+}
+
+}
+
+TEST_CASE("errors point at the place and name what was expected", "[language]")
+{
+    const auto [text, place, expected] = GENERATE(table<std::string, TextPlace, std::string>({
+        { "declare workspace acme rate 0 burst 5", { 1, 29 }, "1 to 1000000" },
+        { "declare workspace acme rat 10", { 1, 24 }, "rate, burst" },
+        { "declare workspace acme rate 10", { 1, 19 }, "burst" },
+        { "declare\n", { 1, 8 }, "a blank" },
+        { "declare region luzon\nfly region x", { 2, 1 }, "declare, change" },
+        { "change key k workspace a", { 1, 8 }, "issue a new key" },
+        { "show upstreams where", { 1, 21 }, "a blank" },
+        { "declare workspace \"a", { 1, 21 }, "closing quote" },
+        { "issue region luzon", { 1, 7 }, "key after issue" },
+        { "declare block 10.1.2.3/16 region luzon", { 1, 15 }, "prefix" },
+    }));
+    CAPTURE(text);
+    auto error = LanguageError {};
+    if (const auto statements = parseStatements(text); !isOk(statements))
+        error = errorOf(statements);
+    else
+        error = errorOf(readBatch(text));
+    CHECK(error.place_ == place);
+    CHECK_THAT(error.message_, Catch::Contains(expected));
+}
+
+TEST_CASE("a batch reads back from its canonical text", "[language]")
+{
+    const auto batch = readBatch("declare region luzon # comment\nretire workspace acme force; change upstream u slots 3 state draining\nwithdraw key k");
+    REQUIRE(isOk(batch));
+    CHECK(valueOf(readBatch(writeBatch(valueOf(batch)))) == valueOf(batch));
+}
+
+TEST_CASE("any text is read or refused, and never changes the state it is refused on", "[language]")
+{
+    rc::prop("parser survives any text", [](const std::string& text) {
+        const auto statements = parseStatements(text);
+        if (!isOk(statements))
+            RC_ASSERT(!renderError(errorOf(statements), text).empty());
+    });
+}
+
+TEST_CASE("references are kept whole", "[config]")
+{
+    const auto snapshot = declared("declare region luzon; declare domain l1 region luzon; declare workspace acme rate 10 burst 5; issue key k workspace acme");
+    CHECK(applyError(snapshot, "declare region luzon") == ConfigErrorKind::AlreadyDeclared);
+    CHECK(applyError(snapshot, "declare domain c1 region cebu") == ConfigErrorKind::UnknownReference);
+    CHECK(applyError(snapshot, "retire region luzon") == ConfigErrorKind::StillUsed);
+    CHECK(applyError(snapshot, "change region cebu limit 3") == ConfigErrorKind::UnknownItem);
+    const auto retired = valueOf(applyBatch(snapshot, valueOf(readBatch("retire workspace acme force"))));
+    CHECK(retired.find<Key>("k") == nullptr);
+    CHECK(applyError(retired, "declare workspace acme rate 1 burst 1; issue key k workspace acme") == ConfigErrorKind::KeyWithdrawn);
+}
+
+TEST_CASE("the state hash depends on the content only", "[config]")
+{
+    const auto one = declared("declare region luzon; declare region cebu; retire region cebu");
+    const auto two = declared("declare region luzon");
+    CHECK(one.stateHash() == two.stateHash());
+    CHECK(one.stateHash() != declared("declare region cebu").stateHash());
+}
+
+TEST_CASE("only the issued secret matches a key", "[config]")
+{
+    const auto issued = issueKey("k", "acme");
+    const auto presented = parsePresentedKey(issued.bearer_);
+    REQUIRE(presented);
+    CHECK(matchesKey(issued.key_, presented->secret_));
+    auto other = std::string(presented->secret_);
+    other[0] = other[0] == '0' ? '1' : '0';
+    CHECK_FALSE(matchesKey(issued.key_, other));
+    CHECK_FALSE(parsePresentedKey("k.short"));
+}
+
+TEST_CASE("queries filter, sort and cut", "[language]")
+{
+    const auto snapshot = declared("declare workspace a rate 10 burst 5; declare workspace b rate 9 burst 5; declare workspace c rate 100 burst 5");
+    const auto rows = declaredRows(snapshot, "workspaces");
+    REQUIRE(rows);
+    const auto statements = valueOf(parseStatements("show workspaces where rate >= 10 and name != a sort rate desc limit 1"));
+    const auto result = valueOf(runQuery(*rows, std::get<QueryStatement>(statements.front())));
+    CHECK(result.rows_ == std::vector<std::vector<std::string>> { { "c", "100", "5" } });
+}
