Peer link over Cap'n Proto RPC

Cause: instances need a real transport behind PeerLink; until now only the one in memory existed. The entry daemon listens on its peer address.

--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -26,6 +26,11 @@
     StaleRevisionIgnored = 204,
     CommandAccepted = 205,
     CommandRefused = 206,
+    PeerConnectionFailed = 300,
+    StateDiverged = 301,
+    Isolated = 302,
+    Rejoined = 303,
+    EmergencyWithdrawal = 304,
     UpstreamCallFailed = 600,
     AnswerCut = 601,
 };
@@ -51,6 +56,11 @@
     EventDescription { EventId::StaleRevisionIgnored, LogLevel::Warning, "stale-revision-ignored", "A source offered a revision below the one in force." },
     EventDescription { EventId::CommandAccepted, LogLevel::Info, "command-accepted", "An operator's command is durable in the store." },
     EventDescription { EventId::CommandRefused, LogLevel::Info, "command-refused", "An operator's command was refused." },
+    EventDescription { EventId::PeerConnectionFailed, LogLevel::Warning, "peer-connection-failed", "A connection with another instance broke off." },
+    EventDescription { EventId::StateDiverged, LogLevel::Error, "state-diverged", "Another instance holds a different state at the same revision; replace one of them and keep both logs." },
+    EventDescription { EventId::Isolated, LogLevel::Warning, "isolated", "This instance cannot know whether it is current; keyed requests are refused as not run." },
+    EventDescription { EventId::Rejoined, LogLevel::Info, "rejoined", "This instance knows again that it is current." },
+    EventDescription { EventId::EmergencyWithdrawal, LogLevel::Warning, "emergency-withdrawal", "A key was withdrawn while the store was down; enforced, not yet durable." },
     EventDescription { EventId::UpstreamCallFailed, LogLevel::Warning, "upstream-call-failed", "A call to an upstream ended without an answer." },
     EventDescription { EventId::AnswerCut, LogLevel::Warning, "answer-cut", "An upstream broke off an answer that was being passed on." },
 };
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -1,12 +1,16 @@
 #include "entry/run_entry.h"
 
 #include "base/event_log.h"
+#include "base/random.h"
 #include "entry/http_entry_server.h"
+#include "fleet/capnp_peer_link.h"
 #include "store/config_follower.h"
 #include "store/http_object_store.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <algorithm>
 #include <csignal>
+#include <functional>
 #include <future>
 #include <pplx/threadpool.h>
 
@@ -23,6 +27,23 @@
         return received.get_future().get();
     }
 
+    auto startListening(const SocketAddress& address, const std::function<void()>& start) -> bool
+    {
+        try {
+            start();
+            return true;
+        } catch (const std::exception& error) {
+            logEvent(EventId::ListenFailed, "address={} message=\"{}\"", formatSocketAddress(address), error.what());
+            return false;
+        }
+    }
+
+    auto findPeerAddress(const std::vector<PlatformInstance>& instances, const std::string& name) -> std::optional<SocketAddress>
+    {
+        const auto found = std::find_if(instances.begin(), instances.end(), [&name](const auto& instance) { return instance.name_ == name; });
+        return found == instances.end() ? std::nullopt : std::optional(found->peer_);
+    }
+
     // Waits for the last request; a second signal ends the wait. Returns whether nothing was cut.
     auto drain(InFlight& inFlight, SignalSet& signals) -> bool
     {
@@ -50,6 +71,8 @@
     HttpObjectStore store(settings.store_, settings.storeTimeout_);
     ConfigFollower follower(store, config);
     InstanceList instances(store);
+    const InstanceId self { settings.name_, randomNumber() };
+    CapnpPeerLink peers(self, settings.peer_, [&instances](const std::string& name) { return findPeerAddress(instances.instances(), name); }, metrics);
     CommandService commands(store, config, clock);
     EqualSplitAdmitter admitter(clock, settings.maxInstances_);
     LeastInFlightSteering steering(settings.region_);
@@ -59,12 +82,8 @@
 
     follower.start();
     instances.start();
-    try {
-        server.open();
-    } catch (const std::exception& error) {
-        logEvent(EventId::ListenFailed, "address={} message=\"{}\"", formatSocketAddress(settings.http_), error.what());
+    if (!startListening(settings.peer_, [&peers] { peers.start(); }) || !startListening(settings.http_, [&server] { server.open(); }))
         return 1;
-    }
     logEvent(EventId::EntryStarted, "instance={} address={}", settings.name_, formatSocketAddress(settings.http_));
     const int signal = waitForSignal(signals);
     logEvent(EventId::EntryDraining, "signal={} in_flight={}", signal, inFlight.count());
@@ -73,6 +92,7 @@
     const bool finished = drain(inFlight, signals);
     const auto cut = inFlight.count();
     server.close();
+    peers.stop();
     follower.stop();
     instances.stop();
     logEvent(EventId::EntryStopped, "requests_cut={}", cut);
