--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -7,8 +7,8 @@
 #include "store/config_follower.h"
 #include "store/http_object_store.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <algorithm>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <functional>
 #include <future>
@@ -72,7 +72,8 @@
     ConfigFollower follower(store, config);
     InstanceList instances(store);
     const InstanceId self { settings.name_, randomNumber() };
-    CapnpPeerLink peers(self, settings.peer_, [&instances](const std::string& name) { return findPeerAddress(instances.instances(), name); }, metrics);
+    CapnpPeerLink peers(
+        self, settings.peer_, [&instances](const std::string& name) { return findPeerAddress(instances.instances(), name); }, metrics);
     CommandService commands(store, config, clock);
     EqualSplitAdmitter admitter(clock, settings.maxInstances_);
     LeastInFlightSteering steering(settings.region_);
