Fair queue in front of the slots

Cause: a request that found no slot was refused at once, and a workspace over its part could take every slot that became free. Change: requests wait briefly per workspace and are served in weighted fair order (start-time fair queueing, weights by rate); the wait is bounded by deadline and settings; a full queue makes room for a workspace below its part. Before: no waiting at all; after: a late arrival is served second at the latest whatever another workspace has queued (property over all queue lengths).

--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -2,6 +2,7 @@
 
 #include "base/event_log.h"
 #include "entry/http_entry_server.h"
+#include "steering/queued_steering.h"
 #include "store/config_follower.h"
 #include "store/http_object_store.h"
 
@@ -13,6 +14,13 @@
 namespace sapphirepass {
 
 namespace {
+    // One workspace may take half of the waiting room.
+    auto queuePolicy(const EntrySettings& settings) -> QueuePolicy
+    {
+        const auto total = static_cast<std::size_t>(settings.queueLength_);
+        return { { total, (total + 1) / 2 }, settings.queueWait_ };
+    }
+
     using SignalSet = boost::asio::signal_set;
 
     // Blocks until the next SIGINT or SIGTERM.
@@ -53,11 +61,13 @@
     CommandService commands(store, config, clock);
     EqualSplitAdmitter admitter(clock, settings.maxInstances_);
     LeastInFlightSteering steering(settings.region_);
-    HttpRequestPipeline pipeline({ clock, config, admitter, steering, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
+    QueuedSteering queued(steering, clock, queuePolicy(settings));
+    HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
     HttpOperatorApi operators(commands, config);
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
 
     follower.start();
+    queued.start();
     instances.start();
     try {
         server.open();
@@ -75,6 +85,7 @@
     server.close();
     follower.stop();
     instances.stop();
+    queued.stop();
     logEvent(EventId::EntryStopped, "requests_cut={}", cut);
     return finished ? 0 : 1;
 }
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -34,6 +34,8 @@
         SettingRow { "fleet", valueField<&Settings::maxInstances_>("max-instances", optional, "instances, 1 to 10000", Bounds { 1, 10'000 }) },
         SettingRow { "limits", valueField<&Settings::maxHeaderBytes_>("header-bytes", optional, "bytes, 1024 to 1048576", Bounds { 1'024, 1'048'576 }) },
         SettingRow { "limits", valueField<&Settings::threads_>("threads", optional, "threads, 2 to 64", Bounds { 2, 64 }) },
+        SettingRow { "limits", valueField<&Settings::queueLength_>("queue-length", optional, "requests, 1 to 100000", Bounds { 1, 100'000 }) },
+        SettingRow { "limits", valueField<&Settings::queueWait_>("queue-wait", optional, "a duration from 1ms to 1m", Bounds { 1, 60'000 }) },
         SettingRow { "log", valueField<&Settings::logLevel_>("level", optional, "error, warning, info or debug") },
     };
 
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -26,6 +26,9 @@
     std::int64_t maxInstances_ = 12;
     std::int64_t maxHeaderBytes_ = 16 * 1024;
     std::int64_t threads_ = 8;
+    // Requests that wait for a slot of one service, at most.
+    std::int64_t queueLength_ = 1'000;
+    std::chrono::milliseconds queueWait_ { 1'000 };
     LogLevel logLevel_ = LogLevel::Info;
 
     auto operator<=>(const EntrySettings&) const = default;
--- /dev/null
+++ b/tests/fair_queue_test.cpp
@@ -0,0 +1,193 @@
+#include "admission/fair_queue.h"
+#include "config/command_func.h"
+#include "language/command_reader.h"
+#include "steering/queued_steering.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonotonicTime never { std::chrono::hours(1'000) };
+constexpr QueueBounds roomy { 10'000, 10'000 };
+
+auto pushMany(FairQueue& queue, const std::string& workspace, std::int64_t weight, int count) -> void
+{
+    static std::uint64_t id = 0;
+    for (int i = 0; i < count; ++i)
+        REQUIRE(isOk(queue.push({ ++id, workspace, weight, never })));
+}
+
+// Slots that the test opens one by one.
+class SlotSteering final : public Steering {
+public:
+    auto acquire(const SteerRequest& request, Handler handler) -> void override
+    {
+        if (free_ == 0) {
+            handler(Refusal { RefusalKind::Overloaded, "full" });
+            return;
+        }
+        --free_;
+        served_.push_back(request.workspace_);
+        Assignment assignment;
+        assignment.upstream_.service_ = request.service_;
+        handler(assignment);
+    }
+
+    auto release(const Assignment&, CallOutcome) -> void override { ++free_; }
+
+    int free_ = 0;
+    std::vector<std::string> served_;
+};
+
+struct QueueBench {
+    explicit QueueBench(const QueueBounds& bounds = roomy)
+        : queued_(slots_, clock_, { bounds, 100ms })
+    {
+        const auto batch = valueOf(readBatch("declare workspace acme rate 10 burst 5; declare workspace bolt rate 10 burst 5"));
+        snapshot_ = std::make_shared<const Snapshot>(valueOf(applyBatch(Snapshot {}, batch)));
+    }
+
+    auto ask(const std::string& workspace) -> void
+    {
+        queued_.acquire({ snapshot_, "core", workspace, Repeatability::Once, clock_.now() + 1s, {} }, [this](const Result<Assignment, Refusal>& result) {
+            if (isOk(result))
+                ++assigned_;
+            else
+                refusals_.push_back(errorOf(result));
+        });
+    }
+
+    auto releaseOne() -> void
+    {
+        Assignment assignment;
+        assignment.upstream_.service_ = "core";
+        queued_.release(assignment, CallOutcome::Answered);
+    }
+
+    ManualClock clock_;
+    SlotSteering slots_;
+    QueuedSteering queued_;
+    std::shared_ptr<const Snapshot> snapshot_;
+    int assigned_ = 0;
+    std::vector<Refusal> refusals_;
+};
+
+}
+
+TEST_CASE("workspaces are served in the proportion of their weights", "[queue]")
+{
+    FairQueue queue(roomy);
+    pushMany(queue, "small", 1, 100);
+    pushMany(queue, "large", 3, 100);
+    std::map<std::string, int> served;
+    for (int i = 0; i < 100; ++i)
+        ++served[queue.pop()->workspace_];
+    CHECK(served["large"] == 75);
+    CHECK(served["small"] == 25);
+}
+
+TEST_CASE("a workspace with a long queue delays another by one request at most", "[queue]")
+{
+    rc::prop("late arrival goes second at the latest", [](std::uint8_t waiting, std::uint8_t served) {
+        FairQueue queue(roomy);
+        pushMany(queue, "greedy", 1, waiting + 1);
+        for (int i = 0; i < served % (waiting + 1); ++i)
+            queue.pop();
+        pushMany(queue, "modest", 1, 1);
+        const auto first = queue.pop()->workspace_;
+        RC_ASSERT(first == "modest" || queue.pop()->workspace_ == "modest");
+    });
+}
+
+TEST_CASE("a pause earns no credit", "[queue]")
+{
+    FairQueue queue(roomy);
+    pushMany(queue, "steady", 1, 50);
+    for (int i = 0; i < 20; ++i)
+        queue.pop();
+    pushMany(queue, "back", 1, 50);
+    std::map<std::string, int> served;
+    for (int i = 0; i < 20; ++i)
+        ++served[queue.pop()->workspace_];
+    CHECK(served["back"] <= 11);
+}
+
+TEST_CASE("a full queue makes room for a workspace below its part", "[queue]")
+{
+    FairQueue queue({ 4, 4 });
+    pushMany(queue, "greedy", 1, 4);
+    CHECK(errorOf(queue.push({ 100, "greedy", 1, never })) == QueueErrorKind::WorkspaceFull);
+    const auto pushed = queue.push({ 101, "modest", 1, never });
+    REQUIRE(isOk(pushed));
+    CHECK(valueOf(pushed)->workspace_ == "greedy");
+    CHECK(queue.size() == 4);
+    REQUIRE(isOk(queue.push({ 102, "modest", 1, never })));
+    CHECK(errorOf(queue.push({ 103, "modest", 1, never })) == QueueErrorKind::QueueFull);
+}
+
+TEST_CASE("what is put back comes next again", "[queue]")
+{
+    FairQueue queue(roomy);
+    pushMany(queue, "a", 1, 3);
+    pushMany(queue, "b", 1, 3);
+    const auto first = *queue.pop();
+    queue.putBack(first);
+    CHECK(queue.pop() == first);
+}
+
+TEST_CASE("a released slot goes to the next in fair order", "[queue]")
+{
+    QueueBench bench;
+    for (int i = 0; i < 5; ++i)
+        bench.ask("acme");
+    bench.ask("bolt");
+    CHECK(bench.queued_.waiting() == 6);
+    for (int i = 0; i < 3; ++i)
+        bench.releaseOne();
+    CHECK(bench.assigned_ == 3);
+    CHECK(std::count(bench.slots_.served_.begin(), bench.slots_.served_.end(), "bolt") == 1);
+}
+
+TEST_CASE("a request that waited too long is refused at once as not run", "[queue]")
+{
+    QueueBench bench;
+    bench.ask("acme");
+    bench.clock_.advance(99ms);
+    bench.queued_.tick();
+    CHECK(bench.refusals_.empty());
+    bench.clock_.advance(1ms);
+    bench.queued_.tick();
+    REQUIRE(bench.refusals_.size() == 1);
+    CHECK(bench.refusals_.front().executed_ == Executed::No);
+    CHECK(bench.refusals_.front().retryAfter_.has_value());
+    CHECK(bench.queued_.waiting() == 0);
+}
+
+TEST_CASE("every request gets exactly one answer", "[queue]")
+{
+    rc::prop("one answer each", [](const std::vector<std::uint8_t>& steps) {
+        QueueBench bench({ 6, 4 });
+        int asked = 0;
+        for (const auto step : steps) {
+            switch (step % 4) {
+            case 0:
+            case 1:
+                bench.ask(step % 4 == 0 ? "acme" : "bolt");
+                ++asked;
+                break;
+            case 2:
+                bench.releaseOne();
+                break;
+            default:
+                bench.clock_.advance(std::chrono::milliseconds(step));
+                bench.queued_.tick();
+            }
+            const auto answered = bench.assigned_ + static_cast<int>(bench.refusals_.size());
+            RC_ASSERT(answered + static_cast<int>(bench.queued_.waiting()) == asked);
+        }
+    });
+}
