--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -8,6 +8,9 @@
     // Virtual time that one request of weight 1 takes. Start-time fair queueing (Goyal, Vin and Cheng, 1996).
     constexpr std::int64_t virtualCost = 1'000'000'000;
 
+    // The wait grows while a new entry moves up, so it is estimated above what the first entry has waited.
+    constexpr int estimatePercent = 125;
+
     auto costOf(const QueueEntry& entry) -> std::int64_t
     {
         return virtualCost / std::clamp<std::int64_t>(entry.weight_, 1, virtualCost);
@@ -25,8 +28,18 @@
     return std::max_element(lanes_.begin(), lanes_.end(), shorter)->second;
 }
 
+auto FairQueue::expectedWait(const std::string& workspace, MonotonicTime now) const -> Duration
+{
+    const auto found = lanes_.find(workspace);
+    if (found == lanes_.end() || found->second.entries_.empty())
+        return Duration { 0 };
+    return (now - found->second.entries_.front().arrival_) * estimatePercent / 100;
+}
+
 auto FairQueue::push(const QueueEntry& entry) -> Result<std::optional<QueueEntry>, QueueErrorKind>
 {
+    if (entry.arrival_ + expectedWait(entry.workspace_, entry.arrival_) > entry.expiry_)
+        return QueueErrorKind::TooSlow;
     const auto found = lanes_.find(entry.workspace_);
     const auto held = found == lanes_.end() ? 0 : found->second.entries_.size();
     if (held >= bounds_.perWorkspace_)
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -19,6 +19,7 @@
     std::string workspace_;
     // Share of service relative to the other workspaces; at least 1.
     std::int64_t weight_ = 1;
+    MonotonicTime arrival_;
     // The entry leaves the queue unserved at this time.
     MonotonicTime expiry_;
 
@@ -37,6 +38,8 @@
     WorkspaceFull,
     // The queue is full, and the workspace is not below its part of it.
     QueueFull,
+    // The entry would expire before its turn, as far as the wait of the workspace's first entry tells.
+    TooSlow,
 };
 
 class FairQueue {
@@ -50,6 +53,8 @@
     auto putBack(const QueueEntry& entry) -> void;
     // The entry whose turn it is; nothing if none waits.
     auto pop() -> std::optional<QueueEntry>;
+    // Time that a new entry of the workspace would wait, estimated from what its first entry has waited so far.
+    auto expectedWait(const std::string& workspace, MonotonicTime now) const -> Duration;
     // Takes out all entries whose time has come.
     auto expire(MonotonicTime now) -> std::vector<QueueEntry>;
     auto size() const -> std::size_t { return size_; }
--- a/src/steering/queued_steering.cpp
+++ b/src/steering/queued_steering.cpp
@@ -106,8 +106,9 @@
     {
         const std::lock_guard lock(mutex_);
         auto& service = queueFor(request.service_);
-        const auto expiry = std::min(request.deadline_, clock_.now() + Duration(policy_.longestWait_));
-        const QueueEntry entry { ++lastId_, request.workspace_, weightOf(request), expiry };
+        const auto now = clock_.now();
+        const auto expiry = std::min(request.deadline_, now + Duration(policy_.longestWait_));
+        const QueueEntry entry { ++lastId_, request.workspace_, weightOf(request), now, expiry };
         const auto pushed = service.queue_.push(entry);
         if (!isOk(pushed)) {
             refused = std::move(handler);
--- a/tests/fair_queue_test.cpp
+++ b/tests/fair_queue_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr MonotonicTime start { std::chrono::hours(1) };
 constexpr MonotonicTime never { std::chrono::hours(1'000) };
 constexpr QueueBounds roomy { 10'000, 10'000 };
 
@@ -18,7 +19,7 @@
 {
     static std::uint64_t id = 0;
     for (int i = 0; i < count; ++i)
-        REQUIRE(isOk(queue.push({ ++id, workspace, weight, never })));
+        REQUIRE(isOk(queue.push({ ++id, workspace, weight, start, never })));
 }
 
 // Slots that the test opens one by one.
@@ -120,13 +121,24 @@
 {
     FairQueue queue({ 4, 4 });
     pushMany(queue, "greedy", 1, 4);
-    CHECK(errorOf(queue.push({ 100, "greedy", 1, never })) == QueueErrorKind::WorkspaceFull);
-    const auto pushed = queue.push({ 101, "modest", 1, never });
+    CHECK(errorOf(queue.push({ 100, "greedy", 1, start, never })) == QueueErrorKind::WorkspaceFull);
+    const auto pushed = queue.push({ 101, "modest", 1, start, never });
     REQUIRE(isOk(pushed));
     CHECK(valueOf(pushed)->workspace_ == "greedy");
     CHECK(queue.size() == 4);
-    REQUIRE(isOk(queue.push({ 102, "modest", 1, never })));
-    CHECK(errorOf(queue.push({ 103, "modest", 1, never })) == QueueErrorKind::QueueFull);
+    REQUIRE(isOk(queue.push({ 102, "modest", 1, start, never })));
+    CHECK(errorOf(queue.push({ 103, "modest", 1, start, never })) == QueueErrorKind::QueueFull);
+}
+
+TEST_CASE("an entry that cannot be served in time is refused at once", "[queue]")
+{
+    FairQueue queue(roomy);
+    pushMany(queue, "a", 1, 40);
+    // The first entry has waited 900 ms, so a new one will hardly be served within a second.
+    const auto now = start + 900ms;
+    CHECK(errorOf(queue.push({ 200, "a", 1, now, now + 1s })) == QueueErrorKind::TooSlow);
+    CHECK(isOk(queue.push({ 201, "a", 1, now, now + 5s })));
+    CHECK(isOk(queue.push({ 202, "b", 1, now, now + 1s })));
 }
 
 TEST_CASE("what is put back comes next again", "[queue]")
