--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -26,6 +26,11 @@
     StaleRevisionIgnored = 204,
     CommandAccepted = 205,
     CommandRefused = 206,
+    StateDiverged = 207,
+    SnapshotUnreadable = 208,
+    LogCut = 209,
+    LogCutFailed = 210,
+    AuditWriteFailed = 211,
     UpstreamCallFailed = 600,
     AnswerCut = 601,
 };
@@ -51,6 +56,11 @@
     EventDescription { EventId::StaleRevisionIgnored, LogLevel::Warning, "stale-revision-ignored", "A source offered a revision below the one in force." },
     EventDescription { EventId::CommandAccepted, LogLevel::Info, "command-accepted", "An operator's command is durable in the store." },
     EventDescription { EventId::CommandRefused, LogLevel::Info, "command-refused", "An operator's command was refused." },
+    EventDescription { EventId::StateDiverged, LogLevel::Error, "state-diverged", "The content of a revision differs from the log's state hash; the instance stops applying." },
+    EventDescription { EventId::SnapshotUnreadable, LogLevel::Error, "snapshot-unreadable", "A snapshot chunk is missing or damaged; the instance stays at its revision." },
+    EventDescription { EventId::LogCut, LogLevel::Info, "log-cut", "Old entries of the command log were replaced by a snapshot." },
+    EventDescription { EventId::LogCutFailed, LogLevel::Warning, "log-cut-failed", "The command log could not be cut; the next command tries again." },
+    EventDescription { EventId::AuditWriteFailed, LogLevel::Warning, "audit-write-failed", "Refused commands could not be added to the audit trail." },
     EventDescription { EventId::UpstreamCallFailed, LogLevel::Warning, "upstream-call-failed", "A call to an upstream ended without an answer." },
     EventDescription { EventId::AnswerCut, LogLevel::Warning, "answer-cut", "An upstream broke off an answer that was being passed on." },
 };
--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -58,6 +58,11 @@
 inline constexpr std::string_view outcomeUnknown = "the store's answer was lost; ask 'show commands where id = {}' before sending again";
 inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
 inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
+inline constexpr std::string_view snapshotMalformed = "the snapshot is malformed";
+inline constexpr std::string_view snapshotFormatUnknown = "the snapshot has the unknown format '{}'";
+inline constexpr std::string_view snapshotHashWrong = "the snapshot's content does not have its state hash";
+inline constexpr std::string_view revisionStale = "revision {} is below {}";
+inline constexpr std::string_view stateDiverged = "revision {} has state hash {:016x} here, but {:016x} in the log";
 inline constexpr std::string_view headTooLarge = "the command log is full; nothing was changed";
 
 } // namespace sapphirepass::texts
--- a/src/config/config_state.cpp
+++ b/src/config/config_state.cpp
@@ -1,6 +1,7 @@
 #include "config/config_state.h"
 
 #include "base/event_log.h"
+#include "base/texts.h"
 #include "config/command_func.h"
 #include "language/command_reader.h"
 
@@ -19,6 +20,20 @@
     return valueOf(std::move(applied));
 }
 
+namespace {
+    auto staleError(Revision offered, Revision current) -> ApplyError
+    {
+        logEvent(EventId::StaleRevisionIgnored, "offered={} in_force={}", offered, current);
+        return { ApplyErrorKind::Stale, fmt::format(texts::revisionStale, offered, current) };
+    }
+
+    auto divergedError(const Snapshot& here, std::uint64_t there) -> ApplyError
+    {
+        logEvent(EventId::StateDiverged, "revision={} state_hash={:016x} expected={:016x}", here.revision(), here.stateHash(), there);
+        return { ApplyErrorKind::Diverged, fmt::format(texts::stateDiverged, here.revision(), here.stateHash(), there) };
+    }
+}
+
 auto ConfigState::snapshot() const -> std::shared_ptr<const Snapshot>
 {
     const std::lock_guard lock(mutex_);
@@ -29,10 +44,8 @@
 {
     const std::lock_guard lock(mutex_);
     const auto current = snapshot_->revision();
-    if (head.revision_ < current) {
-        logEvent(EventId::StaleRevisionIgnored, "offered={} in_force={}", head.revision_, current);
-        return ApplyError { ApplyErrorKind::Stale, fmt::format("revision {} is below {}", head.revision_, current) };
-    }
+    if (head.revision_ < current)
+        return staleError(head.revision_, current);
     if (!head.entries_.empty() && head.entries_.front().revision_ > current + 1)
         return ApplyError { ApplyErrorKind::Gap, fmt::format("the log starts at revision {}", head.entries_.front().revision_) };
     // Applied as a whole: readers never see a revision between the two.
@@ -54,4 +67,19 @@
     return snapshot_->revision();
 }
 
+auto ConfigState::install(const Snapshot& snapshot) -> Result<Revision, ApplyError>
+{
+    const std::lock_guard lock(mutex_);
+    const auto current = snapshot_->revision();
+    if (snapshot.revision() < current)
+        return staleError(snapshot.revision(), current);
+    if (snapshot.revision() == current && snapshot.stateHash() != snapshot_->stateHash())
+        return divergedError(*snapshot_, snapshot.stateHash());
+    if (snapshot.revision() > current) {
+        snapshot_ = std::make_shared<const Snapshot>(snapshot);
+        logEvent(EventId::RevisionApplied, "revision={} state_hash={:016x}", snapshot_->revision(), snapshot_->stateHash());
+    }
+    return snapshot_->revision();
+}
+
 } // namespace sapphirepass
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -17,6 +17,8 @@
     Gap,
     // A command cannot be read or applied by this version; the instance stays where it is.
     UnknownCommand,
+    // The same revision has another content here than elsewhere; nothing was changed.
+    Diverged,
 };
 
 struct ApplyError {
@@ -35,6 +37,8 @@
     auto snapshot() const -> std::shared_ptr<const Snapshot>;
     // Applies the entries that this instance has not applied yet; returns the revision in force.
     auto apply(const LogHead& head) -> Result<Revision, ApplyError>;
+    // Takes over a snapshot that another source has; returns the revision in force.
+    auto install(const Snapshot& snapshot) -> Result<Revision, ApplyError>;
 
 private:
     mutable std::mutex mutex_;
--- /dev/null
+++ b/src/config/snapshot_codec.cpp
@@ -0,0 +1,98 @@
+#include "config/snapshot_codec.h"
+
+#include "base/field.h"
+#include "base/text_func.h"
+#include "base/texts.h"
+#include "config/kind_func.h"
+#include "language/command_reader.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace sapphirepass {
+
+namespace {
+    constexpr std::string_view formatName = "sapphirepass-snapshot";
+    constexpr std::string_view formatNumber = "1";
+    constexpr int hexBase = 16;
+
+    // sapphirepass-snapshot FORMAT REVISION HASH
+    struct Header {
+        Revision revision_ = 0;
+        std::uint64_t stateHash_ = 0;
+    };
+
+    auto readHash(std::string_view text) -> std::optional<std::uint64_t>
+    {
+        std::uint64_t hash = 0;
+        const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), hash, hexBase);
+        if (failure != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return hash;
+    }
+
+    auto readHeader(std::string_view line) -> Result<Header, LogDecodeError>
+    {
+        const auto words = splitText(line, ' ');
+        if (words.size() != 4 || words[0] != formatName)
+            return LogDecodeError { std::string(texts::snapshotMalformed) };
+        if (words[1] != formatNumber)
+            return LogDecodeError { fmt::format(texts::snapshotFormatUnknown, words[1]) };
+        const auto revision = readNumber(words[2], {});
+        const auto hash = readHash(words[3]);
+        if (!revision || !hash)
+            return LogDecodeError { std::string(texts::snapshotMalformed) };
+        return Header { *revision, *hash };
+    }
+
+    auto readItems(std::string_view text) -> Result<Snapshot, LogDecodeError>
+    {
+        Snapshot snapshot;
+        if (text.empty())
+            return snapshot;
+        const auto statements = parseStatements(text);
+        if (!isOk(statements))
+            return LogDecodeError { errorOf(statements).message_ };
+        for (const auto& statement : valueOf(statements)) {
+            const auto* command = std::get_if<CommandStatement>(&statement);
+            if (command == nullptr)
+                return LogDecodeError { std::string(texts::snapshotMalformed) };
+            auto item = readItem(*command);
+            if (!isOk(item))
+                return LogDecodeError { errorOf(item).message_ };
+            snapshot = std::visit([&](auto& alternative) { return snapshot.with(std::move(alternative)); }, std::get<Item>(item));
+        }
+        return snapshot;
+    }
+}
+
+auto encodeSnapshot(const Snapshot& snapshot) -> std::string
+{
+    auto text = fmt::format("{} {} {} {:016x}\n", formatName, formatNumber, snapshot.revision(), snapshot.stateHash());
+    forEachKind([&]<typename T>(std::type_identity<T>) {
+        snapshot.table<T>().forEach([&text](const T& item) {
+            text += canonicalText(Item { item });
+            text += '\n';
+        });
+    });
+    return text;
+}
+
+auto decodeSnapshot(std::string_view text) -> Result<Snapshot, LogDecodeError>
+{
+    const auto headerEnd = text.find('\n');
+    if (headerEnd == std::string_view::npos)
+        return LogDecodeError { std::string(texts::snapshotMalformed) };
+    const auto header = readHeader(text.substr(0, headerEnd));
+    if (!isOk(header))
+        return errorOf(header);
+    const auto items = readItems(text.substr(headerEnd + 1));
+    if (!isOk(items))
+        return errorOf(items);
+    auto snapshot = valueOf(items).atRevision(valueOf(header).revision_);
+    if (snapshot.stateHash() != valueOf(header).stateHash_)
+        return LogDecodeError { std::string(texts::snapshotHashWrong) };
+    return snapshot;
+}
+
+} // namespace sapphirepass
--- a/src/language/command_reader.cpp
+++ b/src/language/command_reader.cpp
@@ -47,7 +47,7 @@
     }
 
     template <typename T>
-    auto readDeclaration(const CommandStatement& statement) -> Result<Command, LanguageError>
+    auto readDeclaration(const CommandStatement& statement) -> Result<Item, LanguageError>
     {
         T item;
         item.name_ = statement.name_.text_;
@@ -61,7 +61,14 @@
             if (field.presence_ == Presence::Required && !given.contains(field.name_))
                 return errorAt(statement.name_, texts::fieldMissing, kindName<T>(), item.name_, field.name_, field.expected_);
         }
-        return Command { DeclareCommand { Item { item } } };
+        return Item { std::move(item) };
+    }
+
+    auto toDeclare(Result<Item, LanguageError> item) -> Result<Command, LanguageError>
+    {
+        if (!isOk(item))
+            return errorOf(item);
+        return Command { DeclareCommand { valueOf(std::move(item)) } };
     }
 
     auto readChange(const CommandStatement& statement) -> Command
@@ -81,7 +88,7 @@
         if (auto error = checkAttributes<T>(statement))
             return *error;
         if (verb == "declare" || verb == "issue")
-            return readDeclaration<T>(statement);
+            return toDeclare(readDeclaration<T>(statement));
         if (verb == "change")
             return readChange(statement);
         if (verb == "retire")
@@ -93,6 +100,8 @@
     auto checkVerb(const CommandStatement& statement) -> std::optional<LanguageError>
     {
         const auto& verb = statement.verb_.text_;
+        if (statement.kind_.text_ == kindName<WithdrawnKey>())
+            return LanguageError { statement.kind_.place_, "a kind other than withdrawn-key; withdraw the key instead" };
         const bool isKey = statement.kind_.text_ == kindName<Key>();
         if ((verb == "issue" || verb == "withdraw") && !isKey)
             return LanguageError { statement.kind_.place_, fmt::format("key after {}", verb) };
@@ -134,6 +143,22 @@
     return result;
 }
 
+auto readItem(const CommandStatement& statement) -> Result<Item, LanguageError>
+{
+    if (statement.verb_.text_ != "declare")
+        return LanguageError { statement.verb_.place_, "declare" };
+    Result<Item, LanguageError> result = errorAt(statement.kind_, texts::kindUnknown, statement.kind_.text_, kindNames());
+    withKind(statement.kind_.text_, [&]<typename T>(std::type_identity<T>) {
+        if (auto error = checkName<T>(statement.name_))
+            result = *error;
+        else if (auto broken = checkAttributes<T>(statement))
+            result = *broken;
+        else
+            result = readDeclaration<T>(statement);
+    });
+    return result;
+}
+
 auto readBatch(std::string_view text) -> Result<CommandBatch, LanguageError>
 {
     const auto statements = parseStatements(text);
--- a/src/language/command_reader.h
+++ b/src/language/command_reader.h
@@ -9,6 +9,8 @@
 
 // Checks kinds, names, fields and values; the error points at the offending word.
 auto readCommand(const CommandStatement& statement) -> Result<Command, LanguageError>;
+// Reads a declaration of any kind, withdrawn keys included, as snapshots hold them.
+auto readItem(const CommandStatement& statement) -> Result<Item, LanguageError>;
 // Reads a whole batch of commands; a query among them is an error.
 auto readBatch(std::string_view text) -> Result<CommandBatch, LanguageError>;
 // The text that readBatch() reads back as an equal batch; kept in the command log.
