--- /dev/null
+++ b/src/fleet/fleet_report.cpp
@@ -0,0 +1,94 @@
+// What operators ask of the fleet: members, and where a revision is in force.
+#include "fleet/fleet_core.h"
+
+#include <algorithm>
+
+namespace sapphirepass {
+
+namespace {
+    // Names that an answer lists of those that have not confirmed.
+    constexpr std::size_t maxNamed = 16;
+}
+
+auto FleetCore::ownMember() const -> Member
+{
+    auto own = members_.self();
+    const auto snapshot = state_.snapshot();
+    own.revision_ = snapshot->revision();
+    own.stateHash_ = snapshot->stateHash();
+    own.age_ = std::chrono::milliseconds(0);
+    return own;
+}
+
+auto FleetCore::hasInForce(const Member& member, const InForceAsk& ask) const -> bool
+{
+    if (member.id_.name_ == members_.self().id_.name_)
+        return relay_.revision() >= ask.revision_ && book_.covers(ask.withdrawalHash_);
+    const auto* heard = members_.heard(member.id_.name_);
+    if (heard == nullptr || heard->revision_ < ask.revision_)
+        return false;
+    return ask.withdrawalHash_ == 0 || heard->withdrawalHash_ == ask.withdrawalHash_;
+}
+
+auto FleetCore::countDomain(const InForceAsk& ask, const std::string& domain) const -> InForceAnswer
+{
+    InForceAnswer answer { ask, domain, 0, 0, {} };
+    for (const auto* member : members_.list().ofDomain(domain)) {
+        ++answer.total_;
+        if (hasInForce(*member, ask))
+            ++answer.confirmed_;
+        else if (answer.behind_.size() < maxNamed)
+            answer.behind_.push_back(member->id_.name_);
+    }
+    return answer;
+}
+
+auto FleetCore::inForce(const InForceAsk& ask) const -> InForceCount
+{
+    InForceCount count;
+    for (const auto& [domain, list] : members_.list().domains()) {
+        auto best = countDomain(ask, domain);
+        const auto answered = answers_.find(domain);
+        if (ask == asked_ && answered != answers_.end() && answered->second.confirmed_ > best.confirmed_)
+            best = answered->second;
+        // The total is this instance's own view, so that an answer from a shorter list hides nobody.
+        count.total_ += list.size();
+        count.confirmed_ += std::min<std::size_t>(best.confirmed_, list.size());
+        if (best.confirmed_ < list.size())
+            count.missing_.insert(count.missing_.end(), best.behind_.begin(), best.behind_.end());
+    }
+    std::sort(count.missing_.begin(), count.missing_.end());
+    return count;
+}
+
+auto FleetCore::describeMembers() const -> std::vector<Member>
+{
+    std::vector<Member> rows;
+    for (const auto& listed : members_.list().members()) {
+        auto row = listed;
+        row.age_ = std::chrono::hours(24);
+        if (const auto* heard = members_.heard(row.id_.name_)) {
+            row.id_.incarnation_ = heard->incarnation_;
+            row.revision_ = heard->revision_;
+            row.stateHash_ = heard->stateHash_;
+            row.age_ = std::chrono::ceil<std::chrono::milliseconds>(clock_.now() - heard->at_);
+        }
+        rows.push_back(row.id_.name_ == members_.self().id_.name_ ? ownMember() : row);
+    }
+    return rows;
+}
+
+auto FleetCore::watcherRank() const -> std::size_t
+{
+    std::size_t rank = 0;
+    for (const auto& [domain, list] : members_.list().domains()) {
+        for (const auto& watcher : members_.watchers(domain, options_.fanOut_.watchers_)) {
+            if (watcher == members_.self().id_.name_)
+                return rank;
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+} // namespace sapphirepass
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -34,11 +34,8 @@
 struct RelayMessage {
     union {
         digest @0 :Digest;
-        # Asks for all entries after a revision.
-        pull @1 :Int64;
-        # Encoded log head with consecutive entries.
-        entries @2 :Data;
-        # Part of an encoded snapshot.
+        pull @1 :Pull;
+        entries @2 :Entries;
         snapshot @3 :SnapshotPart;
     }
 }
@@ -48,9 +45,25 @@
     stateHash @1 :UInt64;
     # Whether the receiver is asked to answer with its own digest.
     question @2 :Bool;
-    hearings @3 :List(Hearing);
-    # Hash over the names of the keys that were withdrawn while the store was down.
+    # Chosen by the questioner, repeated by the answer; 0 if nobody asked.
+    nonce @3 :UInt64;
+    # Hash of the set of keys that were withdrawn while the store was down; 0 for the empty set.
     withdrawalHash @4 :UInt64;
+    hearings @5 :List(Hearing);
+}
+
+# Asks for all entries after a revision, or for the rest of a snapshot.
+struct Pull {
+    after @0 :Int64;
+    snapshotRevision @1 :Int64;
+    offset @2 :UInt64;
+}
+
+struct Entries {
+    # Encoded log head with consecutive entries.
+    head @0 :Data;
+    # Number of the push tree, from 1; 0 if the entries were pulled.
+    tree @1 :UInt8;
 }
 
 struct SnapshotPart {
@@ -78,8 +91,25 @@
     union {
         # The sender's own state; a leaving instance tells it once more before it stops.
         report @0 :Member;
-        # Asks for the states that the receiver knows of.
+        # Asks for the states of the receiver's domain and for watchers of the others.
         ask @1 :Void;
         members @2 :List(Member);
+        inForceAsk @3 :InForceAsk;
+        inForceAnswer @4 :InForceAnswer;
     }
 }
+
+struct InForceAsk {
+    revision @0 :Int64;
+    withdrawalHash @1 :UInt64;
+}
+
+# How far a failure domain has come.
+struct InForceAnswer {
+    ask @0 :InForceAsk;
+    domain @1 :Text;
+    confirmed @2 :UInt32;
+    total @3 :UInt32;
+    # Some of those that have not confirmed.
+    behind @4 :List(Text);
+}
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -26,10 +26,14 @@
 CAPNP_DECLARE_SCHEMA(ae3ea4f5429d9d26);
 CAPNP_DECLARE_SCHEMA(97447d854f59936a);
 CAPNP_DECLARE_SCHEMA(b4d27f5fab02e081);
+CAPNP_DECLARE_SCHEMA(8cc5ee84809cc86d);
+CAPNP_DECLARE_SCHEMA(91b36c3dc31ff225);
 CAPNP_DECLARE_SCHEMA(a71a948e7b1fbdf6);
 CAPNP_DECLARE_SCHEMA(cd95ca3e8ad51a88);
 CAPNP_DECLARE_SCHEMA(f665403cbf9af148);
 CAPNP_DECLARE_SCHEMA(ad4c1210fc663cf2);
+CAPNP_DECLARE_SCHEMA(aa46c2915a2b0853);
+CAPNP_DECLARE_SCHEMA(fe904ecfdd4e0739);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -130,7 +134,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(97447d854f59936a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(97447d854f59936a, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -145,7 +149,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b4d27f5fab02e081, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b4d27f5fab02e081, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Pull {
+  Pull() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8cc5ee84809cc86d, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Entries {
+  Entries() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91b36c3dc31ff225, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -207,6 +241,8 @@
     REPORT,
     ASK,
     MEMBERS,
+    IN_FORCE_ASK,
+    IN_FORCE_ANSWER,
   };
 
   struct _capnpPrivate {
@@ -217,6 +253,36 @@
   };
 };
 
+struct InForceAsk {
+  InForceAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(aa46c2915a2b0853, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct InForceAnswer {
+  InForceAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe904ecfdd4e0739, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -694,11 +760,12 @@
   inline  ::sapphirepass::wire::Digest::Reader getDigest() const;
 
   inline bool isPull() const;
-  inline  ::int64_t getPull() const;
+  inline bool hasPull() const;
+  inline  ::sapphirepass::wire::Pull::Reader getPull() const;
 
   inline bool isEntries() const;
   inline bool hasEntries() const;
-  inline  ::capnp::Data::Reader getEntries() const;
+  inline  ::sapphirepass::wire::Entries::Reader getEntries() const;
 
   inline bool isSnapshot() const;
   inline bool hasSnapshot() const;
@@ -742,16 +809,20 @@
   inline ::capnp::Orphan< ::sapphirepass::wire::Digest> disownDigest();
 
   inline bool isPull();
-  inline  ::int64_t getPull();
-  inline void setPull( ::int64_t value);
+  inline bool hasPull();
+  inline  ::sapphirepass::wire::Pull::Builder getPull();
+  inline void setPull( ::sapphirepass::wire::Pull::Reader value);
+  inline  ::sapphirepass::wire::Pull::Builder initPull();
+  inline void adoptPull(::capnp::Orphan< ::sapphirepass::wire::Pull>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::Pull> disownPull();
 
   inline bool isEntries();
   inline bool hasEntries();
-  inline  ::capnp::Data::Builder getEntries();
-  inline void setEntries( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownEntries();
+  inline  ::sapphirepass::wire::Entries::Builder getEntries();
+  inline void setEntries( ::sapphirepass::wire::Entries::Reader value);
+  inline  ::sapphirepass::wire::Entries::Builder initEntries();
+  inline void adoptEntries(::capnp::Orphan< ::sapphirepass::wire::Entries>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::Entries> disownEntries();
 
   inline bool isSnapshot();
   inline bool hasSnapshot();
@@ -810,11 +881,13 @@
 
   inline bool getQuestion() const;
 
-  inline bool hasHearings() const;
-  inline  ::capnp::List< ::sapphirepass::wire::Hearing,  ::capnp::Kind::STRUCT>::Reader getHearings() const;
+  inline  ::uint64_t getNonce() const;
 
   inline  ::uint64_t getWithdrawalHash() const;
 
+  inline bool hasHearings() const;
+  inline  ::capnp::List< ::sapphirepass::wire::Hearing,  ::capnp::Kind::STRUCT>::Reader getHearings() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -852,6 +925,12 @@
   inline bool getQuestion();
   inline void setQuestion(bool value);
 
+  inline  ::uint64_t getNonce();
+  inline void setNonce( ::uint64_t value);
+
+  inline  ::uint64_t getWithdrawalHash();
+  inline void setWithdrawalHash( ::uint64_t value);
+
   inline bool hasHearings();
   inline  ::capnp::List< ::sapphirepass::wire::Hearing,  ::capnp::Kind::STRUCT>::Builder getHearings();
   inline void setHearings( ::capnp::List< ::sapphirepass::wire::Hearing,  ::capnp::Kind::STRUCT>::Reader value);
@@ -859,9 +938,6 @@
   inline void adoptHearings(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Hearing,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Hearing,  ::capnp::Kind::STRUCT>> disownHearings();
 
-  inline  ::uint64_t getWithdrawalHash();
-  inline void setWithdrawalHash( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -888,6 +964,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class Pull::Reader {
+public:
+  typedef Pull Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getAfter() const;
+
+  inline  ::int64_t getSnapshotRevision() const;
+
+  inline  ::uint64_t getOffset() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Pull::Builder {
+public:
+  typedef Pull Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getAfter();
+  inline void setAfter( ::int64_t value);
+
+  inline  ::int64_t getSnapshotRevision();
+  inline void setSnapshotRevision( ::int64_t value);
+
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Pull::Pipeline {
+public:
+  typedef Pull Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Entries::Reader {
+public:
+  typedef Entries Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHead() const;
+  inline  ::capnp::Data::Reader getHead() const;
+
+  inline  ::uint8_t getTree() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Entries::Builder {
+public:
+  typedef Entries Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHead();
+  inline  ::capnp::Data::Builder getHead();
+  inline void setHead( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHead(unsigned int size);
+  inline void adoptHead(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHead();
+
+  inline  ::uint8_t getTree();
+  inline void setTree( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Entries::Pipeline {
+public:
+  typedef Entries Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SnapshotPart::Reader {
 public:
   typedef SnapshotPart Reads;
@@ -1205,6 +1453,14 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::sapphirepass::wire::Member,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool isInForceAsk() const;
+  inline bool hasInForceAsk() const;
+  inline  ::sapphirepass::wire::InForceAsk::Reader getInForceAsk() const;
+
+  inline bool isInForceAnswer() const;
+  inline bool hasInForceAnswer() const;
+  inline  ::sapphirepass::wire::InForceAnswer::Reader getInForceAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1254,6 +1510,22 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Member,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Member,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool isInForceAsk();
+  inline bool hasInForceAsk();
+  inline  ::sapphirepass::wire::InForceAsk::Builder getInForceAsk();
+  inline void setInForceAsk( ::sapphirepass::wire::InForceAsk::Reader value);
+  inline  ::sapphirepass::wire::InForceAsk::Builder initInForceAsk();
+  inline void adoptInForceAsk(::capnp::Orphan< ::sapphirepass::wire::InForceAsk>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::InForceAsk> disownInForceAsk();
+
+  inline bool isInForceAnswer();
+  inline bool hasInForceAnswer();
+  inline  ::sapphirepass::wire::InForceAnswer::Builder getInForceAnswer();
+  inline void setInForceAnswer( ::sapphirepass::wire::InForceAnswer::Reader value);
+  inline  ::sapphirepass::wire::InForceAnswer::Builder initInForceAnswer();
+  inline void adoptInForceAnswer(::capnp::Orphan< ::sapphirepass::wire::InForceAnswer>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::InForceAnswer> disownInForceAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1280,48 +1552,242 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class InForceAsk::Reader {
+public:
+  typedef InForceAsk Reads;
 
-#if !CAPNP_LITE
-inline Peer::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Peer::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Peer::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Peer::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::sapphirepass::wire::Peer::Client& Peer::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::sapphirepass::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
 #endif  // !CAPNP_LITE
-inline bool Peer::DeliverParams::Reader::hasFrom() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::DeliverParams::Builder::hasFrom() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::DeliverParams::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::DeliverParams::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+
+  inline  ::int64_t getRevision() const;
+
+  inline  ::uint64_t getWithdrawalHash() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class InForceAsk::Builder {
+public:
+  typedef InForceAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline  ::uint64_t getWithdrawalHash();
+  inline void setWithdrawalHash( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class InForceAsk::Pipeline {
+public:
+  typedef InForceAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class InForceAnswer::Reader {
+public:
+  typedef InForceAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAsk() const;
+  inline  ::sapphirepass::wire::InForceAsk::Reader getAsk() const;
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline  ::uint32_t getConfirmed() const;
+
+  inline  ::uint32_t getTotal() const;
+
+  inline bool hasBehind() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getBehind() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class InForceAnswer::Builder {
+public:
+  typedef InForceAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAsk();
+  inline  ::sapphirepass::wire::InForceAsk::Builder getAsk();
+  inline void setAsk( ::sapphirepass::wire::InForceAsk::Reader value);
+  inline  ::sapphirepass::wire::InForceAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::sapphirepass::wire::InForceAsk>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::InForceAsk> disownAsk();
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline  ::uint32_t getConfirmed();
+  inline void setConfirmed( ::uint32_t value);
+
+  inline  ::uint32_t getTotal();
+  inline void setTotal( ::uint32_t value);
+
+  inline bool hasBehind();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getBehind();
+  inline void setBehind( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setBehind(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initBehind(unsigned int size);
+  inline void adoptBehind(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownBehind();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class InForceAnswer::Pipeline {
+public:
+  typedef InForceAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::sapphirepass::wire::InForceAsk::Pipeline getAsk();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+#if !CAPNP_LITE
+inline Peer::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Peer::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Peer::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Peer::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::sapphirepass::wire::Peer::Client& Peer::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::sapphirepass::wire::Peer::Client& Peer::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Peer::DeliverParams::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::DeliverParams::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::DeliverParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::DeliverParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 inline void Peer::DeliverParams::Builder::setFrom( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
@@ -1739,24 +2205,52 @@
 inline bool RelayMessage::Builder::isPull() {
   return which() == RelayMessage::PULL;
 }
-inline  ::int64_t RelayMessage::Reader::getPull() const {
+inline bool RelayMessage::Reader::hasPull() const {
+  if (which() != RelayMessage::PULL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayMessage::Builder::hasPull() {
+  if (which() != RelayMessage::PULL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::Pull::Reader RelayMessage::Reader::getPull() const {
   KJ_IREQUIRE((which() == RelayMessage::PULL),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Pull>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t RelayMessage::Builder::getPull() {
+inline  ::sapphirepass::wire::Pull::Builder RelayMessage::Builder::getPull() {
   KJ_IREQUIRE((which() == RelayMessage::PULL),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Pull>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Builder::setPull( ::int64_t value) {
+inline void RelayMessage::Builder::setPull( ::sapphirepass::wire::Pull::Reader value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PULL);
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::Pull>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::Pull::Builder RelayMessage::Builder::initPull() {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PULL);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Pull>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayMessage::Builder::adoptPull(
+    ::capnp::Orphan< ::sapphirepass::wire::Pull>&& value) {
+  _builder.setDataField<RelayMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::PULL);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::Pull>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::Pull> RelayMessage::Builder::disownPull() {
+  KJ_IREQUIRE((which() == RelayMessage::PULL),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Pull>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RelayMessage::Reader::isEntries() const {
@@ -1775,41 +2269,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader RelayMessage::Reader::getEntries() const {
+inline  ::sapphirepass::wire::Entries::Reader RelayMessage::Reader::getEntries() const {
   KJ_IREQUIRE((which() == RelayMessage::ENTRIES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Entries>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder RelayMessage::Builder::getEntries() {
+inline  ::sapphirepass::wire::Entries::Builder RelayMessage::Builder::getEntries() {
   KJ_IREQUIRE((which() == RelayMessage::ENTRIES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Entries>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RelayMessage::Builder::setEntries( ::capnp::Data::Reader value) {
+inline void RelayMessage::Builder::setEntries( ::sapphirepass::wire::Entries::Reader value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::ENTRIES);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::Entries>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder RelayMessage::Builder::initEntries(unsigned int size) {
+inline  ::sapphirepass::wire::Entries::Builder RelayMessage::Builder::initEntries() {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::ENTRIES);
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Entries>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void RelayMessage::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
+    ::capnp::Orphan< ::sapphirepass::wire::Entries>&& value) {
   _builder.setDataField<RelayMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, RelayMessage::ENTRIES);
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::Entries>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> RelayMessage::Builder::disownEntries() {
+inline ::capnp::Orphan< ::sapphirepass::wire::Entries> RelayMessage::Builder::disownEntries() {
   KJ_IREQUIRE((which() == RelayMessage::ENTRIES),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::Entries>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -1909,6 +2403,34 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Digest::Reader::getNonce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getNonce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setNonce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Digest::Reader::getWithdrawalHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getWithdrawalHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setWithdrawalHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Digest::Reader::hasHearings() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1943,18 +2465,94 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Digest::Reader::getWithdrawalHash() const {
+inline  ::int64_t Pull::Reader::getAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Pull::Builder::getAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Pull::Builder::setAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Pull::Reader::getSnapshotRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Pull::Builder::getSnapshotRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Pull::Builder::setSnapshotRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Pull::Reader::getOffset() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Digest::Builder::getWithdrawalHash() {
+inline  ::uint64_t Pull::Builder::getOffset() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Digest::Builder::setWithdrawalHash( ::uint64_t value) {
+inline void Pull::Builder::setOffset( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Entries::Reader::hasHead() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Entries::Builder::hasHead() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Entries::Reader::getHead() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Entries::Builder::getHead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Entries::Builder::setHead( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Entries::Builder::initHead(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Entries::Builder::adoptHead(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Entries::Builder::disownHead() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t Entries::Reader::getTree() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Entries::Builder::getTree() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Entries::Builder::setTree( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::int64_t SnapshotPart::Reader::getRevision() const {
@@ -2346,6 +2944,281 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool MembershipMessage::Reader::isInForceAsk() const {
+  return which() == MembershipMessage::IN_FORCE_ASK;
+}
+inline bool MembershipMessage::Builder::isInForceAsk() {
+  return which() == MembershipMessage::IN_FORCE_ASK;
+}
+inline bool MembershipMessage::Reader::hasInForceAsk() const {
+  if (which() != MembershipMessage::IN_FORCE_ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MembershipMessage::Builder::hasInForceAsk() {
+  if (which() != MembershipMessage::IN_FORCE_ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::InForceAsk::Reader MembershipMessage::Reader::getInForceAsk() const {
+  KJ_IREQUIRE((which() == MembershipMessage::IN_FORCE_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::InForceAsk::Builder MembershipMessage::Builder::getInForceAsk() {
+  KJ_IREQUIRE((which() == MembershipMessage::IN_FORCE_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MembershipMessage::Builder::setInForceAsk( ::sapphirepass::wire::InForceAsk::Reader value) {
+  _builder.setDataField<MembershipMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, MembershipMessage::IN_FORCE_ASK);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::InForceAsk::Builder MembershipMessage::Builder::initInForceAsk() {
+  _builder.setDataField<MembershipMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, MembershipMessage::IN_FORCE_ASK);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MembershipMessage::Builder::adoptInForceAsk(
+    ::capnp::Orphan< ::sapphirepass::wire::InForceAsk>&& value) {
+  _builder.setDataField<MembershipMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, MembershipMessage::IN_FORCE_ASK);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::InForceAsk> MembershipMessage::Builder::disownInForceAsk() {
+  KJ_IREQUIRE((which() == MembershipMessage::IN_FORCE_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MembershipMessage::Reader::isInForceAnswer() const {
+  return which() == MembershipMessage::IN_FORCE_ANSWER;
+}
+inline bool MembershipMessage::Builder::isInForceAnswer() {
+  return which() == MembershipMessage::IN_FORCE_ANSWER;
+}
+inline bool MembershipMessage::Reader::hasInForceAnswer() const {
+  if (which() != MembershipMessage::IN_FORCE_ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MembershipMessage::Builder::hasInForceAnswer() {
+  if (which() != MembershipMessage::IN_FORCE_ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::InForceAnswer::Reader MembershipMessage::Reader::getInForceAnswer() const {
+  KJ_IREQUIRE((which() == MembershipMessage::IN_FORCE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::InForceAnswer::Builder MembershipMessage::Builder::getInForceAnswer() {
+  KJ_IREQUIRE((which() == MembershipMessage::IN_FORCE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MembershipMessage::Builder::setInForceAnswer( ::sapphirepass::wire::InForceAnswer::Reader value) {
+  _builder.setDataField<MembershipMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, MembershipMessage::IN_FORCE_ANSWER);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::InForceAnswer::Builder MembershipMessage::Builder::initInForceAnswer() {
+  _builder.setDataField<MembershipMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, MembershipMessage::IN_FORCE_ANSWER);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MembershipMessage::Builder::adoptInForceAnswer(
+    ::capnp::Orphan< ::sapphirepass::wire::InForceAnswer>&& value) {
+  _builder.setDataField<MembershipMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, MembershipMessage::IN_FORCE_ANSWER);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::InForceAnswer> MembershipMessage::Builder::disownInForceAnswer() {
+  KJ_IREQUIRE((which() == MembershipMessage::IN_FORCE_ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t InForceAsk::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t InForceAsk::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InForceAsk::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t InForceAsk::Reader::getWithdrawalHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t InForceAsk::Builder::getWithdrawalHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void InForceAsk::Builder::setWithdrawalHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool InForceAnswer::Reader::hasAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool InForceAnswer::Builder::hasAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::InForceAsk::Reader InForceAnswer::Reader::getAsk() const {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::InForceAsk::Builder InForceAnswer::Builder::getAsk() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::sapphirepass::wire::InForceAsk::Pipeline InForceAnswer::Pipeline::getAsk() {
+  return  ::sapphirepass::wire::InForceAsk::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void InForceAnswer::Builder::setAsk( ::sapphirepass::wire::InForceAsk::Reader value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::InForceAsk::Builder InForceAnswer::Builder::initAsk() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void InForceAnswer::Builder::adoptAsk(
+    ::capnp::Orphan< ::sapphirepass::wire::InForceAsk>&& value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::InForceAsk> InForceAnswer::Builder::disownAsk() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::InForceAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool InForceAnswer::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool InForceAnswer::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader InForceAnswer::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder InForceAnswer::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void InForceAnswer::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder InForceAnswer::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void InForceAnswer::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> InForceAnswer::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t InForceAnswer::Reader::getConfirmed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t InForceAnswer::Builder::getConfirmed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void InForceAnswer::Builder::setConfirmed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t InForceAnswer::Reader::getTotal() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t InForceAnswer::Builder::getTotal() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void InForceAnswer::Builder::setTotal( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool InForceAnswer::Reader::hasBehind() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool InForceAnswer::Builder::hasBehind() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader InForceAnswer::Reader::getBehind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder InForceAnswer::Builder::getBehind() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void InForceAnswer::Builder::setBehind( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void InForceAnswer::Builder::setBehind(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder InForceAnswer::Builder::initBehind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void InForceAnswer::Builder::adoptBehind(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> InForceAnswer::Builder::disownBehind() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,192 @@
+// The relay among many instances on a virtual clock: faults in tables, order and duplication as properties.
+#include "standin/fleet_sim.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+using standin::FleetSim;
+using standin::SimOptions;
+
+namespace {
+
+constexpr auto inForceLimit = 5'000ms;
+
+auto largeFleet(std::size_t nodes) -> SimOptions
+{
+    SimOptions options;
+    options.nodes_ = nodes;
+    return options;
+}
+
+auto isWhole(FleetSim& sim, Revision revision) -> bool
+{
+    return sim.countAt(revision) == sim.living();
+}
+
+auto hashesAgree(FleetSim& sim) -> bool
+{
+    for (std::size_t i = 1; i < sim.size(); ++i) {
+        if (sim.state(i).snapshot()->stateHash() != sim.state(0).snapshot()->stateHash())
+            return false;
+    }
+    return true;
+}
+
+auto watchersOf(FleetSim& sim, const std::string& domain) -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < sim.size(); ++i) {
+        if (sim.domainOf(i) == domain && sim.core(i).watcherRank() < 12 && sim.core(i).shouldWatchStore())
+            found.push_back(i);
+    }
+    return found;
+}
+
+struct FaultCase {
+    const char* name_;
+    void (*strike_)(FleetSim&);
+};
+
+const std::array faultCases {
+    FaultCase { "nothing", [](FleetSim&) {} },
+    FaultCase { "a watcher dies", [](FleetSim& sim) { sim.kill(watchersOf(sim, "r1-1").front()); } },
+    FaultCase { "both watchers of a domain die", [](FleetSim& sim) { for (const auto node : watchersOf(sim, "r1-1")) sim.kill(node); } },
+    FaultCase { "a domain's watchers lose the store", [](FleetSim& sim) { for (const auto node : watchersOf(sim, "r2-0")) sim.setStoreCut(node, true); } },
+    FaultCase { "two regions lose the store", [](FleetSim& sim) { for (std::size_t i = 0; i < sim.size(); ++i) sim.setStoreCut(i, sim.regionOf(i) != 0); } },
+    FaultCase { "a fifth of the messages is lost", [](FleetSim& sim) { sim.setLost(20); } },
+    FaultCase { "a whole region dies", [](FleetSim& sim) { for (std::size_t i = 1; i < sim.size(); i += 3) sim.kill(i); } },
+    FaultCase { "an instance restarts", [](FleetSim& sim) { sim.restart(5); } },
+};
+
+}
+
+TEST_CASE("a commit is in force everywhere within the limit, whatever fails", "[fleet]")
+{
+    for (const auto& fault : faultCases) {
+        INFO(fault.name_);
+        FleetSim sim(largeFleet(60));
+        sim.commit("declare region a");
+        sim.run(15'000ms);
+        REQUIRE(isWhole(sim, 1));
+        fault.strike_(sim);
+        const auto revision = sim.commit("declare region b");
+        CHECK(sim.runUntil([&] { return isWhole(sim, revision); }, inForceLimit));
+    }
+}
+
+TEST_CASE("the number of store watches does not grow with the fleet", "[fleet]")
+{
+    for (const std::size_t nodes : { 60, 240 }) {
+        FleetSim sim(largeFleet(nodes));
+        sim.commit("declare region a");
+        sim.run(15'000ms);
+        // Two in each of six domains.
+        CHECK(sim.watchingNodes() <= 12);
+        CHECK(sim.watchingNodes() >= 6);
+    }
+}
+
+TEST_CASE("an instance starts from a peer while the store is down", "[fleet]")
+{
+    FleetSim sim(largeFleet(12));
+    sim.commit("declare region a");
+    sim.run(5'000ms);
+    sim.setStoreDown(true);
+    sim.restart(3);
+    CHECK(sim.state(3).snapshot()->revision() == 0);
+    CHECK(sim.runUntil([&] { return isWhole(sim, 1); }, inForceLimit));
+}
+
+TEST_CASE("an instance that lacks too many entries catches up by snapshot", "[fleet]")
+{
+    FleetSim sim(largeFleet(12));
+    sim.setLost(5);
+    sim.run(5'000ms);
+    sim.pause(7);
+    for (int i = 0; i < 700; ++i)
+        sim.commit(fmt::format("declare workspace w{} rate 100 burst 50", i));
+    sim.run(5'000ms);
+    sim.setStoreDown(true);
+    sim.restart(7);
+    CHECK(sim.runUntil([&] { return isWhole(sim, 700) && hashesAgree(sim); }, inForceLimit));
+}
+
+TEST_CASE("a different state at the same revision raises an alarm", "[fleet]")
+{
+    FleetSim sim(largeFleet(12));
+    sim.run(2'000ms);
+    const LogHead other { 1, { { 1, "x", "w", "f", "t", "declare region elsewhere" } } };
+    REQUIRE(isOk(sim.state(4).apply(other)));
+    sim.commit("declare region a");
+    sim.run(10'000ms);
+    std::int64_t alarms = 0;
+    for (std::size_t i = 0; i < sim.size(); ++i)
+        alarms += sim.core(i).relay().divergences();
+    CHECK(alarms > 0);
+}
+
+TEST_CASE("instances that cannot read a command stay where they are and stop serving keys", "[fleet]")
+{
+    FleetSim sim(largeFleet(12));
+    sim.commit("declare region a");
+    sim.run(5'000ms);
+    sim.commit("teleport region a");
+    sim.run(15'000ms);
+    for (std::size_t i = 0; i < sim.size(); ++i) {
+        CHECK(sim.state(i).snapshot()->revision() == 1);
+        CHECK(!sim.core(i).isCurrent());
+    }
+    // The log is tried again with a pause, not at once.
+    sim.clearTraffic();
+    sim.run(10'000ms);
+    CHECK(sim.storeCalls() <= 12 * 20);
+}
+
+TEST_CASE("any order, loss and duplication leads to one state; no revision falls", "[fleet]")
+{
+    rc::check([] {
+        SimOptions options;
+        options.nodes_ = *rc::gen::inRange<std::size_t>(3, 30);
+        options.lost_ = *rc::gen::inRange(0, 30);
+        options.doubled_ = *rc::gen::inRange(0, 30);
+        options.jitter_ = std::chrono::microseconds(*rc::gen::inRange(0, 2'000'000));
+        options.seed_ = *rc::gen::arbitrary<std::uint64_t>();
+        FleetSim sim(options);
+        std::vector<Revision> last(sim.size(), 0);
+        Revision revision = 0;
+        for (int step = 0; step < 15; ++step) {
+            const auto node = *rc::gen::inRange<std::size_t>(0, sim.size());
+            switch (*rc::gen::inRange(0, 6)) {
+            case 0:
+            case 1:
+                revision = sim.commit(fmt::format("declare region r{}", step), node);
+                break;
+            case 2:
+                sim.restart(node);
+                last[node] = 0;
+                break;
+            case 3:
+                sim.setStoreDown(true);
+                break;
+            case 4:
+                sim.setStoreDown(false);
+                break;
+            default:
+                sim.setRegionCut(node % 3, step % 2 == 0);
+            }
+            sim.run(std::chrono::milliseconds(*rc::gen::inRange(0, 2'000)));
+            for (std::size_t i = 0; i < sim.size(); ++i) {
+                const auto now = sim.state(i).snapshot()->revision();
+                RC_ASSERT(now >= last[i]);
+                last[i] = now;
+            }
+        }
+        sim.setStoreDown(false);
+        for (std::size_t region = 0; region < 3; ++region)
+            sim.setRegionCut(region, false);
+        RC_ASSERT(sim.runUntil([&] { return isWhole(sim, revision) && hashesAgree(sim); }, 60'000ms));
+    });
+}
