--- /dev/null
+++ b/src/base/digest.h
@@ -0,0 +1,12 @@
+// SHA-256 digests.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace sapphirepass {
+
+// SHA-256 of the text, in lower-case hexadecimal digits.
+auto sha256Hex(std::string_view text) -> std::string;
+
+} // namespace sapphirepass
--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -58,10 +58,19 @@
 inline constexpr std::string_view outcomeUnknown = "the store's answer was lost; ask 'show commands where id = {}' before sending again";
 inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
 inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
+inline constexpr std::string_view hashMalformed = "a hash is malformed";
+inline constexpr std::string_view logFormatUnknown = "unknown format of the command log";
+inline constexpr std::string_view logIncomplete = "the revisions of the command log are not consecutive";
+inline constexpr std::string_view chunkDiffers = "{} exists with another content";
+inline constexpr std::string_view chunkDamaged = "{} does not have its digest";
+inline constexpr std::string_view commandIdBad = "a command id has 1 to 64 letters, digits, '-', '_' and '.'";
+inline constexpr std::string_view commandIdUsed = "command id {} belongs to another command, accepted at revision {}; nothing was changed";
+inline constexpr std::string_view operatorNameBad = "an operator's name has 1 to 64 printable characters and no blank";
 inline constexpr std::string_view snapshotMalformed = "the snapshot is malformed";
 inline constexpr std::string_view snapshotFormatUnknown = "the snapshot has the unknown format '{}'";
 inline constexpr std::string_view snapshotHashWrong = "the snapshot's content does not have its state hash";
 inline constexpr std::string_view revisionStale = "revision {} is below {}";
+inline constexpr std::string_view logStartsLater = "the log starts at revision {}, this instance is at {}";
 inline constexpr std::string_view stateDiverged = "revision {} has state hash {:016x} here, but {:016x} in the log";
 inline constexpr std::string_view headTooLarge = "the command log is full; nothing was changed";
 
--- a/src/config/config_state.cpp
+++ b/src/config/config_state.cpp
@@ -17,10 +17,19 @@
     auto applied = applyBatch(snapshot, valueOf(batch));
     if (!isOk(applied))
         return ApplyError { ApplyErrorKind::UnknownCommand, errorOf(applied).message_ };
+    const auto& next = valueOf(applied);
+    if (entry.stateHash_ != 0 && entry.stateHash_ != next.stateHash())
+        return ApplyError { ApplyErrorKind::Diverged, fmt::format(texts::stateDiverged, next.revision(), next.stateHash(), entry.stateHash_) };
     return valueOf(std::move(applied));
 }
 
 namespace {
+    auto logFailure(Revision revision, const ApplyError& error) -> void
+    {
+        const auto event = error.kind_ == ApplyErrorKind::Diverged ? EventId::StateDiverged : EventId::LogCommandUnknown;
+        logEvent(event, "revision={} message=\"{}\"", revision, error.message_);
+    }
+
     auto staleError(Revision offered, Revision current) -> ApplyError
     {
         logEvent(EventId::StaleRevisionIgnored, "offered={} in_force={}", offered, current);
@@ -29,8 +38,9 @@
 
     auto divergedError(const Snapshot& here, std::uint64_t there) -> ApplyError
     {
-        logEvent(EventId::StateDiverged, "revision={} state_hash={:016x} expected={:016x}", here.revision(), here.stateHash(), there);
-        return { ApplyErrorKind::Diverged, fmt::format(texts::stateDiverged, here.revision(), here.stateHash(), there) };
+        const ApplyError error { ApplyErrorKind::Diverged, fmt::format(texts::stateDiverged, here.revision(), here.stateHash(), there) };
+        logFailure(here.revision(), error);
+        return error;
     }
 }
 
@@ -46,8 +56,9 @@
     const auto current = snapshot_->revision();
     if (head.revision_ < current)
         return staleError(head.revision_, current);
-    if (!head.entries_.empty() && head.entries_.front().revision_ > current + 1)
-        return ApplyError { ApplyErrorKind::Gap, fmt::format("the log starts at revision {}", head.entries_.front().revision_) };
+    const auto beforeFirst = head.revision_ - static_cast<Revision>(head.entries_.size());
+    if (beforeFirst > current)
+        return ApplyError { ApplyErrorKind::Gap, fmt::format(texts::logStartsLater, beforeFirst + 1, current) };
     // Applied as a whole: readers never see a revision between the two.
     auto next = *snapshot_;
     for (const auto& entry : head.entries_) {
@@ -55,7 +66,7 @@
             continue;
         auto applied = applyLogEntry(next, entry);
         if (!isOk(applied)) {
-            logEvent(EventId::LogCommandUnknown, "revision={} message=\"{}\"", entry.revision_, errorOf(applied).message_);
+            logFailure(entry.revision_, errorOf(applied));
             return errorOf(applied);
         }
         next = valueOf(std::move(applied));
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -11,10 +11,11 @@
     template <typename T>
     auto canonicalItem(const T& item) -> std::string
     {
+        static const T defaults;
         auto text = fmt::format("declare {} {}", kindName<T>(), item.name_);
         for (const auto& field : fieldsOf<T>()) {
             const auto value = field.write_(item);
-            if (!value.empty())
+            if (field.presence_ == Presence::Required || value != field.write_(defaults))
                 text += fmt::format(" {} {}", field.name_, value);
         }
         return text;
--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -40,6 +40,7 @@
 };
 
 // Declares an item; the text is the same on every instance: declare KIND NAME FIELD VALUE ...
+// Optional fields at their default are left out, so that versions with more of them agree on the state hash.
 auto canonicalText(const Item& item) -> std::string;
 
 template <typename T>
--- a/src/config/snapshot_codec.cpp
+++ b/src/config/snapshot_codec.cpp
@@ -1,12 +1,12 @@
 #include "config/snapshot_codec.h"
 
 #include "base/field.h"
+#include "base/hex.h"
 #include "base/text_func.h"
 #include "base/texts.h"
 #include "config/kind_func.h"
 #include "language/command_reader.h"
 
-#include <charconv>
 #include <fmt/format.h>
 
 namespace sapphirepass {
@@ -14,7 +14,6 @@
 namespace {
     constexpr std::string_view formatName = "sapphirepass-snapshot";
     constexpr std::string_view formatNumber = "1";
-    constexpr int hexBase = 16;
 
     // sapphirepass-snapshot FORMAT REVISION HASH
     struct Header {
@@ -22,15 +21,6 @@
         std::uint64_t stateHash_ = 0;
     };
 
-    auto readHash(std::string_view text) -> std::optional<std::uint64_t>
-    {
-        std::uint64_t hash = 0;
-        const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), hash, hexBase);
-        if (failure != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return hash;
-    }
-
     auto readHeader(std::string_view line) -> Result<Header, LogDecodeError>
     {
         const auto words = splitText(line, ' ');
@@ -39,7 +29,7 @@
         if (words[1] != formatNumber)
             return LogDecodeError { fmt::format(texts::snapshotFormatUnknown, words[1]) };
         const auto revision = readNumber(words[2], {});
-        const auto hash = readHash(words[3]);
+        const auto hash = parseHex64(words[3]);
         if (!revision || !hash)
             return LogDecodeError { std::string(texts::snapshotMalformed) };
         return Header { *revision, *hash };
@@ -68,7 +58,7 @@
 
 auto encodeSnapshot(const Snapshot& snapshot) -> std::string
 {
-    auto text = fmt::format("{} {} {} {:016x}\n", formatName, formatNumber, snapshot.revision(), snapshot.stateHash());
+    auto text = fmt::format("{} {} {} {}\n", formatName, formatNumber, snapshot.revision(), formatHex64(snapshot.stateHash()));
     forEachKind([&]<typename T>(std::type_identity<T>) {
         snapshot.table<T>().forEach([&text](const T& item) {
             text += canonicalText(Item { item });
--- a/src/store/command_service.h
+++ b/src/store/command_service.h
@@ -5,6 +5,8 @@
 #include "base/result.h"
 #include "config/command_type.h"
 #include "config/config_state.h"
+#include "store/log_cutter.h"
+#include "store/log_head.h"
 #include "store/object_store.h"
 
 #include <optional>
@@ -12,9 +14,6 @@
 
 namespace sapphirepass {
 
-// Name of the head object of the command log.
-inline constexpr std::string_view headObjectName = "config/head";
-
 enum class CommandMode { TestRun,
     Real };
 
@@ -52,24 +51,26 @@
 
 class CommandService {
 public:
-    CommandService(ObjectStore& store, ConfigState& state, const Clock& clock);
+    CommandService(ObjectStore& store, ConfigState& state, const Clock& clock, const LogBounds& bounds = {});
 
     // Blocks for a few calls of the store. Accepted means durable in the store and applied here.
     auto submit(const CommandRequest& request) -> Result<CommandAccepted, CommandError>;
 
 private:
-    struct ReadHead {
-        LogHead head_;
-        ObjectVersion version_ = absentVersion;
-    };
+    struct Attempt;
 
-    auto readHead() -> Result<ReadHead, CommandError>;
-    auto append(ReadHead& read, const CommandRequest& request, const std::string& text) -> Result<Revision, StoreError>;
-    auto resolveLostAnswer(const CommandRequest& request) -> Result<Revision, CommandError>;
+    // One read of the head and at most one conditional update; nothing if the attempt must be repeated.
+    auto attempt(Attempt& attempt) -> std::optional<Result<CommandAccepted, CommandError>>;
+    auto testRun(const Attempt& attempt) -> Result<Snapshot, CommandError>;
+    auto append(Attempt& attempt, StoredHead current, const Snapshot& next) -> std::optional<Result<CommandAccepted, CommandError>>;
+    auto cut(std::size_t extraBytes) -> bool;
+    auto recordRefusal(const Attempt& attempt, const CommandError& error) -> void;
+    auto makeEntry(const CommandRequest& request, Revision revision, const std::string& text) const -> LogEntry;
 
     ObjectStore& store_;
     ConfigState& state_;
     const Clock& clock_;
+    LogBounds bounds_;
 };
 
 } // namespace sapphirepass
--- a/src/store/config_follower.cpp
+++ b/src/store/config_follower.cpp
@@ -1,7 +1,8 @@
 #include "store/config_follower.h"
 
 #include "base/event_log.h"
-#include "store/command_service.h"
+#include "store/log_head.h"
+#include "store/snapshot_store.h"
 
 namespace sapphirepass {
 
@@ -52,7 +53,7 @@
         logEvent(EventId::LogCommandUnknown, "message=\"{}\"", errorOf(head).message_);
         return false;
     }
-    if (isOk(state_.apply(valueOf(head))))
+    if (isOk(catchUp(store_, state_, valueOf(head))))
         version_ = object.version_;
     return true;
 }
--- /dev/null
+++ b/tests/log_cut_test.cpp
@@ -0,0 +1,193 @@
+#include "standin/memory_store.h"
+#include "standin/scripted_store.h"
+#include "store/audit_trail.h"
+#include "store/command_service.h"
+#include "store/config_follower.h"
+#include "store/snapshot_store.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+using standin::CallFate;
+
+namespace {
+
+// Small enough that a dozen commands are cut several times, in several chunks.
+constexpr LogBounds smallBounds { 1200, 400, 4, 64 };
+
+auto request(int n) -> CommandRequest
+{
+    return { fmt::format("declare region r{}", n), fmt::format("id{}", n), "ana", "127.0.0.1", CommandMode::Real, std::nullopt };
+}
+
+struct Operator {
+    explicit Operator(ObjectStore& store)
+        : service_(store, state_, clock_, smallBounds)
+    {
+    }
+
+    ManualClock clock_;
+    ConfigState state_;
+    CommandService service_;
+};
+
+auto headOf(ObjectStore& store) -> LogHead
+{
+    return valueOf(readHead(store)).head_;
+}
+
+// A new instance that knows nothing reads the whole configuration from the store.
+auto freshRegions(ObjectStore& store) -> std::set<std::string>
+{
+    ConfigState state;
+    REQUIRE(isOk(catchUp(store, state, headOf(store))));
+    std::set<std::string> names;
+    state.snapshot()->table<Region>().forEach([&names](const Region& region) { names.insert(region.name_); });
+    return names;
+}
+
+auto auditedRevisions(ObjectStore& store) -> std::vector<Revision>
+{
+    std::vector<Revision> revisions;
+    const auto accepted = readAccepted(store, headOf(store).revision_, 1000);
+    for (const auto& entry : valueOf(accepted))
+        revisions.push_back(entry.revision_);
+    return revisions;
+}
+
+auto firstRevisions(Revision count) -> std::vector<Revision>
+{
+    std::vector<Revision> revisions;
+    for (Revision revision = 1; revision <= count; ++revision)
+        revisions.push_back(revision);
+    return revisions;
+}
+
+}
+
+TEST_CASE("the log is cut and nothing is lost", "[config]")
+{
+    standin::MemoryStore store;
+    Operator ana(store);
+    constexpr int commands = 40;
+    for (int n = 1; n <= commands; ++n)
+        REQUIRE(isOk(ana.service_.submit(request(n))));
+    const auto head = headOf(store);
+    CHECK(head.snapshot_.revision_ > 20);
+    CHECK(head.snapshot_.chunkDigests_.size() > 1);
+    CHECK(encodeLogEntries(head.entries_).size() <= smallBounds.cutBytes_);
+    CHECK(freshRegions(store).size() == commands);
+    CHECK(auditedRevisions(store) == firstRevisions(commands));
+    // Snapshots before the last two are gone.
+    std::set<std::string> kept;
+    for (const auto& name : valueOf(store.list(std::string(snapshotPrefix))))
+        kept.insert(name.substr(0, name.rfind('/')));
+    CHECK(kept.size() == 2);
+}
+
+TEST_CASE("a repeat is recognised after its entry was cut off", "[config]")
+{
+    standin::MemoryStore store;
+    Operator ana(store);
+    for (int n = 1; n <= 40; ++n)
+        REQUIRE(isOk(ana.service_.submit(request(n))));
+    const auto head = headOf(store);
+    const auto firstEntry = head.entries_.front().revision_;
+    REQUIRE(head.cutIds_.size() == smallBounds.cutIds_);
+    for (auto revision = firstEntry - 4; revision <= 40; ++revision)
+        CHECK(valueOf(ana.service_.submit(request(static_cast<int>(revision)))).revision_ == revision);
+    CHECK(headOf(store).revision_ == 40);
+    auto other = request(40);
+    other.text_ = "declare region other";
+    CHECK(errorOf(ana.service_.submit(other)).kind_ == CommandErrorKind::Refused);
+}
+
+// Runs commands through a store whose call n, counted from the start, gets a fate; with Refused all later calls too.
+TEST_CASE("a crash or a lost answer at any store call of a cut loses nothing", "[config]")
+{
+    const auto fate = GENERATE(CallFate::Refused, CallFate::AnswerLost);
+    constexpr int commands = 12;
+    standin::MemoryStore dryStore;
+    standin::ScriptedStore dry(dryStore, [](int) { return CallFate::Normal; });
+    {
+        Operator ana(dry);
+        for (int n = 1; n <= commands; ++n)
+            REQUIRE(isOk(ana.service_.submit(request(n))));
+        REQUIRE(headOf(dryStore).snapshot_.revision_ > 0);
+    }
+    for (int failing = 0; failing < dry.calls(); ++failing) {
+        CAPTURE(failing, static_cast<int>(fate));
+        standin::MemoryStore store;
+        standin::ScriptedStore faulty(store, [failing, fate](int call) {
+            const bool hit = fate == CallFate::Refused ? call >= failing : call == failing;
+            return hit ? fate : CallFate::Normal;
+        });
+        Operator first(faulty);
+        std::set<std::string> accepted;
+        for (int n = 1; n <= commands; ++n) {
+            if (isOk(first.service_.submit(request(n))))
+                accepted.insert(fmt::format("r{}", n));
+        }
+        const auto regions = freshRegions(store);
+        CHECK(std::includes(regions.begin(), regions.end(), accepted.begin(), accepted.end()));
+        // Another instance repeats everything: each command is in force exactly once, and the log can be cut again.
+        Operator second(store);
+        for (int n = 1; n <= commands; ++n)
+            second.service_.submit(request(n));
+        CHECK(freshRegions(store).size() == commands);
+        CHECK(headOf(store).revision_ == commands);
+        CHECK(auditedRevisions(store) == firstRevisions(commands));
+        CHECK(headOf(store).snapshot_.revision_ > 0);
+    }
+}
+
+TEST_CASE("a missing or damaged chunk keeps the instance where it is", "[config]")
+{
+    const bool missing = GENERATE(true, false);
+    standin::MemoryStore store;
+    Operator ana(store);
+    for (int n = 1; n <= 40; ++n)
+        REQUIRE(isOk(ana.service_.submit(request(n))));
+    const auto name = fmt::format("{}{}/1", snapshotPrefix, headOf(store).snapshot_.revision_);
+    const auto chunk = valueOf(store.read(name));
+    REQUIRE(isOk(store.remove(name, chunk.version_)));
+    if (!missing)
+        REQUIRE(isOk(store.write(name, "x" + chunk.value_.substr(1), absentVersion)));
+    ConfigState state;
+    const auto error = errorOf(catchUp(store, state, headOf(store)));
+    CHECK(error.kind_ == ApplyErrorKind::Gap);
+    CHECK_THAT(error.message_, Catch::Contains(name));
+    CHECK(state.snapshot()->revision() == 0);
+    // A command through such an instance is refused and changes nothing.
+    Operator bea(store);
+    CHECK(errorOf(bea.service_.submit(request(41))).kind_ == CommandErrorKind::NotAccepted);
+    CHECK(headOf(store).revision_ == 40);
+}
+
+TEST_CASE("an instance that diverges stops applying", "[config]")
+{
+    standin::MemoryStore store;
+    Operator ana(store);
+    REQUIRE(isOk(ana.service_.submit(request(1))));
+    auto head = headOf(store);
+    REQUIRE(head.entries_.front().stateHash_ == ana.state_.snapshot()->stateHash());
+    head.entries_.front().stateHash_ ^= 1;
+    ConfigState other;
+    CHECK(errorOf(other.apply(head)).kind_ == ApplyErrorKind::Diverged);
+    CHECK(other.snapshot()->revision() == 0);
+}
+
+TEST_CASE("a follower behind the log's first entry loads the snapshot", "[config]")
+{
+    standin::MemoryStore store;
+    Operator ana(store);
+    for (int n = 1; n <= 40; ++n)
+        REQUIRE(isOk(ana.service_.submit(request(n))));
+    ConfigState state;
+    ConfigFollower follower(store, state);
+    REQUIRE(follower.followOnce(0ms));
+    CHECK(state.snapshot()->revision() == 40);
+    CHECK(state.snapshot()->stateHash() == ana.state_.snapshot()->stateHash());
+}
