The fleet's node behind the entry: relay, gate, honest acceptance, withdrawals without the store

Cause: acceptance said nothing of where a change is in force, and a withdrawal needed the store. Change: FleetNode runs the core on the peer link and the store's watch; the pipeline asks it before keyed requests; ctl prints 'in force on X of Y' and names the others, or 'enforced, not yet durable' (exit code 6); show instances; /v1/in_force; store calls are counted; non-watchers no longer watch; the platform's list is polled at most 20 times a second by the whole fleet; seeds let an instance start while the store and the list are down.

--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -48,6 +48,7 @@
 inline constexpr std::string_view noUpstream = "no upstream can take the request now";
 inline constexpr std::string_view upstreamFailed = "the upstream ended the call without an answer";
 inline constexpr std::string_view instanceStopping = "this instance is stopping; look up another";
+inline constexpr std::string_view notCurrent = "this instance cannot know whether keys are still valid; use another";
 inline constexpr std::string_view noInstance = "no live instance is known";
 inline constexpr std::string_view configurationMissing = "this instance has no configuration yet";
 inline constexpr std::string_view deadlinePassed = "the deadline has passed";
@@ -55,6 +56,7 @@
 
 // Control path.
 inline constexpr std::string_view storeDown = "the platform's store does not answer; nothing was changed";
+inline constexpr std::string_view enforcedNotDurable = "enforced, not yet durable: the store does not answer; the instances keep the withdrawal and append it when it does";
 inline constexpr std::string_view outcomeUnknown = "the store's answer was lost; ask 'show commands where id = {}' before sending again";
 inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
 inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
--- a/src/entry/http_entry_server.cpp
+++ b/src/entry/http_entry_server.cpp
@@ -1,6 +1,7 @@
 #include "entry/http_entry_server.h"
 
 #include "base/texts.h"
+#include "entry/http_fleet_api.h"
 #include "entry/http_problem.h"
 #include "steering/lookup_func.h"
 
@@ -64,6 +65,8 @@
         answerHealth(message);
     else if (get && path == "/metrics")
         message.reply(http::status_codes::OK, metrics_.render(), "text/plain; version=0.0.4");
+    else if (get && path == "/v1/in_force" && fleet_ != nullptr)
+        answerInForce(*fleet_, message);
     else if (message.method() == http::methods::POST && path == "/v1/operate")
         operators_.handle(message);
     else
@@ -86,6 +89,9 @@
     auto instances = instances_.instances();
     if (leaving_)
         std::erase_if(instances, [this](const auto& instance) { return instance.name_ == settings_.name_; });
+    // Who announced that it leaves is named no more, although the platform still lists it.
+    if (fleet_ != nullptr)
+        std::erase_if(instances, [this](const auto& instance) { return !fleet_->isMember(instance.name_); });
     const auto answer = lookUpInstances(*snapshot, instances, settings_.region_, request);
     if (answer.instances_.empty()) {
         message.reply(makeProblem({ RefusalKind::Overloaded, std::string(texts::noInstance), Executed::No, std::chrono::seconds(1) }));
@@ -111,6 +117,8 @@
     body["state"] = value::string(leaving_ ? "leaving" : "serving");
     body["revision"] = value::number(snapshot->revision());
     body["state_hash"] = value::string(fmt::format("{:016x}", snapshot->stateHash()));
+    if (fleet_ != nullptr)
+        body["current"] = value::boolean(fleet_->isCurrent());
     body["in_flight"] = value::number(inFlight_.count());
     message.reply(leaving_ ? http::status_codes::ServiceUnavailable : http::status_codes::OK, body);
 }
--- a/src/entry/http_entry_server.h
+++ b/src/entry/http_entry_server.h
@@ -17,6 +17,8 @@
     HttpEntryServer(const EntrySettings& settings, const ConfigState& config, const InstanceList& instances,
         HttpRequestPipeline& pipeline, HttpOperatorApi& operators, Metrics& metrics, InFlight& inFlight);
 
+    // To be called before open().
+    auto setFleet(FleetNode* fleet) -> void { fleet_ = fleet; }
     // Throws web::http::http_exception if the address cannot be listened on.
     auto open() -> void;
     // Cuts what is in flight, so it comes after the last request.
@@ -36,6 +38,7 @@
     HttpOperatorApi& operators_;
     Metrics& metrics_;
     InFlight& inFlight_;
+    FleetNode* fleet_ = nullptr;
     std::atomic<bool> leaving_ { false };
     web::http::experimental::listener::http_listener listener_;
 };
--- a/src/entry/http_operator_api.cpp
+++ b/src/entry/http_operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "config/kind_func.h"
+#include "entry/http_fleet_api.h"
 
 #include <cpprest/json.h>
 #include <fmt/format.h>
@@ -40,6 +41,18 @@
         return http::status_codes::InternalError;
     }
 
+    auto okAnswer(const value& body) -> http::http_response
+    {
+        http::http_response response(http::status_codes::OK);
+        response.set_body(body);
+        return response;
+    }
+
+    auto isStoreFailure(const CommandError& error) -> bool
+    {
+        return error.kind_ == CommandErrorKind::NotAccepted || error.kind_ == CommandErrorKind::OutcomeUnknown;
+    }
+
     auto toJson(const Rows& rows) -> value
     {
         auto columns = value::array();
@@ -124,6 +137,10 @@
 auto HttpOperatorApi::runCommand(const CommandRequest& request) -> http::http_response
 {
     const auto result = commands_.submit(request);
+    if (!isOk(result) && fleet_ != nullptr && isStoreFailure(errorOf(result))) {
+        if (const auto enforced = withdrawWithoutStore(*fleet_, *config_.snapshot(), request))
+            return okAnswer(*enforced);
+    }
     if (!isOk(result))
         return errorAnswer(statusOf(errorOf(result).kind_), errorOf(result).message_);
     auto body = value::object();
--- a/src/entry/http_operator_api.h
+++ b/src/entry/http_operator_api.h
@@ -1,6 +1,7 @@
 // Operators' commands and queries over HTTP: POST /v1/operate.
 #pragma once
 
+#include "fleet/fleet_node.h"
 #include "language/query.h"
 #include "store/command_service.h"
 
@@ -16,6 +17,8 @@
 
     // Makes one more subject known to show.
     auto addSource(std::unique_ptr<RowSource> source) -> void;
+    // To be called before the first call; withdrawals then work without the store.
+    auto setFleet(FleetNode* fleet) -> void { fleet_ = fleet; }
     auto handle(const web::http::http_request& message) -> void;
 
 private:
@@ -27,6 +30,7 @@
     CommandService& commands_;
     const ConfigState& config_;
     std::vector<std::unique_ptr<RowSource>> sources_;
+    FleetNode* fleet_ = nullptr;
 };
 
 } // namespace sapphirepass
--- a/src/entry/http_request_pipeline.h
+++ b/src/entry/http_request_pipeline.h
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "config/config_state.h"
 #include "entry/in_flight.h"
+#include "fleet/request_gate.h"
 #include "forward/http_upstream_client.h"
 #include "steering/steering.h"
 
@@ -32,6 +33,8 @@
 
     // Answers the message, now or later on another thread.
     auto handle(const web::http::http_request& message) -> void;
+    // To be called before the first request; asked about each request.
+    auto setGate(const RequestGate* gate) -> void { gate_ = gate; }
     // From now on new requests are refused as not run.
     auto refuseNew() -> void { refusing_ = true; }
 
@@ -51,6 +54,7 @@
 
     PipelineParts parts_;
     HttpUpstreamClient upstreams_;
+    const RequestGate* gate_ = nullptr;
     std::atomic<bool> refusing_ { false };
 };
 
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -4,8 +4,10 @@
 #include "base/random.h"
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
+#include "fleet/fleet_node.h"
 #include "steering/queued_steering.h"
 #include "store/config_follower.h"
+#include "store/counting_store.h"
 #include "store/http_object_store.h"
 
 #include <algorithm>
@@ -14,6 +16,7 @@
 #include <functional>
 #include <future>
 #include <pplx/threadpool.h>
+#include <sstream>
 
 namespace sapphirepass {
 
@@ -46,10 +49,31 @@
         }
     }
 
-    auto findPeerAddress(const std::vector<PlatformInstance>& instances, const std::string& name) -> std::optional<SocketAddress>
+    auto ownMember(const EntrySettings& settings) -> Member
     {
-        const auto found = std::find_if(instances.begin(), instances.end(), [&name](const auto& instance) { return instance.name_ == name; });
-        return found == instances.end() ? std::nullopt : std::optional(found->peer_);
+        Member member;
+        member.id_ = { settings.name_, randomNumber() };
+        member.region_ = settings.region_;
+        member.domain_ = settings.domain_;
+        member.http_ = settings.http_;
+        member.peer_ = settings.peer_;
+        return member;
+    }
+
+    auto fleetOptions(const EntrySettings& settings) -> FleetOptions
+    {
+        FleetOptions options;
+        std::istringstream seeds(settings.seeds_);
+        for (std::string seed; std::getline(seeds, seed, ',');)
+            options.seeds_.push_back("@" + seed);
+        return options;
+    }
+
+    // A withdrawal that the log refuses, such as of a key that is retired, is settled as well.
+    auto makeDurable(CommandService& commands, const Withdrawal& withdrawal) -> bool
+    {
+        const auto result = commands.submit({ "withdraw key " + withdrawal.key_, withdrawal.id_, withdrawal.who_, withdrawal.from_, CommandMode::Real, std::nullopt });
+        return isOk(result) || (errorOf(result).kind_ != CommandErrorKind::NotAccepted && errorOf(result).kind_ != CommandErrorKind::OutcomeUnknown);
     }
 
     // Waits for the last request; a second signal ends the wait. Returns whether nothing was cut.
@@ -76,13 +100,18 @@
     Metrics metrics;
     InFlight inFlight;
     ConfigState config;
-    HttpObjectStore store(settings.store_, settings.storeTimeout_);
+    HttpObjectStore platform(settings.store_, settings.storeTimeout_);
+    CountingStore store(platform, metrics);
     ConfigFollower follower(store, config);
     InstanceList instances(store);
-    const InstanceId self { settings.name_, randomNumber() };
-    CapnpPeerLink peers(
-        self, settings.peer_, [&instances](const std::string& name) { return findPeerAddress(instances.instances(), name); }, metrics);
     CommandService commands(store, config, clock);
+    const auto self = ownMember(settings);
+    FleetNode fleet(self, config, clock, metrics, fleetOptions(settings),
+        { [&instances] { return instances.instances(); }, [&commands](const Withdrawal& withdrawal) { return makeDurable(commands, withdrawal); } });
+    CapnpPeerLink peers(
+        self.id_, settings.peer_, [&fleet](const std::string& name) { return fleet.resolve(name); }, metrics);
+    fleet.attach(peers);
+    follower.setObserver(&fleet);
     EqualSplitAdmitter admitter(clock, settings.maxInstances_);
     LeastInFlightSteering steering(settings.region_);
     QueuedSteering queued(steering, clock, queuePolicy(settings));
@@ -90,19 +119,27 @@
     HttpOperatorApi operators(commands, config);
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
 
+    pipeline.setGate(&fleet);
+    operators.setFleet(&fleet);
+    operators.addSource(std::make_unique<InstanceRows>(fleet));
+    server.setFleet(&fleet);
+
     follower.start();
     queued.start();
     instances.start();
     if (!startListening(settings.peer_, [&peers] { peers.start(); }) || !startListening(settings.http_, [&server] { server.open(); }))
         return 1;
+    fleet.start();
     logEvent(EventId::EntryStarted, "instance={} address={}", settings.name_, formatSocketAddress(settings.http_));
     const int signal = waitForSignal(signals);
     logEvent(EventId::EntryDraining, "signal={} in_flight={}", signal, inFlight.count());
     server.announceLeaving();
+    fleet.announceLeaving();
     pipeline.refuseNew();
     const bool finished = drain(inFlight, signals);
     const auto cut = inFlight.count();
     server.close();
+    fleet.stop();
     peers.stop();
     follower.stop();
     instances.stop();
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -84,10 +84,10 @@
         behindSince_ = clock_.now();
 }
 
-auto FleetCore::isCurrent() const -> bool
+auto FleetCore::currentUntil() const -> MonotonicTime
 {
-    const bool leftBehind = behindSince_ && clock_.now() - *behindSince_ > freshnessLimit;
-    return !leftBehind && freshness_.isCurrent();
+    const auto heard = freshness_.currentUntil();
+    return behindSince_ ? std::min(heard, *behindSince_ + freshnessLimit) : heard;
 }
 
 // An answer proves something only to an instance that has all that the answering one had. It counts from
@@ -126,8 +126,14 @@
 
 auto FleetCore::handle(const InstanceId& from, const MemberReport& report) -> void
 {
-    if (report.member_.id_ == from)
-        members_.learn(report.member_);
+    const auto& member = report.member_;
+    if (member.id_ == from && member.leaving_ && !members_.hasLeft(member.id_.name_) && member.domain_ != members_.self().domain_) {
+        // A leaving instance tells its own domain and the watchers; they tell theirs.
+        for (const auto* other : members_.list().ofDomain(members_.self().domain_))
+            send(other->id_.name_, report);
+    }
+    if (member.id_ == from || member.leaving_)
+        members_.learn(member);
 }
 
 auto FleetCore::handle(const InstanceId& from, const MemberAsk&) -> void
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -55,7 +55,8 @@
     auto takeSends() -> FleetSends;
     auto shouldWatchStore() const -> bool;
     // Whether this instance can know that it has everything that was in force a freshnessLimit ago.
-    auto isCurrent() const -> bool;
+    auto isCurrent() const -> bool { return clock_.now() <= currentUntil(); }
+    auto currentUntil() const -> MonotonicTime;
     auto freshness() const -> const Freshness& { return freshness_; }
     auto withdrawals() const -> const WithdrawalBook& { return book_; }
     auto members() const -> const MemberTable& { return members_; }
--- a/src/fleet/freshness.cpp
+++ b/src/fleet/freshness.cpp
@@ -76,14 +76,28 @@
     return static_cast<std::size_t>(std::count_if(domains_.begin(), domains_.end(), [this](auto domain) { return domain == own_ || isRecent(domain); }));
 }
 
-auto Freshness::isCurrent() const -> bool
+auto Freshness::currentUntil() const -> MonotonicTime
 {
-    if (isRecent(storeSource))
-        return true;
+    const auto store = heard_.find(storeSource);
+    const bool hasRead = store != heard_.end();
     // An instance that knows of no other can be overtaken by nobody once it has read the store.
     if (!hasOthers_)
-        return heard_.contains(storeSource);
-    return hasHeardPeer() && 2 * heardDomains() > allDomains();
+        return hasRead ? MonotonicTime::max() : MonotonicTime {};
+    const auto byStore = hasRead ? store->second + freshnessLimit : MonotonicTime {};
+    return std::max(byStore, std::min(lastPeer_, majorityHeard()) + freshnessLimit);
+}
+
+// Since when more than half of the domains, the own one included, have been heard of.
+auto Freshness::majorityHeard() const -> MonotonicTime
+{
+    std::vector<MonotonicTime> times;
+    for (const auto domain : domains_) {
+        const auto heard = heard_.find(domain);
+        times.push_back(domain == own_ ? MonotonicTime::max() - freshnessLimit : heard == heard_.end() ? MonotonicTime {}
+                                                                                                       : heard->second);
+    }
+    std::sort(times.rbegin(), times.rend());
+    return times[times.size() / 2];
 }
 
 } // namespace sapphirepass
--- a/src/fleet/freshness.h
+++ b/src/fleet/freshness.h
@@ -27,7 +27,9 @@
     auto hearOthers(const std::vector<Hearing>& hearings, MonotonicTime asked) -> void;
     // All that was heard within twice the limit, the own domain included.
     auto hearings() const -> std::vector<Hearing>;
-    auto isCurrent() const -> bool;
+    // Last time at which this instance can know, from what it has heard so far, that it is current.
+    auto currentUntil() const -> MonotonicTime;
+    auto isCurrent() const -> bool { return clock_.now() <= currentUntil(); }
     auto hasHeardStore() const -> bool { return isRecent(storeSource); }
     auto hasHeardPeer() const -> bool;
     // Domains that were heard of within the limit, the own one included, out of all.
@@ -36,6 +38,7 @@
 
 private:
     auto hear(std::uint32_t source, MonotonicTime at) -> void;
+    auto majorityHeard() const -> MonotonicTime;
     auto isRecent(std::uint32_t source) const -> bool;
 
     const Clock& clock_;
--- a/src/fleet/instance_list.cpp
+++ b/src/fleet/instance_list.cpp
@@ -1,9 +1,15 @@
 #include "fleet/instance_list.h"
 
+#include <algorithm>
+
 namespace sapphirepass {
 
 namespace {
-    constexpr std::chrono::seconds refreshInterval { 5 };
+    constexpr std::chrono::milliseconds refreshInterval { 5'000 };
+    // While the platform lists nobody, as when a fleet is being set up.
+    constexpr std::chrono::milliseconds emptyInterval { 500 };
+    // The whole fleet makes at most twenty calls a second.
+    constexpr std::chrono::milliseconds intervalShare { 50 };
 }
 
 InstanceList::InstanceList(ObjectStore& store)
@@ -55,7 +61,8 @@
         lock.unlock();
         refresh();
         lock.lock();
-        wake_.wait_for(lock, refreshInterval, [this] { return stopping_; });
+        const auto interval = instances_.empty() ? emptyInterval : std::max(refreshInterval, static_cast<std::int64_t>(instances_.size()) * intervalShare);
+        wake_.wait_for(lock, interval, [this] { return stopping_; });
     }
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(std::string, output, "table", "ctl: table or json");
 ABSL_FLAG(std::string, who, "", "ctl: the operator's name for the audit trail; the default is the user's name");
 ABSL_FLAG(bool, test_run, false, "ctl: check the commands and change nothing");
+ABSL_FLAG(std::int64_t, wait_ms, 5000, "ctl: milliseconds to wait for a change to be in force everywhere");
 ABSL_FLAG(std::int64_t, only_at, -1, "ctl: refuse unless the configuration is at this revision");
 
 namespace sapphirepass {
@@ -27,7 +28,7 @@
                                        "  sapphirepass ctl --entry ADDRESS [TEXT]     run commands or a query; without TEXT, read lines from standard input\n"
                                        "  sapphirepass check-config FILE              check a settings file\n"
                                        "  sapphirepass version                        print the version\n\n"
-                                       "Exit codes: 0 done, 1 failed, 2 wrong usage or text, 3 refused, 4 unavailable, 5 outcome unknown\n";
+                                       "Exit codes: 0 done, 1 failed, 2 wrong usage or text, 3 refused, 4 unavailable, 5 outcome unknown,\n6 enforced but not durable\n";
     constexpr int usageExit = 2;
 
     auto failUsage(std::string_view message) -> int
@@ -83,6 +84,7 @@
         CtlOptions options { *address, output == "json" ? CtlOutput::Json : CtlOutput::Table, operatorName(), absl::GetFlag(FLAGS_test_run), std::nullopt };
         if (absl::GetFlag(FLAGS_only_at) >= 0)
             options.onlyAt_ = absl::GetFlag(FLAGS_only_at);
+        options.wait_ = std::chrono::milliseconds(absl::GetFlag(FLAGS_wait_ms));
         if (arguments.empty())
             return static_cast<int>(runCtlLines(options, std::cin, std::cout, std::cerr));
         std::string text;
--- a/src/operator/run_ctl.h
+++ b/src/operator/run_ctl.h
@@ -3,6 +3,7 @@
 
 #include "base/socket_address.h"
 
+#include <chrono>
 #include <cstdint>
 #include <iosfwd>
 #include <optional>
@@ -19,6 +20,8 @@
     std::string who_;
     bool testRun_ = false;
     std::optional<std::int64_t> onlyAt_;
+    // How long to wait for a change to be in force everywhere.
+    std::chrono::milliseconds wait_ { 5'000 };
 };
 
 // Exit codes of the client.
@@ -32,6 +35,8 @@
     Unavailable = 4,
     // Whether the command took effect could not be learnt.
     Unknown = 5,
+    // A withdrawal is enforced, but not yet in the store.
+    NotDurable = 6,
 };
 
 // Runs one text: a query or a batch of commands.
--- a/src/operator/run_ctl_http.cpp
+++ b/src/operator/run_ctl_http.cpp
@@ -1,7 +1,9 @@
 #include "operator/run_ctl.h"
 
 #include "base/random.h"
+#include "base/texts.h"
 #include "language/query.h"
+#include "operator/in_force_http.h"
 
 #include <cpprest/http_client.h>
 #include <fmt/format.h>
@@ -56,6 +58,8 @@
         return rows;
     }
 
+    auto isNotDurable(const value& body) -> bool { return body.has_boolean_field("enforced"); }
+
     auto printAnswer(const CtlOptions& options, const value& body, std::ostream& out) -> void
     {
         if (options.output_ == CtlOutput::Json) {
@@ -66,10 +70,17 @@
             out << renderTable(toRows(body));
             return;
         }
+        if (isNotDurable(body)) {
+            out << texts::enforcedNotDurable << "\n";
+            printInForce(options.entry_, body, options.wait_, out);
+            return;
+        }
         const bool accepted = body.at("accepted").as_bool();
         out << fmt::format("{} revision={}\n", accepted ? "accepted" : "test run passed", body.at("revision").as_number().to_int64());
         for (const auto& key : body.at("keys").as_array())
             out << fmt::format("key {}\n", key.as_string());
+        if (accepted)
+            printInForce(options.entry_, body, options.wait_, out);
     }
 
     auto exitFor(http::status_code status) -> CtlExit
@@ -100,7 +111,7 @@
             printAnswer(options, answer.body_, out);
         else
             err << "error: " << answer.body_.at("error").as_string() << "\n";
-        return exit;
+        return exit == CtlExit::Done && isNotDurable(answer.body_) ? CtlExit::NotDurable : exit;
     } catch (const http::http_exception& error) {
         const bool refused = error.error_code() == std::errc::connection_refused;
         err << fmt::format("error: no answer from {}: {} (command id {})\n", formatSocketAddress(options.entry_), error.what(), id);
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -24,6 +24,8 @@
     std::chrono::milliseconds storeTimeout_ { 2'000 };
     // Upper bound of instances that the fleet may have at once.
     std::int64_t maxInstances_ = 12;
+    // Peers to ask while no other instance is known: IP:PORT, separated by commas.
+    std::string seeds_;
     std::int64_t maxHeaderBytes_ = 16 * 1024;
     std::int64_t threads_ = 8;
     // Requests that wait for a slot of one service, at most.
--- a/src/store/config_follower.h
+++ b/src/store/config_follower.h
@@ -1,6 +1,7 @@
 // Keeps the configuration in force up to date by a watch on the log's head object.
 #pragma once
 
+#include "base/clock.h"
 #include "config/config_state.h"
 #include "store/object_store.h"
 
@@ -12,6 +13,17 @@
 
 namespace sapphirepass {
 
+// Decides whether this instance watches the store, and hears what the store answers.
+class StoreObserver {
+public:
+    virtual ~StoreObserver() = default;
+    virtual auto shouldWatch() const -> bool = 0;
+    // When a call starts, by the observer's clock.
+    virtual auto callStarts() const -> MonotonicTime = 0;
+    // The store answered the call of that start, with a head or with nothing new.
+    virtual auto storeAnswered(MonotonicTime started, const std::optional<LogHead>& head) -> void = 0;
+};
+
 class ConfigFollower {
 public:
     ConfigFollower(ObjectStore& store, ConfigState& state);
@@ -19,18 +31,22 @@
     ConfigFollower(const ConfigFollower&) = delete;
     auto operator=(const ConfigFollower&) -> ConfigFollower& = delete;
 
+    // To be called before start(); without an observer the store is always watched.
+    auto setObserver(StoreObserver* observer) -> void { observer_ = observer; }
     // Starts following on a thread of its own.
     auto start() -> void;
     auto stop() -> void;
-    // One watch call and what follows from it; false if the store did not answer.
+    // One watch call and what follows from it; false if the store did not answer or the log cannot be followed.
     auto followOnce(std::chrono::milliseconds longestWatch) -> bool;
     auto isStoreReachable() const -> bool { return reachable_; }
 
 private:
     auto run() -> void;
+    auto pause(std::chrono::milliseconds time) -> void;
 
     ObjectStore& store_;
     ConfigState& state_;
+    StoreObserver* observer_ = nullptr;
     ObjectVersion version_ = absentVersion;
     std::atomic<bool> reachable_ { true };
     std::atomic<bool> stopping_ { false };
