Upstream choice from own outcomes, with a model of slots

Cause: the baseline knew only its own requests in flight.

Change: RegionSteering prefers slots that own requests just left, backs off from upstreams that shed, ejects at most half of a service's upstreams, recovers by trial and warms up. Other regions are used within budgets of slots and link bytes. FixedShareBudgets holds static shares until shares are agreed.

--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -35,6 +35,7 @@
     Isolated = 301,
     Rejoined = 302,
     EmergencyWithdrawal = 303,
+    UpstreamEjected = 500,
     UpstreamCallFailed = 600,
     AnswerCut = 601,
 };
@@ -69,6 +70,7 @@
     EventDescription { EventId::Isolated, LogLevel::Warning, "isolated", "This instance cannot know whether it is current; keyed requests are refused as not run." },
     EventDescription { EventId::Rejoined, LogLevel::Info, "rejoined", "This instance knows again that it is current." },
     EventDescription { EventId::EmergencyWithdrawal, LogLevel::Warning, "emergency-withdrawal", "A key was withdrawn while the store was down; enforced, not yet durable." },
+    EventDescription { EventId::UpstreamEjected, LogLevel::Warning, "upstream-ejected", "An upstream gets no work for a while after lost connections." },
     EventDescription { EventId::UpstreamCallFailed, LogLevel::Warning, "upstream-call-failed", "A call to an upstream ended without an answer." },
     EventDescription { EventId::AnswerCut, LogLevel::Warning, "answer-cut", "An upstream broke off an answer that was being passed on." },
 };
--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -125,7 +125,7 @@
         refuse(exchange, deadlineRefusal(Executed::No));
         return;
     }
-    const SteerRequest request { exchange->snapshot_, grant.route_.service_, grant.workspace_.name_, grant.repeatability_, grant.deadline_, exchange->tried_ };
+    const SteerRequest request { exchange->snapshot_, grant.route_.service_, grant.workspace_.name_, grant.repeatability_, grant.deadline_, exchange->tried_, exchange->request_.length_ };
     parts_.steering_.acquire(request, [this, exchange](const Result<Assignment, Refusal>& assigned) {
         if (!isOk(assigned)) {
             refuse(exchange, errorOf(assigned));
@@ -183,7 +183,7 @@
         retryOrRefuse(exchange, assignment, CallOutcome::Lost, { RefusalKind::UpstreamFailed, std::string(texts::upstreamFailed), Executed::Unknown });
         return;
     case UpstreamErrorKind::TimedOut:
-        parts_.steering_.release(assignment, CallOutcome::Lost);
+        parts_.steering_.release(assignment, CallOutcome::TimedOut);
         refuse(exchange, deadlineRefusal(Executed::Unknown));
         return;
     }
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -4,7 +4,9 @@
 #include "base/random.h"
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
+#include "steering/fixed_share_budgets.h"
 #include "steering/queued_steering.h"
+#include "steering/region_steering.h"
 #include "store/config_follower.h"
 #include "store/http_object_store.h"
 
@@ -84,7 +86,9 @@
         self, settings.peer_, [&instances](const std::string& name) { return findPeerAddress(instances.instances(), name); }, metrics);
     CommandService commands(store, config, clock);
     EqualSplitAdmitter admitter(clock, settings.maxInstances_);
-    LeastInFlightSteering steering(settings.region_);
+    FixedShareBudgets budgets(clock, config, settings.maxInstances_);
+    LinkMeter links(budgets);
+    RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
     HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
     HttpOperatorApi operators(commands, config);
--- /dev/null
+++ b/src/steering/fixed_share_budgets.h
@@ -0,0 +1,44 @@
+// Budgets as equal static shares of each declared limit: never more than the total, but with unused parts.
+#pragma once
+
+#include "admission/budget.h"
+#include "base/clock.h"
+#include "config/config_state.h"
+
+#include <deque>
+#include <map>
+#include <mutex>
+
+namespace sapphirepass {
+
+// Limits over time hold in every window of one second. Thread-safe.
+class FixedShareBudgets final : public Budgets {
+public:
+    // maxInstances: upper bound of instances that the fleet has at once.
+    FixedShareBudgets(const Clock& clock, const ConfigState& config, std::int64_t maxInstances);
+
+    auto trySpend(const BudgetId& id, std::int64_t amount) -> bool override;
+    auto giveBack(const BudgetId& id, std::int64_t amount) -> void override;
+
+private:
+    struct Spending {
+        MonotonicTime at_;
+        std::int64_t amount_;
+    };
+    struct Window {
+        std::deque<Spending> spendings_;
+        std::int64_t sum_ = 0;
+    };
+
+    auto share(const BudgetId& id) const -> std::int64_t;
+    auto used(const BudgetId& id) -> std::int64_t;
+
+    const Clock& clock_;
+    const ConfigState& config_;
+    std::int64_t maxInstances_;
+    std::mutex mutex_;
+    std::map<BudgetId, std::int64_t> running_;
+    std::map<BudgetId, Window> windows_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/steering/region_steering.h
@@ -0,0 +1,59 @@
+// Chooses upstreams region by region from this instance's own calls and their outcomes.
+#pragma once
+
+#include "admission/budget.h"
+#include "steering/link_meter.h"
+#include "steering/shed_rate.h"
+#include "steering/steering.h"
+#include "steering/upstream_record.h"
+
+#include <random>
+#include <vector>
+
+namespace sapphirepass {
+
+// The upstreams of a service in a region.
+struct PoolId {
+    std::string service_;
+    std::string region_;
+
+    auto operator<=>(const PoolId&) const = default;
+};
+
+// Local upstreams first, others within the budgets of their region and link. Thread-safe.
+class RegionSteering final : public Steering {
+public:
+    RegionSteering(std::string region, const Clock& clock, Budgets& budgets, LinkMeter& links, std::uint64_t seed);
+
+    auto acquire(const SteerRequest& request, Handler handler) -> void override;
+    auto release(const Assignment& assignment, CallOutcome outcome) -> void override;
+
+private:
+    struct Candidate {
+        const Upstream* upstream_;
+        UpstreamRecord* record_;
+    };
+    using Candidates = std::vector<Candidate>;
+    // Candidates by region.
+    using Regions = std::map<std::string, Candidates>;
+
+    auto choose(const SteerRequest& request) -> Result<Assignment, Refusal>;
+    auto follow(const Snapshot& snapshot, MonotonicTime now) -> void;
+    auto candidates(const SteerRequest& request, MonotonicTime now) -> Regions;
+    auto chooseIn(const Candidates& candidates, MonotonicTime now) -> Candidate;
+    auto take(const SteerRequest& request, const std::string& region, const Candidates& candidates, MonotonicTime now) -> std::optional<Assignment>;
+    auto maySpill(const SteerRequest& request, MonotonicTime now) -> bool;
+    auto mayEject(const Upstream& upstream, MonotonicTime now) const -> bool;
+
+    std::string region_;
+    const Clock& clock_;
+    Budgets& budgets_;
+    LinkMeter& links_;
+    std::mutex mutex_;
+    std::mt19937_64 random_;
+    std::map<std::string, UpstreamRecord> records_;
+    std::map<PoolId, ShedRate> shedRates_;
+    std::shared_ptr<const Snapshot> snapshot_;
+};
+
+} // namespace sapphirepass
--- a/src/steering/steering.h
+++ b/src/steering/steering.h
@@ -23,11 +23,15 @@
     MonotonicTime deadline_;
     // Upstreams that this request has been tried on.
     std::set<std::string> tried_;
+    // Bytes of the request's body.
+    std::int64_t bodyBytes_ = 0;
 };
 
 // An upstream with one of its slots taken for a request.
 struct Assignment {
     Upstream upstream_;
+    // The region whose budget of slots was spent; empty for none.
+    std::string budgetRegion_ {};
 
     auto operator<=>(const Assignment&) const = default;
 };
@@ -38,8 +42,10 @@
     Shed,
     // Nothing was sent.
     NotSent,
-    // Sent, but no answer arrived.
+    // Sent, but the connection ended without an answer.
     Lost,
+    // The request's own deadline passed; says nothing about the upstream's health.
+    TimedOut,
 };
 
 class Steering {
