--- /dev/null
+++ b/src/admission/escrow_demand.h
@@ -0,0 +1,32 @@
+// How much of a limit one holder needs, estimated from what it was asked to spend.
+#pragma once
+
+#include "admission/escrow_account.h"
+
+namespace sapphirepass {
+
+class EscrowDemand {
+public:
+    // Counts an attempt to spend, whether it succeeded or not.
+    auto offered(std::int64_t amount, bool spent) -> void;
+    // Ends a measuring interval.
+    auto tick(Duration elapsed) -> void;
+    // The fraction that covers the demand with a margin in percent; reserve is the least that is kept.
+    auto need(const EscrowAccount& account, std::int64_t marginPercent, Fraction reserve) const -> Fraction;
+    // Whether spending failed since the last ask.
+    auto isRefused() const -> bool { return refused_; }
+    auto asked(MonotonicTime now) -> void;
+    auto mayAsk(MonotonicTime now) const -> bool;
+    auto askedReserve(MonotonicTime now) -> void { askedReserveAt_ = now; }
+    auto mayAskReserve(MonotonicTime now) const -> bool;
+
+private:
+    double pending_ = 0;
+    // Units a second, smoothed.
+    double rate_ = 0;
+    bool refused_ = false;
+    MonotonicTime askedAt_ {};
+    MonotonicTime askedReserveAt_ {};
+};
+
+} // namespace sapphirepass
