Hop benchmark: cheap upstream, and the library's own relay for comparison

Cause: the upstream's listener shared the threads of the entry and hid the hop's own cost. Change: an upstream over plain sockets; a relay of the library's server and client without filters.

--- a/bench/hop_bench.cpp
+++ b/bench/hop_bench.cpp
@@ -3,11 +3,14 @@
 #include "bench/load/http_socket.h"
 #include "standin/free_ports.h"
 #include "standin/local_entry_http.h"
+#include "standin/socket_upstream.h"
 
 #include <algorithm>
 #include <atomic>
+#include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
 #include <fmt/format.h>
+#include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <pplx/threadpool.h>
@@ -42,15 +45,28 @@
     std::vector<double> pacedSeconds_;
 };
 
-auto startListener() -> std::pair<std::unique_ptr<Listener>, SocketAddress>
+using Handler = std::function<void(const web::http::http_request&)>;
+
+auto startListener(const Handler& handler) -> std::pair<std::unique_ptr<Listener>, SocketAddress>
 {
     const auto address = *parseSocketAddress(fmt::format("127.0.0.1:{}", standin::freePorts(1).front()));
     auto listener = std::make_unique<Listener>(fmt::format("http://{}", formatSocketAddress(address)));
-    listener->support([](const web::http::http_request& message) { message.reply(200, smallBody, "text/plain"); });
+    listener->support(handler);
     listener->open().wait();
     return { std::move(listener), address };
 }
 
+// What the library's server and client cost with no filter between them.
+auto relayTo(const SocketAddress& upstream) -> Handler
+{
+    auto client = std::make_shared<web::http::client::http_client>(fmt::format("http://{}", formatSocketAddress(upstream)));
+    return [client](const web::http::http_request& message) {
+        client->request(message.method(), message.request_uri().to_string())
+            .then([](web::http::http_response response) { return response.extract_string(true); })
+            .then([message](const std::string& body) { message.reply(200, body, "text/plain"); });
+    };
+}
+
 auto exchange(load::HttpSocket& socket, const Target& target) -> bool
 {
     if (!socket.send(target.request_))
@@ -157,6 +173,7 @@
     result["connections"] = connections;
     result["added_median_ms"] = difference("paced_median_ms");
     result["added_p99_ms"] = difference("paced_p99_ms");
+    result["entry_share_of_relay_rate"] = samples["entry"].requestsPerSecond_ / samples["bare_relay"].requestsPerSecond_;
     result["entry_share_of_bare_rate"] = samples["entry"].requestsPerSecond_ / samples["bare"].requestsPerSecond_;
     return result;
 }
@@ -166,21 +183,24 @@
 auto main() -> int
 {
     crossplat::threadpool::initialize_with_threads(poolThreads);
-    const auto [bare, bareAddress] = startListener();
-    const auto [upstream, upstreamAddress] = startListener();
+    const auto [bare, bareAddress] = startListener([](const auto& message) { message.reply(200, smallBody, "text/plain"); });
+    // Its own cost must not hide that of the hop, so it is as cheap as can be.
+    const standin::SocketUpstream upstream(smallBody, standin::SocketUpstream::Recording::Off);
+    const auto [relay, relayAddress] = startListener(relayTo(upstream.address()));
     const standin::LocalEntry entry(fmt::format("declare region luzon; declare domain luzon-1 region luzon;"
                                                 "declare route quotes path /quotes service core;"
                                                 "declare upstream core-0 service core domain luzon-1 address {} slots 200;"
                                                 "declare workspace acme rate 1000000 burst 1000000",
-        formatSocketAddress(upstreamAddress)));
+        formatSocketAddress(upstream.address())));
     const auto authorization = fmt::format("Authorization: Bearer {}\r\n", entry.bearer("acme"));
     const std::vector<Target> targets {
         { "bare", bareAddress, load::renderRequest("GET", "/quotes/1", "", "") },
-        { "upstream", upstreamAddress, load::renderRequest("GET", "/quotes/1", "", "") },
+        { "upstream", upstream.address(), load::renderRequest("GET", "/quotes/1", "", "") },
+        { "bare_relay", relayAddress, load::renderRequest("GET", "/quotes/1", "", "") },
         { "entry", entry.address(), load::renderRequest("GET", "/w/acme/quotes/1", authorization, "") },
     };
     std::cout << measure(targets).dump(2) << "\n";
     bare->close().wait();
-    upstream->close().wait();
+    relay->close().wait();
     return 0;
 }
--- /dev/null
+++ b/standin/socket_upstream.h
@@ -0,0 +1,45 @@
+// An upstream of a few lines over plain sockets. It costs little processor time, and it keeps requests byte by byte.
+#pragma once
+
+#include "base/socket_address.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sapphirepass::standin {
+
+// Answers every request 200 with the same body. A thread for each connection.
+class SocketUpstream {
+public:
+    enum class Recording { Off,
+        On };
+
+    SocketUpstream(std::string body, Recording recording);
+    ~SocketUpstream();
+    SocketUpstream(const SocketUpstream&) = delete;
+    auto operator=(const SocketUpstream&) -> SocketUpstream& = delete;
+
+    auto address() const -> SocketAddress;
+    // Requests in the order of arrival, head and body as received.
+    auto requests() const -> std::vector<std::string>;
+
+private:
+    auto accept() -> void;
+    auto serve(int descriptor) -> void;
+
+    std::string answer_;
+    Recording recording_;
+    int listening_ = -1;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> stopping_ { false };
+    mutable std::mutex mutex_;
+    std::vector<std::string> requests_;
+    std::vector<int> descriptors_;
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+} // namespace sapphirepass::standin
