--- a/src/entry/http_operator_api.cpp
+++ b/src/entry/http_operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "config/kind_func.h"
+#include "language/reference_rows.h"
 
 #include <cpprest/json.h>
 #include <fmt/format.h>
@@ -139,25 +140,32 @@
     return response;
 }
 
-auto HttpOperatorApi::findRows(const std::string& subject) const -> std::optional<Rows>
+auto HttpOperatorApi::findRows(const QueryStatement& query) const -> std::optional<Result<Rows, std::string>>
 {
+    const auto& subject = query.subject_.text_;
     for (const auto& source : sources_) {
         if (source->subject() == subject)
-            return source->rows();
+            return source->rowsFor(query);
     }
-    return declaredRows(*config_.snapshot(), subject);
+    if (auto rows = declaredRows(*config_.snapshot(), subject))
+        return *rows;
+    if (auto rows = referenceRows(subject))
+        return *rows;
+    return std::nullopt;
 }
 
 auto HttpOperatorApi::runQueryText(const QueryStatement& query, const std::string& text) -> http::http_response
 {
-    const auto rows = findRows(query.subject_.text_);
+    const auto rows = findRows(query);
     if (!rows) {
-        auto subjects = kindNames();
+        auto subjects = kindNames() + ", kinds, fields";
         for (const auto& source : sources_)
             subjects += ", " + source->subject();
         return errorAnswer(http::status_codes::BadRequest, renderError({ query.subject_.place_, "one of: " + subjects }, text));
     }
-    const auto result = runQuery(*rows, query);
+    if (!isOk(*rows))
+        return errorAnswer(http::status_codes::ServiceUnavailable, errorOf(*rows));
+    const auto result = runQuery(valueOf(*rows), query);
     if (!isOk(result))
         return errorAnswer(http::status_codes::BadRequest, renderError(errorOf(result), text));
     http::http_response response(http::status_codes::OK);
--- a/src/entry/http_operator_api.h
+++ b/src/entry/http_operator_api.h
@@ -22,7 +22,7 @@
     auto operate(const web::json::value& body, const std::string& from) -> web::http::http_response;
     auto runCommand(const CommandRequest& request) -> web::http::http_response;
     auto runQueryText(const QueryStatement& query, const std::string& text) -> web::http::http_response;
-    auto findRows(const std::string& subject) const -> std::optional<Rows>;
+    auto findRows(const QueryStatement& query) const -> std::optional<Result<Rows, std::string>>;
 
     CommandService& commands_;
     const ConfigState& config_;
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "entry/http_entry_server.h"
 #include "steering/queued_steering.h"
+#include "store/command_trail.h"
 #include "store/config_follower.h"
 #include "store/http_object_store.h"
 
@@ -64,6 +65,7 @@
     QueuedSteering queued(steering, clock, queuePolicy(settings));
     HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
     HttpOperatorApi operators(commands, config);
+    operators.addSource(std::make_unique<CommandTrail>(store));
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
 
     follower.start();
--- a/src/language/parser.cpp
+++ b/src/language/parser.cpp
@@ -47,7 +47,8 @@
     struct ConditionRule : pegtl::seq<ConditionField, MaybeBlanks, Operator, MaybeBlanks, ConditionValue> { };
     struct Where : Keyword<'w', 'h', 'e', 'r', 'e'> { };
     struct And : Keyword<'a', 'n', 'd'> { };
-    struct WherePart : pegtl::if_must<Where, Blanks, ConditionRule, pegtl::star<pegtl::seq<Blanks, And>, pegtl::must<Blanks, ConditionRule>>> { };
+    struct Or : Keyword<'o', 'r'> { };
+    struct WherePart : pegtl::if_must<Where, Blanks, ConditionRule, pegtl::star<pegtl::seq<Blanks, pegtl::sor<And, Or>>, pegtl::must<Blanks, ConditionRule>>> { };
     struct Sort : Keyword<'s', 'o', 'r', 't'> { };
     struct SortField : Bare { };
     struct Descending : Keyword<'d', 'e', 's', 'c'> { };
@@ -169,6 +170,14 @@
         }
     };
     template <>
+    struct Action<Where> {
+        static auto apply0(Builder& out) -> void { out.query_.anyOf_.emplace_back(); }
+    };
+    template <>
+    struct Action<Or> {
+        static auto apply0(Builder& out) -> void { out.query_.anyOf_.emplace_back(); }
+    };
+    template <>
     struct Action<ConditionField> {
         template <typename Input>
         static auto apply(const Input& in, Builder& out) -> void { out.condition_.field_ = wordOf(in); }
@@ -199,13 +208,13 @@
         static auto apply(const Input& in, Builder& out) -> void
         {
             out.condition_.value_ = wordOf(in);
-            out.query_.conditions_.push_back(out.condition_);
+            out.query_.anyOf_.back().push_back(out.condition_);
         }
     };
     template <>
     struct Action<SortField> {
         template <typename Input>
-        static auto apply(const Input& in, Builder& out) -> void { out.query_.sortField_ = in.string(); }
+        static auto apply(const Input& in, Builder& out) -> void { out.query_.sortField_ = wordOf(in); }
     };
     template <>
     struct Action<Descending> {
--- a/src/language/query.cpp
+++ b/src/language/query.cpp
@@ -12,9 +12,16 @@
 namespace {
     auto compareValues(const std::string& a, const std::string& b) -> std::strong_ordering
     {
-        const auto numberA = readNumber(a, { std::numeric_limits<std::int64_t>::min() });
-        const auto numberB = readNumber(b, { std::numeric_limits<std::int64_t>::min() });
-        return numberA && numberB ? *numberA <=> *numberB : a <=> b;
+        constexpr Bounds anyNumber { std::numeric_limits<std::int64_t>::min() };
+        const auto numberA = readNumber(a, anyNumber);
+        const auto numberB = readNumber(b, anyNumber);
+        if (numberA && numberB)
+            return *numberA <=> *numberB;
+        const auto durationA = parseDuration(a);
+        const auto durationB = parseDuration(b);
+        if (durationA && durationB)
+            return durationA->count() <=> durationB->count();
+        return a <=> b;
     }
 
     auto matches(Comparison comparison, const std::string& value, const std::string& wanted) -> bool
@@ -52,6 +59,28 @@
         return { field.place_, fmt::format("one of: {}", fmt::join(rows.columns_, ", ")) };
     }
 
+    auto findUnknownColumn(const Rows& rows, const QueryStatement& query) -> std::optional<LanguageError>
+    {
+        for (const auto& conditions : query.anyOf_) {
+            for (const auto& condition : conditions) {
+                if (!findColumn(rows, condition.field_.text_))
+                    return unknownColumn(rows, condition.field_);
+            }
+        }
+        if (!query.sortField_.text_.empty() && !findColumn(rows, query.sortField_.text_))
+            return unknownColumn(rows, query.sortField_);
+        return std::nullopt;
+    }
+
+    auto isWanted(const Rows& rows, const QueryStatement& query, const std::vector<std::string>& row) -> bool
+    {
+        const auto holds = [&](const Condition& condition) {
+            return matches(condition.comparison_, row[*findColumn(rows, condition.field_.text_)], condition.value_.text_);
+        };
+        const auto allHold = [&](const std::vector<Condition>& conditions) { return std::all_of(conditions.begin(), conditions.end(), holds); };
+        return query.anyOf_.empty() || std::any_of(query.anyOf_.begin(), query.anyOf_.end(), allHold);
+    }
+
     template <typename T>
     auto rowsOfKind(const Snapshot& snapshot) -> Rows
     {
@@ -73,20 +102,15 @@
 
 auto runQuery(const Rows& rows, const QueryStatement& query) -> Result<Rows, LanguageError>
 {
-    auto result = rows;
-    for (const auto& condition : query.conditions_) {
-        const auto column = findColumn(rows, condition.field_.text_);
-        if (!column)
-            return unknownColumn(rows, condition.field_);
-        std::erase_if(result.rows_, [&](const auto& row) { return !matches(condition.comparison_, row[*column], condition.value_.text_); });
-    }
-    if (!query.sortField_.empty()) {
-        const auto column = findColumn(rows, query.sortField_);
-        if (!column)
-            return unknownColumn(rows, query.subject_);
+    if (auto unknown = findUnknownColumn(rows, query))
+        return *unknown;
+    Rows result { rows.columns_, {} };
+    std::copy_if(rows.rows_.begin(), rows.rows_.end(), std::back_inserter(result.rows_), [&](const auto& row) { return isWanted(rows, query, row); });
+    if (!query.sortField_.text_.empty()) {
+        const auto column = *findColumn(rows, query.sortField_.text_);
         const bool descending = query.sortOrder_ == SortOrder::Descending;
         std::stable_sort(result.rows_.begin(), result.rows_.end(), [&](const auto& a, const auto& b) {
-            const auto order = compareValues(a[*column], b[*column]);
+            const auto order = compareValues(a[column], b[column]);
             return descending ? order > 0 : order < 0;
         });
     }
--- a/src/language/query.h
+++ b/src/language/query.h
@@ -27,9 +27,12 @@
     // The word behind show.
     virtual auto subject() const -> std::string = 0;
     virtual auto rows() const -> Rows = 0;
+    // At least the rows that the query asks for, or why they cannot be had now. For sources that hold more than
+    // they want to read at once; the query is run over the result in any case.
+    virtual auto rowsFor(const QueryStatement&) const -> Result<Rows, std::string> { return rows(); }
 };
 
-// Filters, sorts and cuts rows. Values that are whole numbers compare as numbers.
+// Filters, sorts and cuts rows. Whole numbers compare as numbers, durations as durations, all else as text.
 auto runQuery(const Rows& rows, const QueryStatement& query) -> Result<Rows, LanguageError>;
 // The declared items of a kind; the subject is the kind's name or its plural. Nothing for other subjects.
 auto declaredRows(const Snapshot& snapshot, std::string_view subject) -> std::optional<Rows>;
--- /dev/null
+++ b/src/language/reference_rows.h
@@ -0,0 +1,14 @@
+// The language described by itself, from the field tables: show kinds, show fields.
+#pragma once
+
+#include "language/query.h"
+
+#include <optional>
+#include <string_view>
+
+namespace sapphirepass {
+
+// Rows for the subjects kinds and fields; nothing for other subjects.
+auto referenceRows(std::string_view subject) -> std::optional<Rows>;
+
+} // namespace sapphirepass
--- a/src/language/statement_type.h
+++ b/src/language/statement_type.h
@@ -61,11 +61,13 @@
 enum class SortOrder { Ascending,
     Descending };
 
-// show SUBJECT [where FIELD OP VALUE [and ...]] [sort FIELD [desc]] [limit N]
+// show SUBJECT [where FIELD OP VALUE [and|or ...]] [sort FIELD [desc]] [limit N]
 struct QueryStatement {
     Word subject_;
-    std::vector<Condition> conditions_;
-    std::string sortField_;
+    // A row is shown if all conditions of any of these hold; none at all shows every row.
+    std::vector<std::vector<Condition>> anyOf_;
+    // Empty to keep the order of the source.
+    Word sortField_;
     SortOrder sortOrder_ = SortOrder::Ascending;
     // Most rows to return; 0 for all.
     std::size_t limit_ = 0;
--- a/tests/language_test.cpp
+++ b/tests/language_test.cpp
@@ -95,6 +95,37 @@
     CHECK_FALSE(parsePresentedKey("k.short"));
 }
 
+TEST_CASE("queries with and, or and durations", "[language]")
+{
+    const auto snapshot = declared("declare route a path /a service s deadline 500ms; declare route b path /b service s deadline 2s access open;"
+                                   "declare route c path /c service t deadline 1m");
+    const auto [conditions, names] = GENERATE(table<std::string, std::vector<std::string>>({
+        { "service = s and access = open", { "b" } },
+        { "name = a or service = t", { "a", "c" } },
+        { "service = s and access = open or service = t and deadline > 30s", { "b", "c" } },
+        { "deadline < 3s", { "a", "b" } },
+        { "deadline >= 2000ms", { "b", "c" } },
+        { "path ~ /c or path ~ /d", { "c" } },
+        { "name != a", { "b", "c" } },
+    }));
+    CAPTURE(conditions);
+    const auto statements = valueOf(parseStatements("show routes where " + conditions));
+    const auto result = valueOf(runQuery(*declaredRows(snapshot, "routes"), std::get<QueryStatement>(statements.front())));
+    std::vector<std::string> found;
+    for (const auto& row : result.rows_)
+        found.push_back(row.front());
+    CHECK(found == names);
+}
+
+TEST_CASE("a query for an unknown field points at it", "[language]")
+{
+    const auto [text, column] = GENERATE(table<std::string, std::size_t>({ { "show regions where limt = 3", 20 }, { "show regions sort limt", 19 }, { "show regions where limit = 1 or nam = a", 33 } }));
+    const auto statements = valueOf(parseStatements(text));
+    const auto error = errorOf(runQuery(*declaredRows(Snapshot {}, "regions"), std::get<QueryStatement>(statements.front())));
+    CHECK(error.place_ == TextPlace { 1, column });
+    CHECK_THAT(error.message_, Catch::Contains("name, limit"));
+}
+
 TEST_CASE("queries filter, sort and cut", "[language]")
 {
     const auto snapshot = declared("declare workspace a rate 10 burst 5; declare workspace b rate 9 burst 5; declare workspace c rate 100 burst 5");
