--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -31,6 +31,10 @@
     LogCut = 209,
     LogCutFailed = 210,
     AuditWriteFailed = 211,
+    PeerConnectionFailed = 300,
+    Isolated = 301,
+    Rejoined = 302,
+    EmergencyWithdrawal = 303,
     UpstreamCallFailed = 600,
     AnswerCut = 601,
 };
@@ -61,6 +65,10 @@
     EventDescription { EventId::LogCut, LogLevel::Info, "log-cut", "Old entries of the command log were replaced by a snapshot." },
     EventDescription { EventId::LogCutFailed, LogLevel::Warning, "log-cut-failed", "The command log could not be cut; the next command tries again." },
     EventDescription { EventId::AuditWriteFailed, LogLevel::Warning, "audit-write-failed", "Refused commands could not be added to the audit trail." },
+    EventDescription { EventId::PeerConnectionFailed, LogLevel::Warning, "peer-connection-failed", "A connection with another instance broke off." },
+    EventDescription { EventId::Isolated, LogLevel::Warning, "isolated", "This instance cannot know whether it is current; keyed requests are refused as not run." },
+    EventDescription { EventId::Rejoined, LogLevel::Info, "rejoined", "This instance knows again that it is current." },
+    EventDescription { EventId::EmergencyWithdrawal, LogLevel::Warning, "emergency-withdrawal", "A key was withdrawn while the store was down; enforced, not yet durable." },
     EventDescription { EventId::UpstreamCallFailed, LogLevel::Warning, "upstream-call-failed", "A call to an upstream ended without an answer." },
     EventDescription { EventId::AnswerCut, LogLevel::Warning, "answer-cut", "An upstream broke off an answer that was being passed on." },
 };
