Language: places of refusals, ctl batches from files, reference from the tables

Cause: a refused batch did not say which of its commands was wrong, and files ran line by line only. The in-process entry of the stand-ins now keeps its declarations in its store, so that it takes commands.

--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -21,7 +21,17 @@
 inline constexpr std::string_view endsEqual = "{} '{}' needs two different regions";
 
 // Errors in the operators' language.
-inline constexpr std::string_view syntaxError = "line {}, column {}: expected {}";
+inline constexpr std::string_view columnUnknown = "there is no field '{}'; expected one of: {}";
+inline constexpr std::string_view subjectUnknown = "'{}' cannot be shown; expected one of: {}";
+inline constexpr std::string_view verbForKeysOnly = "expected key after {}";
+inline constexpr std::string_view keyChange = "a key cannot be changed; issue a new key instead";
+inline constexpr std::string_view withdrawnKeyVerb = "withdrawn-key cannot be commanded; withdraw the key instead";
+inline constexpr std::string_view changeNeedsField = "expected a field to change";
+inline constexpr std::string_view forceForRetire = "expected force only after retire";
+inline constexpr std::string_view noFieldAfter = "expected no field after {}";
+inline constexpr std::string_view queryInBatch = "expected a command; a query stands alone";
+inline constexpr std::string_view expectedThere = "expected {}";
+inline constexpr std::string_view syntaxError = "line {}, column {}: {}";
 inline constexpr std::string_view emptyInput = "nothing to do: expected a command or a query";
 
 // Settings.
@@ -56,6 +66,7 @@
 // Control path.
 inline constexpr std::string_view storeDown = "the platform's store does not answer; nothing was changed";
 inline constexpr std::string_view outcomeUnknown = "the store's answer was lost; ask 'show commands where id = {}' before sending again";
+inline constexpr std::string_view storeBehind = "the platform's store answers with an older log than the one in force; nothing was changed";
 inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
 inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
 inline constexpr std::string_view hashMalformed = "a hash is malformed";
--- a/src/config/command.cpp
+++ b/src/config/command.cpp
@@ -176,10 +176,13 @@
 auto applyBatch(const Snapshot& snapshot, const CommandBatch& batch) -> Result<Snapshot, ConfigError>
 {
     auto changed = snapshot;
-    for (const auto& command : batch) {
-        auto outcome = applyCommand(changed, command);
-        if (!isOk(outcome))
-            return outcome;
+    for (std::size_t position = 0; position < batch.size(); ++position) {
+        auto outcome = applyCommand(changed, batch[position]);
+        if (!isOk(outcome)) {
+            auto error = errorOf(outcome);
+            error.position_ = position;
+            return error;
+        }
         changed = valueOf(std::move(outcome));
     }
     return changed.atRevision(snapshot.revision() + 1);
--- a/src/config/command_func.h
+++ b/src/config/command_func.h
@@ -20,6 +20,8 @@
     ConfigErrorKind kind_;
     // For people; names the item and what was expected.
     std::string message_;
+    // Position of the command in its batch, from 0.
+    std::size_t position_ = 0;
 
     auto operator<=>(const ConfigError&) const = default;
 };
--- a/src/entry/http_operator_api.cpp
+++ b/src/entry/http_operator_api.cpp
@@ -1,6 +1,7 @@
 #include "entry/http_operator_api.h"
 
 #include "base/random.h"
+#include "base/texts.h"
 #include "config/kind_func.h"
 #include "language/reference_rows.h"
 
@@ -161,7 +162,7 @@
         auto subjects = kindNames() + ", kinds, fields";
         for (const auto& source : sources_)
             subjects += ", " + source->subject();
-        return errorAnswer(http::status_codes::BadRequest, renderError({ query.subject_.place_, "one of: " + subjects }, text));
+        return errorAnswer(http::status_codes::BadRequest, renderError({ query.subject_.place_, fmt::format(texts::subjectUnknown, query.subject_.text_, subjects) }, text));
     }
     if (!isOk(*rows))
         return errorAnswer(http::status_codes::ServiceUnavailable, errorOf(*rows));
--- a/src/language/command_reader.cpp
+++ b/src/language/command_reader.cpp
@@ -101,18 +101,18 @@
     {
         const auto& verb = statement.verb_.text_;
         if (statement.kind_.text_ == kindName<WithdrawnKey>())
-            return LanguageError { statement.kind_.place_, "a kind other than withdrawn-key; withdraw the key instead" };
+            return LanguageError { statement.kind_.place_, std::string(texts::withdrawnKeyVerb) };
         const bool isKey = statement.kind_.text_ == kindName<Key>();
         if ((verb == "issue" || verb == "withdraw") && !isKey)
-            return LanguageError { statement.kind_.place_, fmt::format("key after {}", verb) };
+            return LanguageError { statement.kind_.place_, fmt::format(texts::verbForKeysOnly, verb) };
         if (verb == "change" && isKey)
-            return LanguageError { statement.kind_.place_, "a kind other than key; issue a new key instead" };
+            return LanguageError { statement.kind_.place_, std::string(texts::keyChange) };
         if (verb == "change" && statement.attributes_.empty())
-            return LanguageError { statement.name_.place_, "a field to change" };
+            return LanguageError { statement.name_.place_, std::string(texts::changeNeedsField) };
         if (statement.force_ && verb != "retire")
-            return LanguageError { statement.verb_.place_, "force only after retire" };
+            return LanguageError { statement.verb_.place_, std::string(texts::forceForRetire) };
         if ((verb == "retire" || verb == "withdraw") && !statement.attributes_.empty())
-            return LanguageError { statement.attributes_.front().name_.place_, fmt::format("no field after {}", verb) };
+            return LanguageError { statement.attributes_.front().name_.place_, fmt::format(texts::noFieldAfter, verb) };
         return std::nullopt;
     }
 
@@ -146,7 +146,7 @@
 auto readItem(const CommandStatement& statement) -> Result<Item, LanguageError>
 {
     if (statement.verb_.text_ != "declare")
-        return LanguageError { statement.verb_.place_, "declare" };
+        return LanguageError { statement.verb_.place_, fmt::format(texts::expectedThere, "declare") };
     Result<Item, LanguageError> result = errorAt(statement.kind_, texts::kindUnknown, statement.kind_.text_, kindNames());
     withKind(statement.kind_.text_, [&]<typename T>(std::type_identity<T>) {
         if (auto error = checkName<T>(statement.name_))
@@ -168,7 +168,7 @@
     for (const auto& statement : valueOf(statements)) {
         const auto* command = std::get_if<CommandStatement>(&statement);
         if (command == nullptr)
-            return LanguageError { std::get<QueryStatement>(statement).subject_.place_, "a command; queries stand alone" };
+            return LanguageError { std::get<QueryStatement>(statement).subject_.place_, std::string(texts::queryInBatch) };
         auto read = readCommand(*command);
         if (!isOk(read))
             return errorOf(read);
@@ -177,6 +177,15 @@
     return batch;
 }
 
+auto placeOfCommand(std::string_view text, std::size_t position) -> TextPlace
+{
+    const auto statements = parseStatements(text);
+    if (!isOk(statements) || position >= valueOf(statements).size())
+        return {};
+    const auto* command = std::get_if<CommandStatement>(&valueOf(statements)[position]);
+    return command == nullptr ? TextPlace {} : command->name_.place_;
+}
+
 auto writeBatch(const CommandBatch& batch) -> std::string
 {
     std::string text;
--- a/src/language/command_reader.h
+++ b/src/language/command_reader.h
@@ -13,6 +13,8 @@
 auto readItem(const CommandStatement& statement) -> Result<Item, LanguageError>;
 // Reads a whole batch of commands; a query among them is an error.
 auto readBatch(std::string_view text) -> Result<CommandBatch, LanguageError>;
+// Where the command at a position of the batch names its item; the first place if there is no such command.
+auto placeOfCommand(std::string_view text, std::size_t position) -> TextPlace;
 // The text that readBatch() reads back as an equal batch; kept in the command log.
 auto writeBatch(const CommandBatch& batch) -> std::string;
 
--- a/src/language/parser.h
+++ b/src/language/parser.h
@@ -12,7 +12,7 @@
 
 struct LanguageError {
     TextPlace place_;
-    // What was expected there.
+    // What is wrong there, and what was expected.
     std::string message_;
 
     auto operator<=>(const LanguageError&) const = default;
--- a/src/language/query.cpp
+++ b/src/language/query.cpp
@@ -2,6 +2,7 @@
 
 #include "base/field.h"
 #include "base/text_func.h"
+#include "base/texts.h"
 #include "config/kind_func.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
 
     auto unknownColumn(const Rows& rows, const Word& field) -> LanguageError
     {
-        return { field.place_, fmt::format("one of: {}", fmt::join(rows.columns_, ", ")) };
+        return { field.place_, fmt::format(texts::columnUnknown, field.text_, fmt::join(rows.columns_, ", ")) };
     }
 
     auto findUnknownColumn(const Rows& rows, const QueryStatement& query) -> std::optional<LanguageError>
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 // The sapphirepass binary: picks the subcommand.
 #include "base/event_log.h"
+#include "base/texts.h"
 #include "entry/run_entry.h"
 #include "operator/run_ctl.h"
 #include "settings/entry_settings.h"
@@ -9,6 +10,7 @@
 #include <absl/flags/usage.h>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
 #include <iostream>
 
 ABSL_FLAG(std::string, config, "", "entry: the settings file (INI)");
@@ -16,6 +18,8 @@
 ABSL_FLAG(std::string, output, "table", "ctl: table or json");
 ABSL_FLAG(std::string, who, "", "ctl: the operator's name for the audit trail; the default is the user's name");
 ABSL_FLAG(bool, test_run, false, "ctl: check the commands and change nothing");
+ABSL_FLAG(std::string, file, "", "ctl: run all commands of this file, or of standard input if it is -, as one batch");
+ABSL_FLAG(std::string, id, "", "ctl: id of the commands; the same id again never runs them twice");
 ABSL_FLAG(std::int64_t, only_at, -1, "ctl: refuse unless the configuration is at this revision");
 
 namespace sapphirepass {
@@ -24,7 +28,9 @@
     constexpr std::string_view version = "0.1.0";
     constexpr std::string_view usage = "steers request traffic for a shared service\n\n"
                                        "  sapphirepass entry --config FILE            run an entry instance\n"
-                                       "  sapphirepass ctl --entry ADDRESS [TEXT]     run commands or a query; without TEXT, read lines from standard input\n"
+                                       "  sapphirepass ctl --entry ADDRESS [TEXT]     run commands or a query, as one batch\n"
+                                       "  sapphirepass ctl --entry ADDRESS --file FILE  run a file, or standard input if it is -, as one batch\n"
+                                       "  sapphirepass ctl --entry ADDRESS            run each line of standard input on its own\n"
                                        "  sapphirepass check-config FILE              check a settings file\n"
                                        "  sapphirepass version                        print the version\n\n"
                                        "Exit codes: 0 done, 1 failed, 2 wrong usage or text, 3 refused, 4 unavailable, 5 outcome unknown\n";
@@ -72,6 +78,16 @@
                                                         : user;
     }
 
+    auto runCtlFile(const CtlOptions& options, const std::string& path) -> int
+    {
+        if (path == "-")
+            return static_cast<int>(runCtlBatch(options, std::cin, std::cout, std::cerr));
+        std::ifstream file(path);
+        if (!file)
+            return failUsage(fmt::format("{}: {}", path, texts::fileUnreadable));
+        return static_cast<int>(runCtlBatch(options, file, std::cout, std::cerr));
+    }
+
     auto ctlCommand(const std::vector<char*>& arguments) -> int
     {
         const auto address = parseSocketAddress(absl::GetFlag(FLAGS_entry));
@@ -80,9 +96,14 @@
             return failUsage("ctl needs --entry ADDRESS, such as 127.0.0.1:8000");
         if (output != "table" && output != "json")
             return failUsage("--output expects table or json");
-        CtlOptions options { *address, output == "json" ? CtlOutput::Json : CtlOutput::Table, operatorName(), absl::GetFlag(FLAGS_test_run), std::nullopt };
+        CtlOptions options { *address, output == "json" ? CtlOutput::Json : CtlOutput::Table, operatorName(), absl::GetFlag(FLAGS_test_run), std::nullopt, absl::GetFlag(FLAGS_id) };
         if (absl::GetFlag(FLAGS_only_at) >= 0)
             options.onlyAt_ = absl::GetFlag(FLAGS_only_at);
+        const auto file = absl::GetFlag(FLAGS_file);
+        if (!file.empty())
+            return arguments.empty() ? runCtlFile(options, file) : failUsage("ctl takes either --file or a text");
+        if (arguments.empty() && !options.id_.empty())
+            return failUsage("--id needs a text or --file");
         if (arguments.empty())
             return static_cast<int>(runCtlLines(options, std::cin, std::cout, std::cerr));
         std::string text;
--- a/src/operator/run_ctl.h
+++ b/src/operator/run_ctl.h
@@ -19,6 +19,8 @@
     std::string who_;
     bool testRun_ = false;
     std::optional<std::int64_t> onlyAt_;
+    // Id of the commands; empty to draw one. The same id again never runs the commands twice.
+    std::string id_;
 };
 
 // Exit codes of the client.
@@ -36,6 +38,8 @@
 
 // Runs one text: a query or a batch of commands.
 auto runCtlText(const CtlOptions& options, const std::string& text, std::ostream& out, std::ostream& err) -> CtlExit;
+// Runs all of a stream as one text, so that its commands are one batch.
+auto runCtlBatch(const CtlOptions& options, std::istream& in, std::ostream& out, std::ostream& err) -> CtlExit;
 // Runs each line on its own and stops at the first that fails.
 auto runCtlLines(const CtlOptions& options, std::istream& in, std::ostream& out, std::ostream& err) -> CtlExit;
 
--- a/src/operator/run_ctl_http.cpp
+++ b/src/operator/run_ctl_http.cpp
@@ -92,7 +92,7 @@
 
 auto runCtlText(const CtlOptions& options, const std::string& text, std::ostream& out, std::ostream& err) -> CtlExit
 {
-    const auto id = randomHex(commandIdBytes);
+    const auto id = options.id_.empty() ? randomHex(commandIdBytes) : options.id_;
     try {
         const auto answer = post(options, makeBody(options, text, id));
         const auto exit = exitFor(answer.status_);
@@ -111,6 +111,12 @@
     }
 }
 
+auto runCtlBatch(const CtlOptions& options, std::istream& in, std::ostream& out, std::ostream& err) -> CtlExit
+{
+    const std::string text(std::istreambuf_iterator<char>(in), {});
+    return runCtlText(options, text, out, err);
+}
+
 auto runCtlLines(const CtlOptions& options, std::istream& in, std::ostream& out, std::ostream& err) -> CtlExit
 {
     std::string line;
--- a/src/store/command_service.cpp
+++ b/src/store/command_service.cpp
@@ -72,6 +72,8 @@
     std::string text_;
     // An earlier attempt of this command may still have taken effect.
     bool mayHaveTakenEffect_ = false;
+    // The store has answered the last attempt with an older log than this instance has applied.
+    bool storeBehind_ = false;
 
     // What a failure to go on means for the operator.
     auto failure(std::string_view message) const -> CommandError
@@ -121,8 +123,11 @@
     if (onlyAt && *onlyAt != snapshot->revision())
         return CommandError { CommandErrorKind::RevisionMismatch, fmt::format(texts::revisionMismatch, snapshot->revision(), *onlyAt) };
     auto tested = applyBatch(*snapshot, attempt.prepared_.batch_);
-    if (!isOk(tested))
-        return CommandError { CommandErrorKind::Refused, errorOf(tested).message_ };
+    if (!isOk(tested)) {
+        const auto& text = attempt.request_.text_;
+        const auto place = placeOfCommand(text, errorOf(tested).position_);
+        return CommandError { CommandErrorKind::Refused, renderError({ place, errorOf(tested).message_ }, text) };
+    }
     return valueOf(std::move(tested));
 }
 
@@ -170,7 +175,8 @@
         return attempt.repeated(current.head_, revision);
     }
     const auto applied = catchUp(store_, state_, current.head_);
-    if (!isOk(applied) && errorOf(applied).kind_ == ApplyErrorKind::Stale)
+    attempt.storeBehind_ = !isOk(applied) && errorOf(applied).kind_ == ApplyErrorKind::Stale;
+    if (attempt.storeBehind_)
         return std::nullopt;
     if (!isOk(applied))
         return attempt.failure(errorOf(applied).message_);
@@ -212,7 +218,7 @@
             recordRefusal(command, errorOf(*outcome));
         return *outcome;
     }
-    return command.failure(texts::tooManyRaces);
+    return command.failure(command.storeBehind_ ? texts::storeBehind : texts::tooManyRaces);
 }
 
 } // namespace sapphirepass
--- a/standin/local_entry_http.cpp
+++ b/standin/local_entry_http.cpp
@@ -55,7 +55,9 @@
     {
         auto commands = declarations;
         bearers_ = issueKeys(declared(declarations), commands);
-        const auto applied = config_.apply({ 1, { entryOf(1, commands) } });
+        const LogHead head { 1, { entryOf(1, commands) } };
+        store_.write(std::string(headObjectName), encodeLogHead(head), absentVersion);
+        const auto applied = config_.apply(head);
         if (!isOk(applied))
             throw std::runtime_error(errorOf(applied).message_);
         server_.open();
--- a/tests/catalogue_test.cpp
+++ b/tests/catalogue_test.cpp
@@ -1,5 +1,6 @@
 // The pages in docs/ list what the code has.
 #include "base/event_log.h"
+#include "language/reference_rows.h"
 
 #include <catch2/catch.hpp>
 #include <fstream>
@@ -36,3 +37,23 @@
         CHECK(eventTable[i - 1].id_ < eventTable[i].id_);
     CHECK(describe(EventId::AnswerCut).name_ == "answer-cut");
 }
+
+TEST_CASE("docs/operators/language.md lists every kind and field", "[docs]")
+{
+    const auto page = readPage("docs/operators/language.md");
+    std::size_t rows = 0;
+    for (const auto* subject : { "kinds", "fields" }) {
+        const auto reference = *referenceRows(subject);
+        for (const auto& cells : reference.rows_) {
+            const auto row = fmt::format("| {} |\n", fmt::join(cells, " | "));
+            CAPTURE(row);
+            CHECK(page.find(row) != std::string::npos);
+            ++rows;
+        }
+    }
+    // Nothing else stands in the two tables, each with a header and a line below it.
+    std::size_t tableLines = 0;
+    for (std::size_t at = page.find("\n| ", page.find("## Kinds")); at != std::string::npos; at = page.find("\n| ", at + 1))
+        ++tableLines;
+    CHECK(tableLines == rows + 4);
+}
