--- a/standin/scripted_store.h
+++ b/standin/scripted_store.h
@@ -4,6 +4,7 @@
 #include "store/object_store.h"
 
 #include <functional>
+#include <map>
 
 namespace sapphirepass::standin {
 
@@ -13,6 +14,8 @@
     Refused,
     // Passed on, but the answer is lost.
     AnswerLost,
+    // A read answers what the first read of that object answered; other calls are normal.
+    Stale,
 };
 
 class ScriptedStore final : public ObjectStore {
@@ -28,7 +31,11 @@
 
     auto read(const std::string& name) -> Result<StoredObject, StoreError> override
     {
-        return pass<StoredObject>([&] { return store_.read(name); });
+        return pass<StoredObject>([&] {
+            const auto answer = store_.read(name);
+            const auto first = firstReads_.emplace(name, answer).first;
+            return fate_ == CallFate::Stale ? first->second : answer;
+        });
     }
 
     auto write(const std::string& name, const std::string& value, ObjectVersion expected) -> Result<ObjectVersion, StoreError> override
@@ -62,7 +69,8 @@
     template <typename T, typename Call>
     auto pass(Call call) -> Result<T, StoreError>
     {
-        const auto fate = script_(calls_++);
+        fate_ = script_(calls_++);
+        const auto fate = fate_;
         if (fate == CallFate::Refused)
             return StoreError { StoreErrorKind::Unreachable, "the script refuses this call" };
         auto answer = call();
@@ -74,6 +82,8 @@
     ObjectStore& store_;
     Script script_;
     int calls_ = 0;
+    CallFate fate_ = CallFate::Normal;
+    std::map<std::string, Result<StoredObject, StoreError>> firstReads_;
 };
 
 } // namespace sapphirepass::standin
