--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -5,7 +5,10 @@
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
 #include "fleet/fleet_node.h"
+#include "steering/fixed_share_budgets.h"
 #include "steering/queued_steering.h"
+#include "steering/region_steering.h"
+#include "store/command_trail.h"
 #include "store/config_follower.h"
 #include "store/counting_store.h"
 #include "store/http_object_store.h"
@@ -113,10 +116,13 @@
     fleet.attach(peers);
     follower.setObserver(&fleet);
     EqualSplitAdmitter admitter(clock, settings.maxInstances_);
-    LeastInFlightSteering steering(settings.region_);
+    FixedShareBudgets budgets(clock, config, settings.maxInstances_);
+    LinkMeter links(budgets);
+    RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
     HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
     HttpOperatorApi operators(commands, config);
+    operators.addSource(std::make_unique<CommandTrail>(store));
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
 
     pipeline.setGate(&fleet);
