--- a/standin/escrow_fleet.h
+++ b/standin/escrow_fleet.h
@@ -46,6 +46,8 @@
     auto setDelay(Duration least, Duration most) -> void;
     auto setOutage(bool outage) -> void { outage_ = outage; }
     auto setCut(std::size_t index, bool cut) -> void { nodes_[index].cut_ = cut; }
+    // Longest step in which instances run and messages arrive.
+    auto setGrain(Duration grain) -> void { grain_ = grain; }
     // Keeps the answer of a store read until the next advance of at least that instance.
     auto delayRead(std::size_t index) -> void;
     // Moves the clock on; instances run on the way.
@@ -96,6 +98,7 @@
     PeerFaults faults_;
     Duration leastDelay_ = std::chrono::milliseconds(1);
     Duration mostDelay_ = std::chrono::milliseconds(12);
+    Duration grain_ = std::chrono::milliseconds(5);
     bool outage_ = false;
     std::uint64_t order_ = 0;
     std::uint64_t nextNumber_ = 1'000;
