Escrow in the daemon: rates and the other limits are spent from shares that follow demand

Cause: the equal split refused callers inside their rate; steering's limits were fixed shares. EqualSplitAdmitter and FixedShareBudgets stay as baselines.

--- a/src/admission/escrow_demand.h
+++ b/src/admission/escrow_demand.h
@@ -13,6 +13,8 @@
     auto tick(Duration elapsed) -> void;
     // The fraction that covers the demand with a margin in percent; reserve is the least that is kept.
     auto need(const EscrowAccount& account, std::int64_t marginPercent, Fraction reserve) const -> Fraction;
+    // The fraction that is in use now; all else may go to a holder that is short.
+    auto inUse(const EscrowAccount& account, std::int64_t marginPercent) const -> Fraction;
     // Whether spending failed since the last ask.
     auto isRefused() const -> bool { return refused_; }
     auto asked(MonotonicTime now) -> void;
@@ -24,6 +26,8 @@
     double pending_ = 0;
     // Units a second, smoothed.
     double rate_ = 0;
+    // Largest amount asked for at once lately.
+    double largest_ = 0;
     bool refused_ = false;
     MonotonicTime askedAt_ {};
     MonotonicTime askedReserveAt_ {};
--- a/src/admission/escrow_holder.cpp
+++ b/src/admission/escrow_holder.cpp
@@ -225,6 +225,12 @@
     }
 }
 
+auto EscrowHolder::confirm(MonotonicTime callStarted, MonotonicTime now) -> void
+{
+    const auto record = membership_.record();
+    observe(record, callStarted, now);
+}
+
 auto EscrowHolder::wantsNextEpoch(MonotonicTime now) const -> bool
 {
     const auto& record = membership_.record();
@@ -275,6 +281,13 @@
     return membership_.nextEpoch(suspects_);
 }
 
+auto EscrowHolder::leave() -> void
+{
+    leaving_ = true;
+    // This holder collects for no limit any more.
+    stewards_.clear();
+}
+
 auto EscrowHolder::hasLeft() const -> bool
 {
     const auto& accounts = ledger_.accounts();
--- a/src/admission/escrow_holder.h
+++ b/src/admission/escrow_holder.h
@@ -30,13 +30,15 @@
 
     // The share table as a store call that started then has shown it.
     auto observe(const EpochRecord& record, MonotonicTime callStarted, MonotonicTime now) -> void;
+    // A store call that started then has shown that the table last observed is the latest.
+    auto confirm(MonotonicTime callStarted, MonotonicTime now) -> void;
     // The store holds no share table.
     auto observeAbsent() -> void { absent_ = true; }
     // A change of the share table that this holder wants, to be written over the version last observed.
     auto wantedRecord(MonotonicTime now) -> std::optional<EpochRecord>;
 
     // Starts to hand all shares to others.
-    auto leave() -> void { leaving_ = true; }
+    auto leave() -> void;
     auto hasLeft() const -> bool;
 
     auto ledger() const -> const EscrowLedger& { return ledger_; }
--- a/src/admission/escrow_movement.cpp
+++ b/src/admission/escrow_movement.cpp
@@ -63,9 +63,9 @@
         return 0;
     const auto& account = found->second;
     // A reserve gives way to another holder's demand.
-    const auto reserve = marginPercent == recallMargin ? 0 : reserveOf(account.total());
-    const auto need = leaving_ ? 0 : demands_[id].need(account, marginPercent, reserve);
-    return std::max<Fraction>(0, account.fraction() - need);
+    const auto& demand = demands_[id];
+    const auto need = marginPercent == recallMargin ? demand.inUse(account, marginPercent) : demand.need(account, marginPercent, reserveOf(account.total()));
+    return std::max<Fraction>(0, account.fraction() - (leaving_ ? 0 : need));
 }
 
 auto EscrowHolder::moveShares(MonotonicTime now) -> void
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -1,10 +1,10 @@
 #include "entry/run_entry.h"
 
+#include "admission/escrow_budgets.h"
 #include "base/event_log.h"
 #include "base/random.h"
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
-#include "steering/fixed_share_budgets.h"
 #include "steering/queued_steering.h"
 #include "steering/region_steering.h"
 #include "store/command_trail.h"
@@ -28,6 +28,9 @@
         return { { total, (total + 1) / 2 }, settings.queueWait_ };
     }
 
+    // Longest time that a planned stop takes to hand shares of limits to other instances.
+    constexpr std::chrono::milliseconds shareHandOver { 2'000 };
+
     using SignalSet = boost::asio::signal_set;
 
     // Blocks until the next SIGINT or SIGTERM.
@@ -86,8 +89,8 @@
     CapnpPeerLink peers(
         self, settings.peer_, [&instances](const std::string& name) { return findPeerAddress(instances.instances(), name); }, metrics);
     CommandService commands(store, config, clock);
-    EqualSplitAdmitter admitter(clock, settings.maxInstances_);
-    FixedShareBudgets budgets(clock, config, settings.maxInstances_);
+    EscrowBudgets budgets(clock, self, peers, store, config, metrics);
+    EscrowAdmitter admitter(budgets);
     LinkMeter links(budgets);
     RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
@@ -101,6 +104,7 @@
     instances.start();
     if (!startListening(settings.peer_, [&peers] { peers.start(); }) || !startListening(settings.http_, [&server] { server.open(); }))
         return 1;
+    budgets.start();
     logEvent(EventId::EntryStarted, "instance={} address={}", settings.name_, formatSocketAddress(settings.http_));
     const int signal = waitForSignal(signals);
     logEvent(EventId::EntryDraining, "signal={} in_flight={}", signal, inFlight.count());
@@ -109,6 +113,8 @@
     const bool finished = drain(inFlight, signals);
     const auto cut = inFlight.count();
     server.close();
+    budgets.leave(shareHandOver);
+    budgets.stop();
     peers.stop();
     follower.stop();
     instances.stop();
