--- a/bench/load/http_socket.cpp
+++ b/bench/load/http_socket.cpp
@@ -84,6 +84,12 @@
     return buffer_.empty() && recv(descriptor_, &byte, 1, MSG_PEEK) == 0;
 }
 
+auto HttpSocket::hasEnded() const -> bool
+{
+    char byte = 0;
+    return recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 auto HttpSocket::readHead(SocketAnswer& answer) -> bool
 {
     auto end = buffer_.find(headEnd);
--- a/bench/load/http_socket.h
+++ b/bench/load/http_socket.h
@@ -35,6 +35,8 @@
     auto readAnswer() -> SocketAnswer;
     // Whether the peer has closed its side, with nothing left to read; waits for that or the time limit.
     auto isClosedByPeer() -> bool;
+    // The same, without waiting.
+    auto hasEnded() const -> bool;
     // Whether the connection can carry another request, as far as is known.
     auto isReusable() const -> bool { return isConnected() && reusable_ && buffer_.empty(); }
 
--- a/standin/main_http.cpp
+++ b/standin/main_http.cpp
@@ -1,4 +1,5 @@
 // Stand-ins for the platform and the upstreams, as processes. Never shipped.
+#include "bench/load/run_experiment.h"
 #include "standin/free_ports.h"
 #include "standin/store_http.h"
 #include "standin/upstream_http.h"
@@ -12,6 +13,8 @@
 #include <pplx/threadpool.h>
 
 ABSL_FLAG(std::string, listen, "", "store, upstream: address to listen on");
+ABSL_FLAG(std::string, experiment, "", "load: the experiment (INI)");
+ABSL_FLAG(std::string, addresses, "run/addresses.ini", "load: where the deployment is (INI), as written by tools/up");
 ABSL_FLAG(int, slots, 3, "upstream: requests running at once");
 ABSL_FLAG(int, connections, 400, "upstream: connections at once");
 ABSL_FLAG(int, service_ms, 5, "upstream: milliseconds that a run takes");
@@ -73,9 +76,11 @@
         const std::string subcommand = words.size() < 2 ? "" : words[1];
         if (subcommand == "ports" && words.size() == 3)
             return printPorts(words[2]);
+        if (subcommand == "load" && words.size() == 2)
+            return load::runExperiment(absl::GetFlag(FLAGS_experiment), absl::GetFlag(FLAGS_addresses));
         const auto address = parseSocketAddress(absl::GetFlag(FLAGS_listen));
         if (!address || (subcommand != "store" && subcommand != "upstream")) {
-            std::cerr << "sapphirepass-standin: expected store or upstream with --listen ADDRESS, or ports COUNT\n";
+            std::cerr << "sapphirepass-standin: expected store or upstream with --listen ADDRESS, load with --experiment FILE, or ports COUNT\n";
             return usageExit;
         }
         blockStopSignals();
@@ -88,6 +93,6 @@
 
 auto main(int argc, char** argv) -> int
 {
-    absl::SetProgramUsageMessage("stand-ins for the platform and the upstreams: store, upstream, ports");
+    absl::SetProgramUsageMessage("stand-ins for the platform, the upstreams and the callers: store, upstream, load, ports");
     return sapphirepass::standin::dispatch(absl::ParseCommandLine(argc, argv));
 }
--- a/standin/upstream_http.cpp
+++ b/standin/upstream_http.cpp
@@ -1,5 +1,6 @@
 #include "standin/upstream_http.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <cpprest/http_listener.h>
 #include <cpprest/json.h>
@@ -32,6 +33,7 @@
         http::http_headers headers_;
         std::size_t bodyBytes_ = 0;
         RunState state_ = RunState::Running;
+        Clock::time_point at_ = Clock::now();
     };
 
     auto stateName(RunState state) -> std::string
@@ -47,6 +49,7 @@
         row["method"] = value::string(run.method_);
         row["target"] = value::string(run.target_);
         row["body_bytes"] = value::number(static_cast<std::int64_t>(run.bodyBytes_));
+        row["at_us"] = value::number(static_cast<std::int64_t>(std::chrono::duration_cast<std::chrono::microseconds>(run.at_.time_since_epoch()).count()));
         row["state"] = value::string(stateName(run.state_));
         auto headers = value::object();
         for (const auto& [name, text] : run.headers_)
@@ -234,7 +237,7 @@
         const auto query = web::uri::split_query(message.request_uri().query());
         auto body = fmt::format("{} {}\n", message.method(), message.request_uri().to_string());
         if (query.contains("bytes"))
-            body.assign(std::stoull(query.at("bytes")), 'x');
+            body.resize(std::max<std::size_t>(body.size(), std::stoull(query.at("bytes"))), 'x');
         bool cut = false;
         {
             const std::lock_guard lock(mutex_);
--- a/standin/upstream_http.h
+++ b/standin/upstream_http.h
@@ -5,7 +5,8 @@
 //   503 with Retry-After: shed, not run (slots full, connections full, or draining).
 //   POST /v1/cancel/REQUEST-ID: ends the run whose Request-Id header was that.
 //   GET /health, GET /load: state pages; they may lie.
-// A request with the header Crash-Upstream ends the process. Query: bytes=N answers N bytes.
+// A request with the header Crash-Upstream ends the process. An answer is the
+// method and target; with the query bytes=N it is filled up to N bytes.
 //
 // POST /control/settings {"draining": bool, "service_ms": n, "health": "ok"|"bad"|"true", "load": n, "cut_answers": bool}
 // GET  /control/runs     the records
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -118,3 +118,22 @@
     issue_keys
     for index in "${ENTRIES[@]}"; do wait_for "http://$index/v1/lookup?workspace=${WORKSPACES[0]}"; done
 }
+
+# Written under another name first, so that a reader never sees half of it.
+write_addresses() {
+    local index workspace
+    {
+        echo "[store]"
+        echo "address = $STORE"
+        echo
+        echo "[entries]"
+        for index in "${!ENTRIES[@]}"; do echo "entry-$index = ${ENTRIES[$index]}"; done
+        echo
+        echo "[upstreams]"
+        for index in "${!UPSTREAMS[@]}"; do echo "core-$index = ${UPSTREAMS[$index]}"; done
+        echo
+        echo "[keys]"
+        for workspace in "${WORKSPACES[@]}"; do echo "$workspace = $(cat "$RUN/key-$workspace")"; done
+    } >"$RUN/addresses.ini.new"
+    mv "$RUN/addresses.ini.new" "$RUN/addresses.ini"
+}
