--- a/standin/socket_upstream.cpp
+++ b/standin/socket_upstream.cpp
@@ -35,9 +35,11 @@
     }
 }
 
-SocketUpstream::SocketUpstream(std::string body, Recording recording)
+SocketUpstream::SocketUpstream(std::string body, Recording recording, Behaviour behaviour)
     : answer_(fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{}", body.size(), body))
     , recording_(recording)
+    , behaviour_(behaviour)
+    , bodyBytes_(body.size())
     , listening_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     sockaddr_in address {};
@@ -111,7 +113,13 @@
             requests_.push_back(buffer.substr(0, size));
         }
         buffer.erase(0, size);
-        ::send(descriptor, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+        const auto part = behaviour_ == Behaviour::Answer ? answer_.size() : behaviour_ == Behaviour::CutAnswer ? answer_.size() - bodyBytes_ / 2
+                                                                                                                  : 0;
+        ::send(descriptor, answer_.data(), part, MSG_NOSIGNAL);
+        if (behaviour_ != Behaviour::Answer) {
+            shutdown(descriptor, SHUT_RDWR);
+            return;
+        }
     }
 }
 
--- a/standin/socket_upstream.h
+++ b/standin/socket_upstream.h
@@ -11,13 +11,22 @@
 
 namespace sapphirepass::standin {
 
-// Answers every request 200 with the same body. A thread for each connection.
+// A thread for each connection.
 class SocketUpstream {
 public:
     enum class Recording { Off,
         On };
 
-    SocketUpstream(std::string body, Recording recording);
+    enum class Behaviour {
+        // Answers 200 with the same body.
+        Answer,
+        // Reads the whole request and closes the connection, as a crash does.
+        HangUp,
+        // Promises the whole body and closes the connection after half of it.
+        CutAnswer,
+    };
+
+    SocketUpstream(std::string body, Recording recording, Behaviour behaviour = Behaviour::Answer);
     ~SocketUpstream();
     SocketUpstream(const SocketUpstream&) = delete;
     auto operator=(const SocketUpstream&) -> SocketUpstream& = delete;
@@ -32,6 +41,8 @@
 
     std::string answer_;
     Recording recording_;
+    Behaviour behaviour_;
+    std::size_t bodyBytes_ = 0;
     int listening_ = -1;
     std::uint16_t port_ = 0;
     std::atomic<bool> stopping_ { false };
