--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -69,6 +69,7 @@
 inline constexpr std::string_view storeBehind = "the platform's store answers with an older log than the one in force; nothing was changed";
 inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
 inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
+inline constexpr std::string_view revisionMalformed = "a revision is malformed";
 inline constexpr std::string_view hashMalformed = "a hash is malformed";
 inline constexpr std::string_view logFormatUnknown = "unknown format of the command log";
 inline constexpr std::string_view logIncomplete = "the revisions of the command log are not consecutive";
--- a/src/config/log_codec.cpp
+++ b/src/config/log_codec.cpp
@@ -21,6 +21,14 @@
         return *hash;
     }
 
+    // Other numbers, such as 1e300, have no defined conversion.
+    auto revisionOf(const Json& json) -> Revision
+    {
+        if (!json.is_number_integer() || json.get<Revision>() < 0)
+            throw std::invalid_argument(std::string(texts::revisionMalformed));
+        return json.get<Revision>();
+    }
+
     auto encodeEntry(const LogEntry& entry) -> Json
     {
         return { { "revision", entry.revision_ }, { "id", entry.id_ }, { "who", entry.who_ }, { "from", entry.from_ }, { "at", entry.at_ },
@@ -29,7 +37,7 @@
 
     auto decodeEntry(const Json& json) -> LogEntry
     {
-        return { json.at("revision").get<Revision>(), json.at("id").get<std::string>(), json.at("who").get<std::string>(),
+        return { revisionOf(json.at("revision")), json.at("id").get<std::string>(), json.at("who").get<std::string>(),
             json.at("from").get<std::string>(), json.at("at").get<std::string>(), json.at("text").get<std::string>(), hashOf(json.at("state_hash")) };
     }
 
@@ -56,7 +64,7 @@
 
     auto decodeReference(const Json& json) -> SnapshotReference
     {
-        return { json.at("revision").get<Revision>(), hashOf(json.at("state_hash")), json.at("chunks").get<std::vector<std::string>>() };
+        return { revisionOf(json.at("revision")), hashOf(json.at("state_hash")), json.at("chunks").get<std::vector<std::string>>() };
     }
 
     // All hashes in one text, since there are many of them.
@@ -115,9 +123,9 @@
 auto decodeLogHead(std::string_view text) -> Result<LogHead, LogDecodeError>
 {
     return guarded<LogHead>(text, [](const Json& json) -> Result<LogHead, LogDecodeError> {
-        if (json.at("format").get<int>() != logFormat)
+        if (json.at("format") != logFormat)
             return LogDecodeError { std::string(texts::logFormatUnknown) };
-        LogHead head { json.at("revision").get<Revision>(), decodeEntries(json.at("entries")), decodeReference(json.at("snapshot")),
+        LogHead head { revisionOf(json.at("revision")), decodeEntries(json.at("entries")), decodeReference(json.at("snapshot")),
             decodeCutIds(json.at("cut_ids").get<std::string>()) };
         if (!isComplete(head))
             return LogDecodeError { std::string(texts::logIncomplete) };
