Audit pages in groups, so that listing them stays short; full head and left-over chunks tested

Pages are named by group and revision; a query lists only the newest groups. Texts are redacted by reading and writing them, not by a pattern. A head that is full is cut to make room for a batch, and a batch that can never fit is refused; chunks that a broken cut left behind go with the next cuts.

--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -78,6 +78,7 @@
 inline constexpr std::string_view commandIdBad = "a command id has 1 to 64 letters, digits, '-', '_' and '.'";
 inline constexpr std::string_view commandIdUsed = "command id {} belongs to another command, accepted at revision {}; nothing was changed";
 inline constexpr std::string_view operatorNameBad = "an operator's name has 1 to 64 printable characters and no blank";
+inline constexpr std::string_view textUnreadable = "(commands that this version cannot read)";
 inline constexpr std::string_view trailUnreadable = "the audit trail cannot be read now: {}";
 inline constexpr std::string_view snapshotMalformed = "the snapshot is malformed";
 inline constexpr std::string_view snapshotFormatUnknown = "the snapshot has the unknown format '{}'";
--- a/src/store/audit_trail.cpp
+++ b/src/store/audit_trail.cpp
@@ -2,13 +2,13 @@
 
 #include "base/field.h"
 #include "base/texts.h"
+#include "language/command_reader.h"
 #include "store/log_head.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <regex>
 
 namespace sapphirepass {
 
@@ -21,15 +21,39 @@
     // Attempts against other instances that record refused commands at the same time.
     constexpr int maxRaces = 4;
 
+    // Revisions whose pages share a prefix, so that a list of names stays short however long the trail gets.
+    constexpr Revision revisionsInGroup = 10'000;
+
+    auto groupPrefix(Revision group) -> std::string
+    {
+        return fmt::format("{}{:012}/", auditPagePrefix, group);
+    }
+
     // Fixed width, so that names sort by revision.
     auto pageName(Revision first) -> std::string
     {
-        return fmt::format("{}{:016}", auditPagePrefix, first);
+        return fmt::format("{}{:016}", groupPrefix(first / revisionsInGroup), first);
     }
 
     auto firstOf(const std::string& pageName) -> Revision
     {
-        return readNumber(std::string_view(pageName).substr(auditPagePrefix.size()), {}).value_or(0);
+        return readNumber(std::string_view(pageName).substr(pageName.rfind('/') + 1), {}).value_or(0);
+    }
+
+    // Names of the newest pages that begin up to a revision, newest first.
+    auto findPages(ObjectStore& store, Revision upTo, std::size_t mostPages) -> Result<std::vector<std::string>, StoreError>
+    {
+        std::vector<std::string> pages;
+        for (auto group = upTo / revisionsInGroup; group >= 0 && pages.size() < mostPages; --group) {
+            const auto names = store.list(groupPrefix(group));
+            if (!isOk(names))
+                return errorOf(names);
+            for (auto name = valueOf(names).rbegin(); name != valueOf(names).rend() && pages.size() < mostPages; ++name) {
+                if (firstOf(*name) <= upTo)
+                    pages.push_back(*name);
+            }
+        }
+        return pages;
     }
 
     auto readPage(ObjectStore& store, const std::string& name) -> Result<std::vector<LogEntry>, StoreError>
@@ -140,23 +164,19 @@
     const auto head = readHead(store);
     if (!isOk(head))
         return errorOf(head);
-    const auto names = store.list(std::string(auditPagePrefix));
-    if (!isOk(names))
-        return errorOf(names);
+    const auto pages = findPages(store, std::min(upTo, valueOf(head).head_.revision_), mostPages);
+    if (!isOk(pages))
+        return errorOf(pages);
     // Pages may overlap after a cut that was broken off.
     std::map<Revision, LogEntry> byRevision;
     for (const auto& entry : valueOf(head).head_.entries_)
         byRevision.emplace(entry.revision_, entry);
-    std::size_t pages = 0;
-    for (auto name = valueOf(names).rbegin(); name != valueOf(names).rend() && pages < mostPages; ++name) {
-        if (firstOf(*name) > upTo)
-            continue;
-        const auto page = readPage(store, *name);
+    for (const auto& name : valueOf(pages)) {
+        const auto page = readPage(store, name);
         if (!isOk(page))
             return errorOf(page);
         for (const auto& entry : valueOf(page))
             byRevision.emplace(entry.revision_, entry);
-        ++pages;
     }
     std::vector<LogEntry> entries;
     for (auto& [revision, entry] : byRevision) {
@@ -168,8 +188,17 @@
 
 auto redactText(const std::string& text) -> std::string
 {
-    static const std::regex hashes(" (salt|hash) [0-9a-f]+");
-    return std::regex_replace(text, hashes, "");
+    auto batch = readBatch(text);
+    if (!isOk(batch))
+        return std::string(texts::textUnreadable);
+    auto commands = valueOf(std::move(batch));
+    for (auto& command : commands) {
+        auto* declare = std::get_if<DeclareCommand>(&command);
+        auto* key = declare == nullptr ? nullptr : std::get_if<Key>(&declare->item_);
+        if (key != nullptr)
+            *key = Key { key->name_, key->workspace_, {}, {} };
+    }
+    return writeBatch(commands);
 }
 
 } // namespace sapphirepass
--- a/src/store/audit_trail.h
+++ b/src/store/audit_trail.h
@@ -1,5 +1,5 @@
 // The audit trail in the store. Accepted commands stand in the log's head first; a cut moves them to pages
-// audit/accepted/REVISION. The last refused commands stand in one bounded object.
+// audit/accepted/GROUP/REVISION. The last refused commands stand in one bounded object.
 #pragma once
 
 #include "config/log_type.h"
--- a/tests/log_cut_test.cpp
+++ b/tests/log_cut_test.cpp
@@ -48,6 +48,15 @@
     return names;
 }
 
+auto snapshotsIn(ObjectStore& store) -> std::set<std::string>
+{
+    const auto names = store.list(std::string(snapshotPrefix));
+    std::set<std::string> snapshots;
+    for (const auto& name : valueOf(names))
+        snapshots.insert(name.substr(0, name.rfind('/')));
+    return snapshots;
+}
+
 auto auditedRevisions(ObjectStore& store) -> std::vector<Revision>
 {
     std::vector<Revision> revisions;
@@ -81,10 +90,7 @@
     CHECK(freshRegions(store).size() == commands);
     CHECK(auditedRevisions(store) == firstRevisions(commands));
     // Snapshots before the last two are gone.
-    std::set<std::string> kept;
-    for (const auto& name : valueOf(store.list(std::string(snapshotPrefix))))
-        kept.insert(name.substr(0, name.rfind('/')));
-    CHECK(kept.size() == 2);
+    CHECK(snapshotsIn(store).size() == 2);
 }
 
 TEST_CASE("a repeat is recognised after its entry was cut off", "[config]")
@@ -140,9 +146,45 @@
         CHECK(headOf(store).revision_ == commands);
         CHECK(auditedRevisions(store) == firstRevisions(commands));
         CHECK(headOf(store).snapshot_.revision_ > 0);
+        // What the broken cut left behind goes with the next cuts.
+        for (int n = commands + 1; n <= 3 * commands; ++n)
+            REQUIRE(isOk(second.service_.submit(request(n))));
+        CHECK(snapshotsIn(store).size() == 2);
     }
 }
 
+TEST_CASE("a full head is cut to make room, and a batch that can never fit is refused", "[config]")
+{
+    // A key of the longest salt and hash, so that few of them fill the head.
+    constexpr std::size_t digits = 256;
+    constexpr int keysInBatch = 700;
+    const auto batch = [](int number, int keys) {
+        std::string text = number == 1 ? "declare workspace acme rate 1 burst 1" : "change workspace acme rate 2";
+        for (int n = 0; n < keys; ++n)
+            text += fmt::format("\ndeclare key k{}-{} workspace acme salt {} hash {}", number, n, std::string(digits, 'a'), std::string(digits, 'b'));
+        return CommandRequest { text, fmt::format("batch{}", number), "ana", "127.0.0.1", CommandMode::Real, std::nullopt };
+    };
+    const auto freshKeys = [](ObjectStore& store) {
+        ConfigState fresh;
+        REQUIRE(isOk(catchUp(store, fresh, headOf(store))));
+        return fresh.snapshot()->table<Key>().size();
+    };
+    standin::MemoryStore store;
+    const ManualClock clock;
+    ConfigState state;
+    LogBounds bounds;
+    bounds.cutBytes_ = maxObjectBytes;
+    CommandService service(store, state, clock, bounds);
+    for (int number = 1; number <= 4; ++number)
+        CHECK(isOk(service.submit(batch(number, keysInBatch))));
+    CHECK(headOf(store).snapshot_.revision_ > 0);
+    CHECK(freshKeys(store) == 4 * keysInBatch);
+    const auto refused = errorOf(service.submit(batch(5, 4 * keysInBatch)));
+    CHECK(refused.kind_ == CommandErrorKind::NotAccepted);
+    CHECK_THAT(refused.message_, Catch::Contains("nothing was changed"));
+    CHECK(freshKeys(store) == 4 * keysInBatch);
+}
+
 TEST_CASE("a missing or damaged chunk keeps the instance where it is", "[config]")
 {
     const bool missing = GENERATE(true, false);
