At most once: tickets, registry of outcomes and the once filter's decisions

Cause: a caller that repeats a POST after a lost answer ran it twice. Change: a ticket is signed by one incarnation of one instance for one workspace, spent in its memory before the request leaves and answered from the record afterwards; a void ticket never runs; a full registry refuses as not run.

--- /dev/null
+++ b/src/admission/once_registry.cpp
@@ -0,0 +1,69 @@
+#include "admission/once_registry.h"
+
+namespace sapphirepass {
+
+namespace {
+    auto bytesOf(const OnceOutcome& outcome) -> std::size_t
+    {
+        const auto* answer = std::get_if<RecordedAnswer>(&outcome);
+        return answer == nullptr ? 0 : answer->body_.size() + answer->contentType_.size();
+    }
+}
+
+OnceRegistry::OnceRegistry(const OnceBounds& bounds, Duration retention)
+    : bounds_(bounds)
+    , retention_(retention)
+{
+}
+
+auto OnceRegistry::forgetExpired(MonotonicTime now) -> void
+{
+    while (!expiries_.empty() && expiries_.begin()->first <= now) {
+        const auto record = records_.find(expiries_.begin()->second);
+        answerBytes_ -= bytesOf(record->second.outcome_);
+        records_.erase(record);
+        expiries_.erase(expiries_.begin());
+    }
+}
+
+auto OnceRegistry::begin(const std::string& name, MonotonicTime now) -> Result<std::variant<Done, OnceOutcome>, OnceErrorKind>
+{
+    forgetExpired(now);
+    if (const auto found = records_.find(name); found != records_.end())
+        return std::variant<Done, OnceOutcome>(found->second.outcome_);
+    // Forgetting an outcome early could let its request run again, so a full registry refuses instead.
+    if (records_.size() >= bounds_.records_)
+        return OnceErrorKind::Full;
+    records_.emplace(name, Record { OnceRunning {} });
+    return std::variant<Done, OnceOutcome>(Done {});
+}
+
+auto OnceRegistry::find(const std::string& name, MonotonicTime now) -> std::optional<OnceOutcome>
+{
+    forgetExpired(now);
+    const auto found = records_.find(name);
+    if (found == records_.end())
+        return std::nullopt;
+    return found->second.outcome_;
+}
+
+auto OnceRegistry::release(const std::string& name) -> void
+{
+    const auto found = records_.find(name);
+    if (found != records_.end() && std::holds_alternative<OnceRunning>(found->second.outcome_))
+        records_.erase(found);
+}
+
+auto OnceRegistry::finish(const std::string& name, OnceOutcome outcome, MonotonicTime now) -> void
+{
+    const auto found = records_.find(name);
+    if (found == records_.end() || !std::holds_alternative<OnceRunning>(found->second.outcome_))
+        return;
+    if (answerBytes_ + bytesOf(outcome) > bounds_.answerBytes_)
+        outcome = OnceUnknown {};
+    answerBytes_ += bytesOf(outcome);
+    found->second = { std::move(outcome), now + retention_ };
+    expiries_.emplace(found->second.expiry_, name);
+}
+
+} // namespace sapphirepass
--- a/src/base/request_type.h
+++ b/src/base/request_type.h
@@ -66,6 +66,12 @@
     Stopping,
     UpstreamFailed,
     DeadlinePassed,
+    // The request may run only once and came without a ticket.
+    TicketNeeded,
+    // Another instance holds the outcome.
+    OtherInstance,
+    // The ticket is void.
+    Gone,
 };
 
 // Whether a refused request has run. No is a promise.
--- a/src/entry/http_problem.cpp
+++ b/src/entry/http_problem.cpp
@@ -39,6 +39,12 @@
             return { 502, "Upstream failed" };
         case RefusalKind::DeadlinePassed:
             return { 504, "Deadline passed" };
+        case RefusalKind::TicketNeeded:
+            return { 428, "Ticket needed" };
+        case RefusalKind::OtherInstance:
+            return { 421, "Other instance" };
+        case RefusalKind::Gone:
+            return { 410, "Ticket void" };
         }
         return { 500, "Internal error" };
     }
