--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -1,11 +1,11 @@
 #include "entry/run_entry.h"
 
+#include "admission/escrow_budgets.h"
 #include "base/event_log.h"
 #include "base/random.h"
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
 #include "fleet/fleet_node.h"
-#include "steering/fixed_share_budgets.h"
 #include "steering/queued_steering.h"
 #include "steering/region_steering.h"
 #include "store/command_trail.h"
@@ -31,6 +31,9 @@
         return { { total, (total + 1) / 2 }, settings.queueWait_ };
     }
 
+    // Longest time that a planned stop takes to hand shares of limits to other instances.
+    constexpr std::chrono::milliseconds shareHandOver { 2'000 };
+
     using SignalSet = boost::asio::signal_set;
 
     // Blocks until the next SIGINT or SIGTERM.
@@ -115,8 +118,8 @@
         self.id_, settings.peer_, [&fleet](const std::string& name) { return fleet.resolve(name); }, metrics);
     fleet.attach(peers);
     follower.setObserver(&fleet);
-    EqualSplitAdmitter admitter(clock, settings.maxInstances_);
-    FixedShareBudgets budgets(clock, config, settings.maxInstances_);
+    EscrowBudgets budgets(clock, self.id_, peers, store, config, metrics);
+    EscrowAdmitter admitter(budgets);
     LinkMeter links(budgets);
     RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
@@ -136,6 +139,7 @@
     if (!startListening(settings.peer_, [&peers] { peers.start(); }) || !startListening(settings.http_, [&server] { server.open(); }))
         return 1;
     fleet.start();
+    budgets.start();
     logEvent(EventId::EntryStarted, "instance={} address={}", settings.name_, formatSocketAddress(settings.http_));
     const int signal = waitForSignal(signals);
     logEvent(EventId::EntryDraining, "signal={} in_flight={}", signal, inFlight.count());
@@ -145,6 +149,8 @@
     const bool finished = drain(inFlight, signals);
     const auto cut = inFlight.count();
     server.close();
+    budgets.leave(shareHandOver);
+    budgets.stop();
     fleet.stop();
     peers.stop();
     follower.stop();
