--- a/src/entry/http_fleet_api.cpp
+++ b/src/entry/http_fleet_api.cpp
@@ -34,6 +34,7 @@
     auto body = value::object();
     body["confirmed"] = value::number(static_cast<std::int64_t>(count.confirmed_));
     body["total"] = value::number(static_cast<std::int64_t>(count.total_));
+    body["listed"] = value::boolean(count.listed_);
     body["missing"] = missing;
     message.reply(http::status_codes::OK, body);
 }
--- a/src/fleet/fleet_codec.cpp
+++ b/src/fleet/fleet_codec.cpp
@@ -60,16 +60,22 @@
 
     auto write(wire::Entries::Builder out, const EntryBatch& batch) -> void
     {
-        out.setHead(toData(encodeLogHead(batch.head_)));
+        out.setEntries(toData(encodeLogEntries(batch.head_.entries_)));
         out.setTree(batch.tree_);
     }
 
     auto read(wire::Entries::Reader in) -> EntryBatch
     {
-        auto head = decodeLogHead(fromData(in.getHead()));
-        if (!isOk(head))
-            throw std::runtime_error(errorOf(head).message_);
-        return { valueOf(std::move(head)), in.getTree() };
+        auto entries = decodeLogEntries(fromData(in.getEntries()));
+        if (!isOk(entries))
+            throw std::runtime_error(errorOf(entries).message_);
+        EntryBatch batch { { 0, valueOf(std::move(entries)) }, in.getTree() };
+        for (const auto& entry : batch.head_.entries_) {
+            if (batch.head_.revision_ != 0 && entry.revision_ != batch.head_.revision_ + 1)
+                throw std::runtime_error("gap in the revisions");
+            batch.head_.revision_ = entry.revision_;
+        }
+        return batch;
     }
 
     auto write(wire::SnapshotPart::Builder out, const SnapshotPart& part) -> void
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -24,6 +24,8 @@
 struct InForceCount {
     std::size_t confirmed_ = 0;
     std::size_t total_ = 0;
+    // Whether the platform lists this instance, so that the total can be more than a guess.
+    bool listed_ = false;
     // Known by name to lack it, or not heard of.
     std::vector<std::string> missing_;
 
--- a/src/fleet/fleet_report.cpp
+++ b/src/fleet/fleet_report.cpp
@@ -57,6 +57,7 @@
         if (best.confirmed_ < list.size())
             count.missing_.insert(count.missing_.end(), best.behind_.begin(), best.behind_.end());
     }
+    count.listed_ = members_.isListed();
     std::sort(count.missing_.begin(), count.missing_.end());
     return count;
 }
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -48,6 +48,7 @@
     // Not leaving, and not silent to the last questions.
     auto isAvailable(const std::string& name) const -> bool;
     auto hasOthers() const -> bool;
+    auto isListed() const -> bool { return listed_->find(self_.id_.name_) != nullptr; }
     auto hasLeft(const std::string& name) const -> bool { return left_.contains(name); }
     // The first available members of a domain by rendezvous hash, at most that many.
     auto watchers(const std::string& domain, std::size_t count) const -> std::vector<std::string>;
--- a/src/operator/in_force_http.cpp
+++ b/src/operator/in_force_http.cpp
@@ -31,7 +31,8 @@
             break;
         std::this_thread::sleep_for(askPause);
     }
-    out << fmt::format("in force on {} of {}\n", count.at("confirmed").as_integer(), count.at("total").as_integer());
+    const auto* listed = count.at("listed").as_bool() ? "" : " known; the platform does not list this instance yet, so there may be more";
+    out << fmt::format("in force on {} of {}{}\n", count.at("confirmed").as_integer(), count.at("total").as_integer(), listed);
     for (const auto& name : count.at("missing").as_array())
         out << fmt::format("not confirmed by {}\n", name.as_string());
 }
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -60,8 +60,8 @@
 }
 
 struct Entries {
-    # Encoded log head with consecutive entries.
-    head @0 :Data;
+    # Encoded log entries with consecutive revisions.
+    entries @0 :Data;
     # Number of the push tree, from 1; 0 if the entries were pulled.
     tree @1 :UInt8;
 }
--- a/src/wire/peer.capnp.h
+++ b/src/wire/peer.capnp.h
@@ -1067,8 +1067,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHead() const;
-  inline  ::capnp::Data::Reader getHead() const;
+  inline bool hasEntries() const;
+  inline  ::capnp::Data::Reader getEntries() const;
 
   inline  ::uint8_t getTree() const;
 
@@ -1100,12 +1100,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHead();
-  inline  ::capnp::Data::Builder getHead();
-  inline void setHead( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initHead(unsigned int size);
-  inline void adoptHead(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownHead();
+  inline bool hasEntries();
+  inline  ::capnp::Data::Builder getEntries();
+  inline void setEntries( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownEntries();
 
   inline  ::uint8_t getTree();
   inline void setTree( ::uint8_t value);
@@ -2507,36 +2507,36 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Entries::Reader::hasHead() const {
+inline bool Entries::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Entries::Builder::hasHead() {
+inline bool Entries::Builder::hasEntries() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Entries::Reader::getHead() const {
+inline  ::capnp::Data::Reader Entries::Reader::getEntries() const {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Entries::Builder::getHead() {
+inline  ::capnp::Data::Builder Entries::Builder::getEntries() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Entries::Builder::setHead( ::capnp::Data::Reader value) {
+inline void Entries::Builder::setEntries( ::capnp::Data::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Entries::Builder::initHead(unsigned int size) {
+inline  ::capnp::Data::Builder Entries::Builder::initEntries(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Entries::Builder::adoptHead(
+inline void Entries::Builder::adoptEntries(
     ::capnp::Orphan< ::capnp::Data>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Entries::Builder::disownHead() {
+inline ::capnp::Orphan< ::capnp::Data> Entries::Builder::disownEntries() {
   return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/standin/fleet_sim.cpp
+++ b/standin/fleet_sim.cpp
@@ -176,25 +176,26 @@
     for (const auto& sent : nodes_[node].core_->takeSends()) {
         auto& traffic = nodes_[node].traffic_;
         ++traffic.messages_;
-        traffic.bytes_ += envelopeBytes + static_cast<std::int64_t>(encodeFleetMessage(sent.message_).payload_.size());
+        const auto encoded = encodeFleetMessage(sent.message_);
+        traffic.bytes_ += envelopeBytes + static_cast<std::int64_t>(encoded.payload_.size());
         if (!chance(options_.lost_))
-            deliver(node, sent);
+            deliver(node, sent.to_, encoded);
         if (chance(options_.doubled_))
-            deliver(node, sent);
+            deliver(node, sent.to_, encoded);
     }
 }
 
-auto FleetSim::deliver(std::size_t from, const FleetSend& sent) -> void
+auto FleetSim::deliver(std::size_t from, const std::string& name, const PeerMessage& message) -> void
 {
-    const auto found = byName_.find(sent.to_);
+    const auto found = byName_.find(name);
     if (found == byName_.end())
         return;
     const auto to = found->second;
     const auto run = nodes_[to].run_;
     const auto id = nodes_[from].self_.id_;
-    at(clock_.now() + delay(from, to), [this, from, to, run, id, message = sent.message_] {
+    at(clock_.now() + delay(from, to), [this, from, to, run, id, message] {
         if (nodes_[to].run_ == run && !isCut(from, to))
-            act(to, [this, to, id, message] { nodes_[to].core_->receive(id, message); });
+            act(to, [this, to, id, message] { nodes_[to].core_->receive(id, valueOf(decodeFleetMessage(message))); });
     });
 }
 
--- a/standin/fleet_sim.h
+++ b/standin/fleet_sim.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/fleet_core.h"
+#include "fleet/peer_link.h"
 
 #include <functional>
 #include <queue>
@@ -106,7 +107,7 @@
     auto watchStore(std::size_t node) -> void;
     auto answerWatch(std::size_t node, bool withHead) -> void;
     auto flush(std::size_t node) -> void;
-    auto deliver(std::size_t from, const FleetSend& sent) -> void;
+    auto deliver(std::size_t from, const std::string& name, const PeerMessage& message) -> void;
     auto act(std::size_t node, const std::function<void()>& action) -> void;
     auto delay(std::size_t from, std::size_t to) -> Duration;
     auto isCut(std::size_t a, std::size_t b) const -> bool;
--- a/tests/fleet_codec_test.cpp
+++ b/tests/fleet_codec_test.cpp
@@ -15,6 +15,7 @@
     Digest {},
     Pull { 3, 9, 4096 },
     EntryBatch { { 2, { { 1, "a", "who", "from", "at", "declare region x" }, { 2, "b", "who", "from", "at", "declare region y" } } }, 2 },
+    EntryBatch { { 41, { { 41, "a", "who", "from", "at", "declare region x" } } }, 0 },
     SnapshotPart { 5, 10'000, 17, std::string("a\0b", 3) },
     WithdrawalSet { { { "k", "id", "who", "from" }, { "l", "", "", "" } } },
     MemberReport { member },
