Relay: fewer questions, more while evidence runs out

Change: questions every 1.5 s instead of 1 s, four times as often once less than half of the freshness limit is left.

--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -14,6 +14,8 @@
     constexpr auto housekeepingPeriod = 30s;
     // Questions older than this are no evidence worth keeping.
     constexpr auto keepQuestions = 2 * freshnessLimit;
+    // How much more often an instance asks whose evidence runs out.
+    constexpr int urgency = 4;
     // Receivers of a withdrawal, in the own domain and elsewhere.
     constexpr int withdrawalWidth = 4;
 }
@@ -176,8 +178,7 @@
     const auto now = clock_.now();
     afterRevision();
     if (now >= nextGossip_) {
-        const auto period = Duration(options_.gossipPeriod_).count();
-        nextGossip_ = now + Duration(std::uniform_int_distribution<std::int64_t>(period * 3 / 4, period * 5 / 4)(random_));
+        nextGossip_ = now + nextGossipIn();
         gossip();
     }
     if (now >= nextHeartbeat_) {
@@ -194,6 +195,14 @@
     }
 }
 
+// Sooner while evidence that this instance is current runs out.
+auto FleetCore::nextGossipIn() -> Duration
+{
+    const bool runsOut = currentUntil() - clock_.now() < freshnessLimit / 2;
+    const auto period = Duration(runsOut ? options_.gossipPeriod_ / urgency : options_.gossipPeriod_).count();
+    return Duration(std::uniform_int_distribution<std::int64_t>(period * 3 / 4, period * 5 / 4)(random_));
+}
+
 // Watchers of the domain hear at once what is in force here.
 auto FleetCore::afterRevision() -> void
 {
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -11,7 +11,7 @@
 struct FleetOptions {
     FanOutOptions fanOut_ {};
     // Mean time between questions to instances drawn at random.
-    std::chrono::milliseconds gossipPeriod_ { 1'000 };
+    std::chrono::milliseconds gossipPeriod_ { 1'500 };
     // Least time between questions to the watchers of the own domain; grows with the domain.
     std::chrono::milliseconds heartbeatPeriod_ { 1'000 };
     // Addresses "@IP:PORT" to ask while no other instance is known.
@@ -89,6 +89,7 @@
     auto digest(bool question, std::uint64_t nonce) const -> Digest;
     auto question(const std::string& to) -> void;
     auto gossip() -> void;
+    auto nextGossipIn() -> Duration;
     auto heartbeat() -> void;
     auto afterRevision() -> void;
     auto refreshFleet() -> void;
