--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace sapphirepass;
@@ -42,6 +43,15 @@
     return resident * sysconf(_SC_PAGESIZE);
 }
 
+// The most that the process has ever held.
+auto peakBytes() -> std::int64_t
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    constexpr std::int64_t kibibyte = 1024;
+    return usage.ru_maxrss * kibibyte;
+}
+
 auto keyOf(int n) -> Key
 {
     return { fmt::format("key-{:06}", n), "acme", fmt::format("{:016x}", n), fmt::format("{:064x}", n) };
@@ -114,10 +124,13 @@
     std::string text;
     Snapshot decoded;
     const auto encodeMicros = measure(1, [&](int) { text = encodeSnapshot(full); });
+    const auto beforeDecode = residentBytes();
     const auto decodeMicros = measure(1, [&](int) { decoded = valueOf(decodeSnapshot(text)); });
+    const auto decodePeak = peakBytes() - beforeDecode;
     const bool same = decoded.stateHash() == full.stateHash();
     Json result { { "items", size }, { "build_s", built.count() }, { "resident_bytes_per_item", bytes / size }, { "change_us", measureChanges(full, size) },
         { "snapshot_bytes", text.size() }, { "snapshot_encode_ms", encodeMicros / 1000 }, { "snapshot_decode_ms", decodeMicros / 1000 },
+        { "snapshot_decode_peak_bytes", decodePeak },
         { "round_trip_equal", same } };
     result.update(measureCommands(full, size));
     return result;
--- a/src/config/config_state.cpp
+++ b/src/config/config_state.cpp
@@ -38,7 +38,7 @@
 
     auto divergedError(const Snapshot& here, std::uint64_t there) -> ApplyError
     {
-        const ApplyError error { ApplyErrorKind::Diverged, fmt::format(texts::stateDiverged, here.revision(), here.stateHash(), there) };
+        ApplyError error { ApplyErrorKind::Diverged, fmt::format(texts::stateDiverged, here.revision(), here.stateHash(), there) };
         logFailure(here.revision(), error);
         return error;
     }
--- a/src/config/snapshot_codec.cpp
+++ b/src/config/snapshot_codec.cpp
@@ -35,22 +35,33 @@
         return Header { *revision, *hash };
     }
 
-    auto readItems(std::string_view text) -> Result<Snapshot, LogDecodeError>
+    auto readLine(const Snapshot& snapshot, std::string_view line) -> Result<Snapshot, LogDecodeError>
     {
-        Snapshot snapshot;
-        if (text.empty())
-            return snapshot;
-        const auto statements = parseStatements(text);
+        const auto statements = parseStatements(line);
         if (!isOk(statements))
             return LogDecodeError { errorOf(statements).message_ };
-        for (const auto& statement : valueOf(statements)) {
-            const auto* command = std::get_if<CommandStatement>(&statement);
-            if (command == nullptr)
+        const auto* command = std::get_if<CommandStatement>(&valueOf(statements).front());
+        if (command == nullptr || valueOf(statements).size() != 1)
+            return LogDecodeError { std::string(texts::snapshotMalformed) };
+        auto item = readItem(*command);
+        if (!isOk(item))
+            return LogDecodeError { errorOf(item).message_ };
+        return std::visit([&](auto& alternative) { return snapshot.with(std::move(alternative)); }, std::get<Item>(item));
+    }
+
+    // One line at a time: the parsed form of a whole snapshot takes many times its memory.
+    auto readItems(std::string_view text) -> Result<Snapshot, LogDecodeError>
+    {
+        Snapshot snapshot;
+        while (!text.empty()) {
+            const auto lineEnd = text.find('\n');
+            if (lineEnd == std::string_view::npos)
                 return LogDecodeError { std::string(texts::snapshotMalformed) };
-            auto item = readItem(*command);
-            if (!isOk(item))
-                return LogDecodeError { errorOf(item).message_ };
-            snapshot = std::visit([&](auto& alternative) { return snapshot.with(std::move(alternative)); }, std::get<Item>(item));
+            auto read = readLine(snapshot, text.substr(0, lineEnd));
+            if (!isOk(read))
+                return errorOf(read);
+            snapshot = valueOf(std::move(read));
+            text.remove_prefix(lineEnd + 1);
         }
         return snapshot;
     }
--- a/src/store/log_cutter.cpp
+++ b/src/store/log_cutter.cpp
@@ -94,7 +94,7 @@
     const auto reference = writeSnapshot(store, *snapshot, bounds.chunkBytes_);
     if (!isOk(reference))
         return errorOf(reference);
-    const auto replaced = replaceHead(store, current, valueOf(reference), bounds);
+    auto replaced = replaceHead(store, current, valueOf(reference), bounds);
     if (!isOk(replaced) || !valueOf(replaced))
         return replaced;
     logEvent(EventId::LogCut, "revision={} chunks={}", snapshot->revision(), valueOf(reference).chunkDigests_.size());
--- a/tests/catalogue_test.cpp
+++ b/tests/catalogue_test.cpp
@@ -3,6 +3,7 @@
 #include "language/reference_rows.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <fstream>
 #include <sstream>
 
--- a/tests/command_trail_test.cpp
+++ b/tests/command_trail_test.cpp
@@ -3,6 +3,7 @@
 #include "store/command_trail.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace sapphirepass;
 using namespace std::chrono_literals;
--- a/tests/delivery_test.cpp
+++ b/tests/delivery_test.cpp
@@ -4,6 +4,7 @@
 #include "language/command_reader.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <rapidcheck/catch.h>
 
 using namespace sapphirepass;
--- a/tests/log_cut_test.cpp
+++ b/tests/log_cut_test.cpp
@@ -6,6 +6,7 @@
 #include "store/snapshot_store.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <set>
 
 using namespace sapphirepass;
--- a/tests/table_test.cpp
+++ b/tests/table_test.cpp
@@ -2,6 +2,7 @@
 #include "config/table.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <map>
 #include <random>
 
