Retry policy with a budget; answers that break off are never silently short

Cause: retries were bounded to three upstreams without regard to the share of retries. A chunked answer of 3 MB that broke off damaged the heap inside cpprestsdk: the new raw-socket test aborted in 3 of 11 runs.

Change: a pure retry policy and a retry budget; Retry-After on what is given up; less time for each hop and cancellation at the upstream when time is over. Answers up to 256 KiB and all chunked ones are held until whole, so that an idempotent request gets another upstream's answer. Answers' bytes count on links.

Conclusion: large answers of known length still stream and end visibly cut.

--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -2,10 +2,13 @@
 
 #include "admission/receive_func.h"
 #include "base/event_log.h"
+#include "base/random.h"
+#include "base/text_func.h"
 #include "base/texts.h"
 #include "entry/http_problem.h"
 #include "forward/hygiene_func.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace sapphirepass {
@@ -15,8 +18,17 @@
 
     // Larger bodies stream through and so can be sent to one upstream only.
     constexpr std::int64_t maxBufferedBody = 64 * 1024;
-    // Upstreams that one request is tried on.
-    constexpr std::size_t maxAttempts = 3;
+    // Larger answers of known length stream through; when they break off, the caller sees the connection end.
+    constexpr std::int64_t maxBufferedAnswer = 256 * 1024;
+    // Retries for each request in the long run, and at once, of what did not run and of what may have run.
+    constexpr double notRunShare = 4;
+    constexpr double notRunBurst = 200;
+    constexpr double lostShare = 0.2;
+    constexpr double lostBurst = 10;
+    constexpr std::chrono::seconds giveUpRetryAfter { 1 };
+    constexpr std::chrono::seconds cancelTimeout { 1 };
+    constexpr std::size_t requestIdBytes = 8;
+    constexpr std::string_view requestIdHeader = "Request-Id";
 
     auto toHeaders(const http::http_headers& headers) -> std::vector<Header>
     {
@@ -47,6 +59,52 @@
     {
         return { RefusalKind::DeadlinePassed, std::string(texts::deadlinePassed), executed };
     }
+
+    auto notRunRefusal() -> Refusal
+    {
+        return { RefusalKind::Overloaded, std::string(texts::noUpstream), Executed::No, giveUpRetryAfter };
+    }
+
+    // Asking again is harmless only where the request may run twice.
+    auto lostRefusal(Repeatability repeatability) -> Refusal
+    {
+        Refusal refusal { RefusalKind::UpstreamFailed, std::string(texts::upstreamFailed), Executed::Unknown };
+        if (repeatability == Repeatability::Idempotent)
+            refusal.retryAfter_ = giveUpRetryAfter;
+        return refusal;
+    }
+
+    auto contentType(const http::http_response& response) -> utility::string_t
+    {
+        utility::string_t type = "application/octet-stream";
+        response.headers().match("Content-Type", type);
+        return type;
+    }
+
+    // The declared length of the body that follows, if there is one.
+    auto bodyLength(const std::string& method, const http::http_response& response) -> std::optional<std::int64_t>
+    {
+        std::int64_t length = 0;
+        const bool bodiless = method == "HEAD" || response.status_code() == http::status_codes::NoContent || response.status_code() == http::status_codes::NotModified;
+        if (bodiless || !response.headers().match("Content-Length", length))
+            return std::nullopt;
+        return length;
+    }
+
+    // Status and headers for the caller.
+    auto startAnswer(const http::http_response& upstream) -> http::http_response
+    {
+        http::http_response response(upstream.status_code());
+        response.set_reason_phrase(upstream.reason_phrase());
+        return response;
+    }
+
+    // After the body, as setting that replaces the content type.
+    auto copyHeaders(const http::http_response& upstream, http::http_response& response) -> void
+    {
+        for (const auto& header : callerHeaders(toHeaders(upstream.headers())))
+            response.headers()[header.name_] = header.value_;
+    }
 }
 
 struct HttpRequestPipeline::Exchange {
@@ -58,10 +116,16 @@
     std::shared_ptr<const Snapshot> snapshot_ {};
     std::set<std::string> tried_ {};
     UpstreamBody body_ {};
+    int lost_ = 0;
+    int notRun_ = 0;
+    // Names the run at the upstream; empty if the caller has named it.
+    std::string runId_ {};
 };
 
 HttpRequestPipeline::HttpRequestPipeline(const PipelineParts& parts)
     : parts_(parts)
+    , notRunRetries_(notRunShare, notRunBurst)
+    , lostRetries_(lostShare, lostBurst)
 {
 }
 
@@ -74,6 +138,8 @@
         refuse(exchange, errorOf(admitted));
         return;
     }
+    notRunRetries_.noteRequest();
+    lostRetries_.noteRequest();
     collectBody(exchange);
 }
 
@@ -154,7 +220,11 @@
     const auto query = upstreamQuery(request.query_);
     auto headers = upstreamHeaders(request.headers_);
     std::erase_if(headers, [](const Header& header) { return header.name_ == deadlineHeader || header.name_ == "Sapphirepass-Workspace"; });
-    headers.push_back({ std::string(deadlineHeader), fmt::format("{}", remaining.count()) });
+    headers.push_back({ std::string(deadlineHeader), fmt::format("{}", hopDeadline(remaining).count()) });
+    const bool named = std::any_of(headers.begin(), headers.end(), [](const Header& header) { return equalsIgnoreCase(header.name_, requestIdHeader); });
+    exchange->runId_ = named ? std::string() : randomHex(requestIdBytes);
+    if (!named)
+        headers.push_back({ std::string(requestIdHeader), exchange->runId_ });
     headers.push_back({ "Sapphirepass-Workspace", request.workspace_ });
     const auto target = query.empty() ? request.path_ : fmt::format("{}?{}", request.path_, query);
     const UpstreamRequest call { request.method_, target, std::move(headers), exchange->body_, exchange->grant_.repeatability_, remaining };
@@ -168,7 +238,7 @@
     if (isOk(result)) {
         const auto& response = valueOf(result);
         if (isShed(response))
-            retryOrRefuse(exchange, assignment, CallOutcome::Shed, { RefusalKind::Overloaded, std::string(texts::noUpstream), Executed::No, std::chrono::seconds(1) });
+            retryOrRefuse(exchange, assignment, CallOutcome::Shed, notRunRefusal());
         else
             answer(exchange, assignment, response);
         return;
@@ -177,50 +247,110 @@
     logEvent(EventId::UpstreamCallFailed, "upstream={} message=\"{}\"", assignment.upstream_.name_, error.message_);
     switch (error.kind_) {
     case UpstreamErrorKind::NotSent:
-        retryOrRefuse(exchange, assignment, CallOutcome::NotSent, { RefusalKind::Overloaded, std::string(texts::noUpstream), Executed::No, std::chrono::seconds(1) });
+        retryOrRefuse(exchange, assignment, CallOutcome::NotSent, notRunRefusal());
         return;
     case UpstreamErrorKind::Lost:
-        retryOrRefuse(exchange, assignment, CallOutcome::Lost, { RefusalKind::UpstreamFailed, std::string(texts::upstreamFailed), Executed::Unknown });
+        retryOrRefuse(exchange, assignment, CallOutcome::Lost, lostRefusal(exchange->grant_.repeatability_));
         return;
     case UpstreamErrorKind::TimedOut:
-        parts_.steering_.release(assignment, CallOutcome::TimedOut);
-        refuse(exchange, deadlineRefusal(Executed::Unknown));
+        refuseLate(exchange, assignment);
         return;
     }
 }
 
-// A request is tried again only if it certainly has not run or may run twice, and its body can be sent again.
 auto HttpRequestPipeline::retryOrRefuse(const ExchangePtr& exchange, const Assignment& assignment, CallOutcome outcome, const Refusal& refusal) -> void
 {
     parts_.steering_.release(assignment, outcome);
-    const bool harmless = outcome != CallOutcome::Lost || exchange->grant_.repeatability_ == Repeatability::Idempotent;
-    const bool resendable = std::holds_alternative<MemoryBody>(exchange->body_);
-    if (harmless && resendable && exchange->tried_.size() < maxAttempts)
+    const bool lost = outcome == CallOutcome::Lost;
+    ++(lost ? exchange->lost_ : exchange->notRun_);
+    const FailedAttempt attempt { outcome, exchange->grant_.repeatability_, std::holds_alternative<MemoryBody>(exchange->body_),
+        exchange->lost_, exchange->notRun_, remainingTime(exchange->grant_, parts_.clock_) };
+    if (mayRetry(attempt) && (lost ? lostRetries_ : notRunRetries_).tryTake())
         steer(exchange);
     else
         refuse(exchange, refusal);
 }
 
+auto HttpRequestPipeline::refuseLate(const ExchangePtr& exchange, const Assignment& assignment) -> void
+{
+    cancelRun(exchange, assignment);
+    parts_.steering_.release(assignment, CallOutcome::TimedOut);
+    refuse(exchange, deadlineRefusal(Executed::Unknown));
+}
+
+// Asks the upstream to end a run whose deadline has passed. Nothing depends on the answer.
+auto HttpRequestPipeline::cancelRun(const ExchangePtr& exchange, const Assignment& assignment) -> void
+{
+    if (exchange->runId_.empty())
+        return;
+    const UpstreamRequest call { "POST", fmt::format("/v1/cancel/{}", exchange->runId_), {}, MemoryBody {}, Repeatability::Once, cancelTimeout };
+    upstreams_.call(assignment.upstream_, call);
+}
+
+auto HttpRequestPipeline::noteAnswerBytes(const ExchangePtr& exchange, const Assignment& assignment, std::int64_t bytes) -> void
+{
+    const auto* domain = exchange->snapshot_->find<FailureDomain>(assignment.upstream_.domain_);
+    if (parts_.links_ != nullptr && domain != nullptr)
+        parts_.links_->noteAnswer(*exchange->snapshot_, { assignment.upstream_.service_, parts_.region_, domain->region_ }, bytes);
+}
+
 auto HttpRequestPipeline::answer(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream) -> void
 {
-    http::http_response response(upstream.status_code());
-    response.set_reason_phrase(upstream.reason_phrase());
-    utility::size64_t length = 0;
-    utility::string_t type = "application/octet-stream";
-    upstream.headers().match("Content-Type", type);
-    if (upstream.headers().match("Content-Length", length))
-        response.set_body(upstream.body(), length, type);
+    const auto length = bodyLength(exchange->request_.method_, upstream);
+    if (length && *length > maxBufferedAnswer)
+        answerStreamed(exchange, assignment, upstream, *length);
     else
-        response.set_body(upstream.body(), type);
-    for (const auto& header : callerHeaders(toHeaders(upstream.headers())))
-        response.headers()[header.name_] = header.value_;
-    upstream.content_ready().then([this, assignment](const pplx::task<http::http_response>& ready) {
+        answerBuffered(exchange, assignment, upstream);
+}
+
+// The whole answer is here before any of it is passed on, so one that breaks off can be replaced by another
+// upstream's. Answers of unknown length always go this way: the library's listener damages its memory
+// when such a stream breaks off.
+auto HttpRequestPipeline::answerBuffered(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream) -> void
+{
+    auto body = upstream;
+    body.extract_vector().then([this, exchange, assignment, upstream](const pplx::task<MemoryBody>& task) {
+        http::http_response response = startAnswer(upstream);
+        std::string failure;
+        try {
+            auto bytes = task.get();
+            const auto length = bodyLength(exchange->request_.method_, upstream);
+            noteAnswerBytes(exchange, assignment, static_cast<std::int64_t>(bytes.size()));
+            if (length && *length != static_cast<std::int64_t>(bytes.size()))
+                failure = "fewer bytes than announced";
+            response.set_body(std::move(bytes));
+        } catch (const std::exception& error) {
+            failure = error.what();
+        }
+        if (!failure.empty()) {
+            logEvent(EventId::AnswerCut, "upstream={} message=\"{}\"", assignment.upstream_.name_, failure);
+            if (remainingTime(exchange->grant_, parts_.clock_).count() <= 0)
+                refuseLate(exchange, assignment);
+            else
+                retryOrRefuse(exchange, assignment, CallOutcome::Lost, lostRefusal(exchange->grant_.repeatability_));
+            return;
+        }
         parts_.steering_.release(assignment, CallOutcome::Answered);
+        copyHeaders(upstream, response);
+        reply(exchange, response);
+    });
+}
+
+auto HttpRequestPipeline::answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream, std::int64_t length) -> void
+{
+    auto response = startAnswer(upstream);
+    response.set_body(upstream.body(), static_cast<utility::size64_t>(length), contentType(upstream));
+    copyHeaders(upstream, response);
+    noteAnswerBytes(exchange, assignment, length);
+    upstream.content_ready().then([this, assignment](const pplx::task<http::http_response>& ready) {
+        auto outcome = CallOutcome::Answered;
         try {
             ready.wait();
         } catch (const std::exception& error) {
+            outcome = CallOutcome::Lost;
             logEvent(EventId::AnswerCut, "upstream={} message=\"{}\"", assignment.upstream_.name_, error.what());
         }
+        parts_.steering_.release(assignment, outcome);
     });
     reply(exchange, response);
 }
--- a/src/entry/http_request_pipeline.h
+++ b/src/entry/http_request_pipeline.h
@@ -8,6 +8,8 @@
 #include "config/config_state.h"
 #include "entry/in_flight.h"
 #include "forward/http_upstream_client.h"
+#include "forward/retry_policy.h"
+#include "steering/link_meter.h"
 #include "steering/steering.h"
 
 #include <atomic>
@@ -24,6 +26,9 @@
     Metrics& metrics_;
     InFlight& inFlight_;
     std::size_t maxHeaderBytes_;
+    // Region of this instance and the counter of what answers put on its links; null counts nothing.
+    std::string region_ {};
+    LinkMeter* links_ = nullptr;
 };
 
 class HttpRequestPipeline {
@@ -46,11 +51,18 @@
     auto finishCall(const ExchangePtr& exchange, const Assignment& assignment, const UpstreamResult& result) -> void;
     auto retryOrRefuse(const ExchangePtr& exchange, const Assignment& assignment, CallOutcome outcome, const Refusal& refusal) -> void;
     auto answer(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
+    auto answerBuffered(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
+    auto answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream, std::int64_t length) -> void;
+    auto noteAnswerBytes(const ExchangePtr& exchange, const Assignment& assignment, std::int64_t bytes) -> void;
+    auto refuseLate(const ExchangePtr& exchange, const Assignment& assignment) -> void;
+    auto cancelRun(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void;
     auto reply(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
 
     PipelineParts parts_;
     HttpUpstreamClient upstreams_;
+    RetryBudget notRunRetries_;
+    RetryBudget lostRetries_;
     std::atomic<bool> refusing_ { false };
 };
 
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -91,7 +91,7 @@
     LinkMeter links(budgets);
     RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
-    HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
+    HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_), settings.region_, &links });
     HttpOperatorApi operators(commands, config);
     operators.addSource(std::make_unique<CommandTrail>(store));
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
--- /dev/null
+++ b/tests/whole_answer_test.cpp
@@ -0,0 +1,102 @@
+// Answers that break off: the caller gets another, whole one or sees the break.
+#include "bench/load/http_socket.h"
+#include "standin/local_entry_http.h"
+#include "standin/raw_upstream.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t smallBytes = 1'000;
+constexpr std::size_t largeBytes = 3'000'000;
+
+enum class Framing { Sized,
+    Chunked };
+enum class Ending { Whole,
+    Cut,
+    // Nothing at all is answered.
+    Silent };
+
+auto render(Framing framing, std::size_t bytes, Ending ending) -> std::string
+{
+    if (ending == Ending::Silent)
+        return {};
+    const std::string body(ending == Ending::Cut ? bytes / 2 : bytes, 'x');
+    if (framing == Framing::Sized)
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n{}", bytes, body);
+    return fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n{:x}\r\n{}\r\n{}", body.size(), body, ending == Ending::Cut ? "" : "0\r\n\r\n");
+}
+
+auto deployment(const std::vector<SocketAddress>& upstreams) -> std::string
+{
+    std::string text = "declare region luzon; declare domain d region luzon; declare workspace acme rate 1000000 burst 1000000;"
+                       "declare route quotes path /quotes service core deadline 10s";
+    for (std::size_t i = 0; i < upstreams.size(); ++i)
+        text += fmt::format("; declare upstream u{} service core domain d address {} slots 4", i, formatSocketAddress(upstreams[i]));
+    return text;
+}
+
+auto ask(const standin::LocalEntry& entry, const std::string& method) -> load::SocketAnswer
+{
+    const auto body = method == "GET" ? "" : "quote";
+    const auto request = load::renderRequest(method, "/w/acme/quotes/1", fmt::format("Authorization: Bearer {}\r\n", entry.bearer("acme")), body);
+    // A new instance's share of the rate starts empty, so the first requests may be refused.
+    constexpr int tooManyRequests = 429;
+    load::SocketAnswer answer;
+    do {
+        load::HttpSocket socket(entry.address(), 20s);
+        socket.send(request);
+        answer = socket.readAnswer();
+    } while (answer.status_ == tooManyRequests);
+    return answer;
+}
+
+}
+
+TEST_CASE("an answer that breaks off is never a silently short one", "[forward]")
+{
+    const auto framing = GENERATE(Framing::Sized, Framing::Chunked);
+    const auto bytes = GENERATE(smallBytes, largeBytes);
+    const std::string method = GENERATE("GET", "POST");
+    CAPTURE(static_cast<int>(framing), bytes, method);
+    const standin::RawUpstream upstream([&](int, const std::string&) { return render(framing, bytes, Ending::Cut); });
+    const standin::LocalEntry entry(deployment({ upstream.address() }));
+    const auto answer = ask(entry, method);
+    CHECK((answer.status_ != 200 || !answer.whole_));
+    if (method == "POST")
+        CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("whole answers pass in both framings", "[forward]")
+{
+    const auto framing = GENERATE(Framing::Sized, Framing::Chunked);
+    const auto bytes = GENERATE(std::size_t { 0 }, smallBytes, largeBytes);
+    CAPTURE(static_cast<int>(framing), bytes);
+    const standin::RawUpstream upstream([&](int, const std::string&) { return render(framing, bytes, Ending::Whole); });
+    const standin::LocalEntry entry(deployment({ upstream.address() }));
+    const auto answer = ask(entry, "GET");
+    CHECK(answer.status_ == 200);
+    CHECK(answer.whole_);
+    CHECK(answer.body_.size() == bytes);
+}
+
+TEST_CASE("an idempotent request gets a whole answer from another upstream", "[forward]")
+{
+    const auto framing = GENERATE(Framing::Sized, Framing::Chunked);
+    const auto ending = GENERATE(Ending::Cut, Ending::Silent);
+    CAPTURE(static_cast<int>(framing), static_cast<int>(ending));
+    const auto script = [&](int, const std::string&) { return render(framing, smallBytes, ending); };
+    const standin::RawUpstream broken(script);
+    const standin::RawUpstream sound([&](int, const std::string&) { return render(framing, smallBytes, Ending::Whole); });
+    const standin::LocalEntry entry(deployment({ broken.address(), sound.address() }));
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = ask(entry, "GET");
+        CHECK(answer.status_ == 200);
+        CHECK(answer.whole_);
+        CHECK(answer.body_.size() == smallBytes);
+    }
+}
