Planned moves: exact share, ramp, cap in every window, reasons shown by a query

Cause: moves could be declared but carried nothing.

Change: MovePlan makes requests due evenly along the ramp and spends the fleet-wide cap; RegionSteering holds a move back while its target is cold, sheds or has no room. show progress tells each instance's part and the reason. Moves pause, go on, turn back, are cancelled and overlap.

Conclusion: with static shares a cap below the number of instances carries nothing.

--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -6,6 +6,7 @@
 #include "fleet/capnp_peer_link.h"
 #include "fleet/fleet_node.h"
 #include "steering/fixed_share_budgets.h"
+#include "steering/move_progress.h"
 #include "steering/queued_steering.h"
 #include "steering/region_steering.h"
 #include "store/command_trail.h"
@@ -122,6 +123,7 @@
     QueuedSteering queued(steering, clock, queuePolicy(settings));
     HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_), settings.region_, &links });
     HttpOperatorApi operators(commands, config);
+    operators.addSource(std::make_unique<MoveProgressSource>(steering, config, settings.name_));
     operators.addSource(std::make_unique<CommandTrail>(store));
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
 
--- a/src/steering/region_steering.cpp
+++ b/src/steering/region_steering.cpp
@@ -12,6 +12,8 @@
     constexpr std::chrono::milliseconds overloadRetryAfter { 1'000 };
     // A region above this is full; below, waiting for one of its slots is faster than going elsewhere.
     constexpr double fullRegion = 0.8;
+    // A move is held back unless this part of its target's upstreams is warm and takes work.
+    constexpr double readyTarget = 0.5;
     // A region above this has nothing to spare for others.
     constexpr double sparingRegion = 0.5;
 
@@ -28,11 +30,12 @@
 }
 
 RegionSteering::RegionSteering(std::string region, const Clock& clock, Budgets& budgets, LinkMeter& links, std::uint64_t seed)
-    : region_(std::move(region))
+    : region_(region)
     , clock_(clock)
     , budgets_(budgets)
     , links_(links)
     , random_(seed)
+    , moves_(std::move(region), budgets)
 {
 }
 
@@ -127,9 +130,12 @@
     const auto now = clock_.now();
     if (snapshot_ != request.snapshot_) {
         follow(*request.snapshot_, now);
+        moves_.follow(*request.snapshot_, now);
         snapshot_ = request.snapshot_;
     }
     auto regions = candidates(request, now);
+    if (auto moved = tryMove(request, regions, now))
+        return *moved;
     if (const auto local = regions.find(region_); local != regions.end()) {
         if (auto assignment = take(request, region_, local->second, now))
             return *assignment;
@@ -150,6 +156,54 @@
     return Refusal { RefusalKind::Overloaded, std::string(texts::noUpstream), Executed::No, overloadRetryAfter };
 }
 
+// A request moves at most once and only at its first attempt, so that retries do not count against the cap.
+auto RegionSteering::tryMove(const SteerRequest& request, const Regions& regions, MonotonicTime now) -> std::optional<Assignment>
+{
+    if (!request.tried_.empty())
+        return std::nullopt;
+    const auto* move = moves_.nextDue(*request.snapshot_, request.service_, now);
+    if (move == nullptr)
+        return std::nullopt;
+    const auto target = regions.find(move->to_);
+    if (isShort(request, move->to_, now)) {
+        moves_.noteHeld(*move, MoveHold::TargetShort);
+        return std::nullopt;
+    }
+    if (target == regions.end()) {
+        moves_.noteHeld(*move, MoveHold::NoRoom);
+        return std::nullopt;
+    }
+    if (!moves_.trySpendCap(*move))
+        return std::nullopt;
+    auto assignment = take(request, move->to_, target->second, now);
+    if (assignment)
+        moves_.noteMoved(*move);
+    else
+        moves_.noteHeld(*move, MoveHold::NoRoom);
+    return assignment;
+}
+
+// Whether too few of a region's upstreams are warm and take work, or the region sheds.
+auto RegionSteering::isShort(const SteerRequest& request, const std::string& region, MonotonicTime now) -> bool
+{
+    int all = 0;
+    int ready = 0;
+    request.snapshot_->table<Upstream>().forEach([&](const Upstream& upstream) {
+        if (upstream.service_ != request.service_ || upstream.state_ != UpstreamState::Active || regionOf(*request.snapshot_, upstream) != region)
+            return;
+        const auto& record = records_[upstream.name_];
+        ++all;
+        ready += record.isCold(upstream, now) || record.isEjected(now) || record.isOnTrial() || record.isPaused(now) ? 0 : 1;
+    });
+    return ready < readyTarget * all || shedRates_[{ request.service_, region }].at(now) > sparingRegion;
+}
+
+auto RegionSteering::moveProgress(const Snapshot& snapshot) const -> std::vector<MoveProgress>
+{
+    const std::lock_guard lock(mutex_);
+    return moves_.progress(snapshot, clock_.now());
+}
+
 // Local upstreams that only pause will soon have a slot again, unless nearly all calls are shed.
 auto RegionSteering::maySpill(const SteerRequest& request, MonotonicTime now) -> bool
 {
--- a/src/steering/region_steering.h
+++ b/src/steering/region_steering.h
@@ -3,6 +3,7 @@
 
 #include "admission/budget.h"
 #include "steering/link_meter.h"
+#include "steering/move_plan.h"
 #include "steering/shed_rate.h"
 #include "steering/steering.h"
 #include "steering/upstream_record.h"
@@ -27,6 +28,7 @@
 
     auto acquire(const SteerRequest& request, Handler handler) -> void override;
     auto release(const Assignment& assignment, CallOutcome outcome) -> void override;
+    auto moveProgress(const Snapshot& snapshot) const -> std::vector<MoveProgress>;
 
 private:
     struct Candidate {
@@ -42,6 +44,8 @@
     auto candidates(const SteerRequest& request, MonotonicTime now) -> Regions;
     auto chooseIn(const Candidates& candidates, MonotonicTime now) -> Candidate;
     auto take(const SteerRequest& request, const std::string& region, const Candidates& candidates, MonotonicTime now) -> std::optional<Assignment>;
+    auto tryMove(const SteerRequest& request, const Regions& regions, MonotonicTime now) -> std::optional<Assignment>;
+    auto isShort(const SteerRequest& request, const std::string& region, MonotonicTime now) -> bool;
     auto maySpill(const SteerRequest& request, MonotonicTime now) -> bool;
     auto mayEject(const Upstream& upstream, MonotonicTime now) const -> bool;
 
@@ -49,9 +53,10 @@
     const Clock& clock_;
     Budgets& budgets_;
     LinkMeter& links_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::mt19937_64 random_;
     std::map<std::string, UpstreamRecord> records_;
+    MovePlan moves_;
     std::map<PoolId, ShedRate> shedRates_;
     std::shared_ptr<const Snapshot> snapshot_;
 };
