At most once through the pipeline: tickets, recorded answers, void tickets

Cause: the once filter's decisions were not asked by any request. Change: the filter stands between admit and queue; refusals give the ticket back when the request certainly did not run; /v1/ticket issues tickets.

--- a/src/entry/http_request_pipeline.h
+++ b/src/entry/http_request_pipeline.h
@@ -3,12 +3,15 @@
 
 #include "admission/admitter.h"
 #include "admission/authenticate_func.h"
+#include "admission/once_gate.h"
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "config/config_state.h"
 #include "entry/in_flight.h"
 #include "fleet/request_gate.h"
 #include "forward/http_upstream_client.h"
+#include "forward/retry_policy.h"
+#include "steering/link_meter.h"
 #include "steering/steering.h"
 
 #include <atomic>
@@ -25,6 +28,9 @@
     Metrics& metrics_;
     InFlight& inFlight_;
     std::size_t maxHeaderBytes_;
+    // Region of this instance and the counter of what answers put on its links; null counts nothing.
+    std::string region_ {};
+    LinkMeter* links_ = nullptr;
 };
 
 class HttpRequestPipeline {
@@ -35,6 +41,8 @@
     auto handle(const web::http::http_request& message) -> void;
     // To be called before the first request; asked about each request.
     auto setGate(const RequestGate* gate) -> void { gate_ = gate; }
+    // To be called before the first request; without it no request needs a ticket.
+    auto setOnce(OnceGate* once) -> void { once_ = once; }
     // From now on new requests are refused as not run.
     auto refuseNew() -> void { refusing_ = true; }
 
@@ -43,19 +51,30 @@
     using ExchangePtr = std::shared_ptr<Exchange>;
 
     auto admit(const ExchangePtr& exchange) -> Result<Done, Refusal>;
+    auto passOnce(const ExchangePtr& exchange) -> bool;
+    auto settleOnce(const ExchangePtr& exchange, Executed executed) -> void;
     auto collectBody(const ExchangePtr& exchange) -> void;
     auto steer(const ExchangePtr& exchange) -> void;
     auto forward(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto finishCall(const ExchangePtr& exchange, const Assignment& assignment, const UpstreamResult& result) -> void;
     auto retryOrRefuse(const ExchangePtr& exchange, const Assignment& assignment, CallOutcome outcome, const Refusal& refusal) -> void;
     auto answer(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
+    auto answerBuffered(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
+    auto answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream, std::int64_t length) -> void;
+    auto noteAnswerBytes(const ExchangePtr& exchange, const Assignment& assignment, std::int64_t bytes) -> void;
+    auto refuseLate(const ExchangePtr& exchange, const Assignment& assignment) -> void;
+    auto cancelRun(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void;
+    auto replyEarly(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
     auto replyUncounted(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
     auto reply(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
 
     PipelineParts parts_;
     HttpUpstreamClient upstreams_;
+    RetryBudget notRunRetries_;
+    RetryBudget lostRetries_;
     const RequestGate* gate_ = nullptr;
+    OnceGate* once_ = nullptr;
     std::atomic<bool> refusing_ { false };
 };
 
