--- a/bench/load/caller_load.cpp
+++ b/bench/load/caller_load.cpp
@@ -38,17 +38,30 @@
                 const auto& last = record.attempts_.back();
                 if (!isWorthRepeating(record, last))
                     break;
-                lookups_.erase(workspace.name_);
+                useNext(workspace.name_);
             }
             return record;
         }
 
     private:
         struct Lookup {
-            SocketAddress address_;
+            // Best instance first.
+            std::vector<SocketAddress> addresses_;
             Instant until_;
         };
 
+        // Goes on to the next instance that the look-up named, and asks again after the last.
+        auto useNext(const std::string& workspace) -> void
+        {
+            const auto known = lookups_.find(workspace);
+            if (known == lookups_.end())
+                return;
+            auto& addresses = known->second.addresses_;
+            addresses.erase(addresses.begin());
+            if (addresses.empty())
+                lookups_.erase(known);
+        }
+
         auto isWorthRepeating(const CallRecord& record, const Attempt& attempt) const -> bool
         {
             if (attempt.status_ == overRate || (attempt.status_ >= 200 && attempt.status_ < 500))
@@ -68,16 +81,23 @@
         {
             const auto known = lookups_.find(workspace);
             if (known != lookups_.end() && known->second.until_ > steadyNow())
-                return known->second.address_;
+                return known->second.addresses_.front();
             const auto asked = anyEntry();
             HttpSocket socket(asked, callTimeLimit);
             socket.send(renderRequest("GET", fmt::format("/v1/lookup?workspace={}", workspace), "", ""));
             const auto answer = nlohmann::json::parse(socket.readAnswer().body_, nullptr, false);
             if (!answer.is_object() || !answer.contains("use"))
                 return asked;
-            const auto address = parseSocketAddress(answer["use"]["address"].get<std::string>()).value_or(asked);
-            lookups_[workspace] = { address, steadyNow() + lookupLifetime };
-            return address;
+            std::vector<SocketAddress> addresses { addressOf(answer["use"]) };
+            for (const auto& alternative : answer["alternatives"])
+                addresses.push_back(addressOf(alternative));
+            lookups_[workspace] = { addresses, steadyNow() + lookupLifetime };
+            return addresses.front();
+        }
+
+        static auto addressOf(const nlohmann::json& instance) -> SocketAddress
+        {
+            return parseSocketAddress(instance["address"].get<std::string>()).value_or(SocketAddress {});
         }
 
         auto connectionTo(const SocketAddress& address) -> HttpSocket&
