Relay: heartbeats are spread in time; bytes of operators' questions measured

Cause: instances that started together sent their heartbeats together; the cost of in-force counts was not known. Change: heartbeats get the same spread as questions; relay_bench asks prints the bytes of one question with all answers.

--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -1,5 +1,6 @@
 // Commit-to-in-force time, store calls and bytes of the relay on a virtual clock. Prints one JSON object a line.
 #include "base/event_log.h"
+#include "fleet/fleet_codec.h"
 #include "standin/fleet_sim.h"
 
 #include <algorithm>
@@ -79,6 +80,35 @@
             expected - delays.size(), static_cast<double>(sim.storeCalls()) / seconds, total / static_cast<double>(nodes), most)
                   << std::endl;
     }
+    // Bytes of what a core has to send and of what its receivers answer.
+    auto exchangedBytes(FleetSim& sim, std::size_t node) -> std::size_t
+    {
+        std::size_t bytes = 0;
+        for (const auto& sent : sim.core(node).takeSends()) {
+            bytes += encodeFleetMessage(sent.message_).payload_.size() + envelopeBytes;
+            auto& receiver = sim.core(std::stoul(sent.to_.substr(1)));
+            receiver.receive(sim.core(node).members().self().id_, sent.message_);
+            for (const auto& answer : receiver.takeSends()) {
+                bytes += encodeFleetMessage(answer.message_).payload_.size() + envelopeBytes;
+                sim.core(node).receive(receiver.members().self().id_, answer.message_);
+            }
+        }
+        return bytes;
+    }
+
+    // Bytes of one question of an operator's client, asked at one instance, and of all answers.
+    auto measureAsks(std::size_t nodes) -> void
+    {
+        FleetSim sim(optionsOf(nodes, 0, 12'000us, ways.front()));
+        sim.commit("declare region first");
+        sim.run(settle);
+        sim.core(3).askInForce({ 1, 0 });
+        const auto inForce = exchangedBytes(sim, 3);
+        const auto count = sim.core(3).inForce({ 1, 0 });
+        sim.core(3).askMembers();
+        const auto members = exchangedBytes(sim, 3);
+        std::cout << fmt::format("{{\"nodes\":{},\"confirmed\":{},\"in_force_bytes\":{},\"show_instances_bytes\":{}}}", nodes, count.confirmed_, inForce, members) << std::endl;
+    }
 }
 
 } // namespace sapphirepass::standin
@@ -87,6 +117,11 @@
 {
     using namespace sapphirepass::standin;
     sapphirepass::setLogLevel(sapphirepass::LogLevel::Error);
+    if (argc > 1 && std::string_view(argv[1]) == "asks") {
+        for (const std::size_t nodes : { 12, 100, 400, 920 })
+            measureAsks(nodes);
+        return 0;
+    }
     const std::size_t largest = argc > 1 ? std::stoul(argv[1]) : 920;
     for (const std::size_t nodes : { 12, 100, 400, 920 }) {
         for (const int lost : { 0, 5, 20 }) {
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -183,7 +183,7 @@
     }
     if (now >= nextHeartbeat_) {
         const auto size = static_cast<std::int64_t>(members_.list().ofDomain(members_.self().domain_).size());
-        nextHeartbeat_ = now + std::max<Duration>(options_.heartbeatPeriod_, size * heartbeatShare);
+        nextHeartbeat_ = now + jittered(std::max<Duration>(options_.heartbeatPeriod_, size * heartbeatShare));
         heartbeat();
     }
     if (now >= nextHousekeeping_) {
@@ -195,12 +195,17 @@
     }
 }
 
+// So that instances that started together do not ask together.
+auto FleetCore::jittered(Duration period) -> Duration
+{
+    return Duration(std::uniform_int_distribution<std::int64_t>(period.count() * 3 / 4, period.count() * 5 / 4)(random_));
+}
+
 // Sooner while evidence that this instance is current runs out.
 auto FleetCore::nextGossipIn() -> Duration
 {
     const bool runsOut = currentUntil() - clock_.now() < freshnessLimit / 2;
-    const auto period = Duration(runsOut ? options_.gossipPeriod_ / urgency : options_.gossipPeriod_).count();
-    return Duration(std::uniform_int_distribution<std::int64_t>(period * 3 / 4, period * 5 / 4)(random_));
+    return jittered(runsOut ? options_.gossipPeriod_ / urgency : options_.gossipPeriod_);
 }
 
 // Watchers of the domain hear at once what is in force here.
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -90,6 +90,7 @@
     auto question(const std::string& to) -> void;
     auto gossip() -> void;
     auto nextGossipIn() -> Duration;
+    auto jittered(Duration period) -> Duration;
     auto heartbeat() -> void;
     auto afterRevision() -> void;
     auto refreshFleet() -> void;
--- a/standin/fleet_sim.cpp
+++ b/standin/fleet_sim.cpp
@@ -12,9 +12,6 @@
     constexpr auto tickPeriod = 100ms;
     constexpr auto longestWatch = 3s;
     constexpr auto retryPause = 500ms;
-    // Of a call, its return and its finish over the payload: 290 were measured between 12 processes, the rest is
-    // for packet headers.
-    constexpr std::int64_t envelopeBytes = 336;
 
     auto nodeName(std::size_t node) -> std::string { return fmt::format("e{:04}", node); }
 }
--- a/standin/fleet_sim.h
+++ b/standin/fleet_sim.h
@@ -26,6 +26,10 @@
     std::uint64_t seed_ = 1;
 };
 
+// Of a call, its return and its finish over the payload: 290 were measured between 12 processes, the rest is
+// for packet headers.
+inline constexpr std::int64_t envelopeBytes = 336;
+
 struct SimTraffic {
     std::int64_t messages_ = 0;
     // Sent, envelopes included.
