--- a/src/admission/escrow_account.h
+++ b/src/admission/escrow_account.h
@@ -27,6 +27,8 @@
     // Time until the share holds enough tokens; the longest duration if it never does.
     auto timeUntil(std::int64_t amount) const -> Duration;
 
+    auto operator<=>(const EscrowAccount&) const = default;
+
 private:
     auto isConcurrent() const -> bool { return total_.rate_ == 0; }
     // Of the fraction's part of the burst.
--- a/src/admission/escrow_holder.cpp
+++ b/src/admission/escrow_holder.cpp
@@ -47,10 +47,10 @@
     auto& account = ledger_.account(id, total->second, now);
     auto& demand = demands_[id];
     const bool spent = membership_.mayHold(now) && account.trySpend(amount, now);
-    demand.offered(amount, spent);
+    demand.offered(amount, spent, now);
     const auto steward = spent ? std::nullopt : stewardOf(id);
     if (steward && demand.mayAsk(now))
-        ask(id, *steward, demand.need(account, 130, reserveOf(account.total())), now);
+        askForNeed(id, *steward, now);
     return spent;
 }
 
@@ -80,7 +80,7 @@
     sendHeartbeat(now);
     issueSettled(now);
     updateSuspects(now);
-    if (membership_.mayHold(now))
+    if (mayTransfer(now))
         moveShares(now);
 }
 
--- a/src/admission/escrow_holder.h
+++ b/src/admission/escrow_holder.h
@@ -54,6 +54,7 @@
     };
     using Wanted = std::map<HolderId, std::map<BudgetId, Fraction>>;
 
+    auto mayTransfer(MonotonicTime now) const -> bool { return membership_.mayHold(now) && membership_.isReported(); }
     auto checkLease(MonotonicTime now) -> void;
     auto restart(MonotonicTime now) -> void;
     auto send(std::optional<EscrowMessage> message) -> void;
@@ -67,6 +68,7 @@
     auto updateSuspects(MonotonicTime now) -> void;
     auto moveShares(MonotonicTime now) -> void;
     auto serveWaiting(Wanted& transfers, MonotonicTime now) -> void;
+    auto askForNeed(const BudgetId& id, const HolderId& steward, MonotonicTime now) -> void;
     auto ask(const BudgetId& id, const HolderId& steward, Fraction fraction, MonotonicTime now) -> void;
     auto announceShares(MonotonicTime now) -> void;
     auto askReserve(const BudgetId& id, const HolderId& steward, Fraction fraction, MonotonicTime now) -> void;
@@ -78,7 +80,7 @@
     // Collects idle shares of a budget and hands them out; agreed on by all without messages.
     auto stewardOf(const BudgetId& id) -> std::optional<HolderId>;
     auto reserveOf(const BudgetTotal& total) const -> Fraction;
-    auto surplus(const BudgetId& id, std::int64_t marginPercent) -> Fraction;
+    auto surplus(const BudgetId& id, std::int64_t marginPercent, MonotonicTime now) -> Fraction;
     auto wantsNextEpoch(MonotonicTime now) const -> bool;
     auto openingDelay() const -> Duration;
 
--- a/src/admission/escrow_ledger.h
+++ b/src/admission/escrow_ledger.h
@@ -35,12 +35,16 @@
     // Starts a new life without shares.
     auto restart(std::uint64_t number, MonotonicTime now) -> void;
 
+    auto operator<=>(const EscrowLedger&) const = default;
+
 private:
     struct Channel {
         std::int64_t sent_ = 0;
         std::optional<EscrowMessage> pending_;
         MonotonicTime firstSent_;
         MonotonicTime lastSent_;
+
+        auto operator<=>(const Channel&) const = default;
     };
 
     HolderId self_;
--- a/src/admission/escrow_membership.h
+++ b/src/admission/escrow_membership.h
@@ -39,6 +39,9 @@
     // Called after the step Move, with what is taken over.
     auto moved(std::vector<BudgetShare> carried) -> void;
     auto restart(std::uint64_t number) -> void;
+    // Whether the issuer knows what this holder took over. Until then shares may be spent, but not sent on:
+    // they end with this holder's lease, and what is sent on would outlive it.
+    auto isReported() const -> bool { return reported_; }
     // The report to the issuer that is still to be acknowledged.
     auto report() const -> std::optional<EscrowMessage>;
     auto reportAcknowledged(const EscrowMessage& message) -> void;
@@ -66,6 +69,8 @@
     // The table that marks the epoch as complete; nothing if it is not due.
     auto completedRecord() const -> std::optional<EpochRecord>;
 
+    auto operator<=>(const EscrowMembership&) const = default;
+
 private:
     auto majorityConfirmed(MonotonicTime now) const -> std::optional<MonotonicTime>;
     auto hasPromised(const HolderId& voter) const -> bool;
--- a/src/admission/escrow_movement.cpp
+++ b/src/admission/escrow_movement.cpp
@@ -7,12 +7,14 @@
 
 namespace {
     // What a holder keeps above its demand, in percent of it.
-    constexpr std::int64_t usualMargin = 130;
+    constexpr std::int64_t usualMargin = 115;
     // The same while another holder is short.
-    constexpr std::int64_t recallMargin = 105;
+    constexpr std::int64_t recallMargin = 103;
     // A holder asks below this and gives back above returnMargin.
-    constexpr std::int64_t askMargin = 110;
+    constexpr std::int64_t askMargin = 105;
     constexpr std::int64_t returnMargin = 170;
+    // Smaller fractions are not sent on a recall.
+    constexpr Fraction worthwhile = wholeBudget / 100;
     constexpr Duration askLifetime = std::chrono::seconds(1);
     constexpr std::size_t maxWaiting = 1'024;
     constexpr std::size_t maxRecipients = 64;
@@ -56,7 +58,7 @@
     return wholeBudget / (reserveDivisor * holders);
 }
 
-auto EscrowHolder::surplus(const BudgetId& id, std::int64_t marginPercent) -> Fraction
+auto EscrowHolder::surplus(const BudgetId& id, std::int64_t marginPercent, MonotonicTime now) -> Fraction
 {
     const auto found = ledger_.accounts().find(id);
     if (found == ledger_.accounts().end())
@@ -64,7 +66,7 @@
     const auto& account = found->second;
     // A reserve gives way to another holder's demand.
     const auto& demand = demands_[id];
-    const auto need = marginPercent == recallMargin ? demand.inUse(account, marginPercent) : demand.need(account, marginPercent, reserveOf(account.total()));
+    const auto need = marginPercent == recallMargin ? demand.inUse(account, marginPercent, now) : demand.need(account, marginPercent, reserveOf(account.total()));
     return std::max<Fraction>(0, account.fraction() - (leaving_ ? 0 : need));
 }
 
@@ -79,22 +81,28 @@
             continue;
         const bool isSteward = *steward == ledger_.self();
         const auto held = ledger_.account(id, total, now).fraction();
-        if (!isSteward && surplus(id, returnMargin) > 0) {
-            transfers[*steward][id] = surplus(id, usualMargin);
+        if (!isSteward && surplus(id, returnMargin, now) > 0) {
+            transfers[*steward][id] = surplus(id, usualMargin, now);
             continue;
         }
         auto& demand = demands_[id];
         if (leaving_ || !demand.mayAsk(now))
             continue;
         const auto& account = ledger_.account(id, total, now);
-        if (held < demand.need(account, askMargin, 0))
-            ask(id, *steward, demand.need(account, usualMargin, reserveOf(total)), now);
+        if (held < demand.need(account, askMargin, 0) && demand.isRunningShort(account))
+            askForNeed(id, *steward, now);
         else if (!isSteward && held < reserveOf(total) && demand.mayAskReserve(now))
             askReserve(id, *steward, reserveOf(total) - held, now);
     }
     sendShares(transfers, now);
 }
 
+auto EscrowHolder::askForNeed(const BudgetId& id, const HolderId& steward, MonotonicTime now) -> void
+{
+    const auto& account = ledger_.account(id, totals_.at(id), now);
+    ask(id, steward, demands_[id].need(account, usualMargin, reserveOf(account.total())), now);
+}
+
 auto EscrowHolder::ask(const BudgetId& id, const HolderId& steward, Fraction fraction, MonotonicTime now) -> void
 {
     const auto found = ledger_.accounts().find(id);
@@ -143,7 +151,7 @@
     std::erase_if(waiting_, [now](const auto& waiting) { return waiting.expires_ <= now; });
     std::map<BudgetId, Fraction> left;
     for (auto& waiting : waiting_) {
-        const auto available = left.try_emplace(waiting.budget_, surplus(waiting.budget_, recallMargin)).first;
+        const auto available = left.try_emplace(waiting.budget_, surplus(waiting.budget_, recallMargin, now)).first;
         const auto given = std::min(available->second, waiting.fraction_);
         if (given <= 0)
             continue;
@@ -159,13 +167,13 @@
     std::map<BudgetId, Fraction> given;
     for (const auto& [id, share] : message.shares_) {
         const bool reserveOnly = message.kind_ == EscrowMessageKind::AskReserve;
-        const auto part = std::min(share.fraction_, surplus(id, reserveOnly ? usualMargin : recallMargin));
+        const auto part = std::min(share.fraction_, surplus(id, reserveOnly ? usualMargin : recallMargin, now));
         if (part > 0)
             given[id] = part;
         noteRecipient(id, message.from_);
         if (reserveOnly)
             continue;
-        std::erase_if(waiting_, [&](const auto& waiting) { return waiting.asker_ == message.from_ && waiting.budget_ == id; });
+        std::erase_if(waiting_, [&asker = message.from_, &budget = id](const auto& waiting) { return waiting.asker_ == asker && waiting.budget_ == budget; });
         if (part < share.fraction_ && waiting_.size() < maxWaiting) {
             waiting_.push_back({ message.from_, id, share.fraction_ - part, now + askLifetime });
             recall(id, message.from_, share.fraction_ - part, now);
@@ -204,8 +212,11 @@
 {
     std::map<BudgetId, Fraction> given;
     for (const auto& [id, share] : message.shares_) {
-        const auto part = std::min(share.fraction_, surplus(id, recallMargin));
-        if (part > 0)
+        const auto part = std::min(share.fraction_, surplus(id, recallMargin, now));
+        // Slots are whole, so there every part counts.
+        const auto total = totals_.find(id);
+        const auto least = total != totals_.end() && total->second.rate_ > 0 ? std::min(worthwhile, share.fraction_) : 1;
+        if (part >= least)
             given[id] = part;
     }
     sendExpectingAnswer(ledger_.transfer(message.other_, given, now), now);
@@ -231,19 +242,22 @@
     switch (message.kind_) {
     case EscrowMessageKind::Transfer:
         send(ledger_.receive(message, totals_, now));
-        for (const auto& share : message.shares_)
-            noteRecipient(share.budget_, message.from_);
+        for (const auto& [budget, share] : message.shares_) {
+            noteRecipient(budget, message.from_);
+            if (share.fraction_ >= worthwhile)
+                demands_[budget].credited();
+        }
         return;
     case EscrowMessageKind::Acknowledge:
         ledger_.acknowledged(message);
         return;
     case EscrowMessageKind::Ask:
     case EscrowMessageKind::AskReserve:
-        if (membership_.mayHold(now) && message.epoch_ == ledger_.epoch())
+        if (mayTransfer(now) && message.epoch_ == ledger_.epoch())
             answerAsk(message, now);
         return;
     case EscrowMessageKind::Recall:
-        if (membership_.mayHold(now) && message.epoch_ == ledger_.epoch())
+        if (mayTransfer(now) && message.epoch_ == ledger_.epoch())
             answerRecall(message, now);
         return;
     case EscrowMessageKind::Report:
--- /dev/null
+++ b/tests/escrow_model_test.cpp
@@ -0,0 +1,317 @@
+// Every order of events of a small fleet: three holders, two transfers, one new epoch. An event that never
+// happens stands for loss, crash or pause; delivery without removal stands for duplication.
+#include "admission/escrow_ledger.h"
+#include "admission/escrow_membership.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+const BudgetId acme { BudgetKind::WorkspaceRate, "acme" };
+const BudgetTotals totals { { acme, { 100, 60 } } };
+constexpr std::size_t fleetSize = 3;
+constexpr Duration step = 8s;
+
+// Ways to break the protocol, one at a time.
+enum class Mutant {
+    None,
+    CreditTwice,
+    SendBeforeDebit,
+    IssueBeforeLapse,
+    IgnoreLease,
+    CreditOldEpoch,
+    RenewUnreported,
+    ReportNothing,
+    TransferUnreported,
+};
+
+struct Limits {
+    int transfers_ = 2;
+    int deliveries_ = 4;
+    int doubled_ = 1;
+    int steps_ = 4;
+    int epochs_ = 1;
+    int pings_ = 1;
+
+    auto operator<=>(const Limits&) const = default;
+};
+
+struct Node {
+    EscrowLedger ledger_;
+    EscrowMembership membership_;
+
+    auto operator<=>(const Node&) const = default;
+};
+
+struct World {
+    std::vector<Node> nodes_;
+    EpochRecord record_;
+    std::set<EscrowMessage> messages_;
+    MonotonicTime now_ { 1h };
+    Limits left_;
+
+    auto operator<=>(const World&) const = default;
+};
+
+auto holderId(std::size_t index) -> HolderId
+{
+    return { std::string(1, static_cast<char>('a' + index)), 1 };
+}
+
+class Explorer {
+public:
+    explicit Explorer(Mutant mutant)
+        : mutant_(mutant)
+    {
+    }
+
+    // Whether some order of events lets holders have more than the whole.
+    auto findsViolation(const Limits& limits) -> bool
+    {
+        seen_.clear();
+        violated_ = false;
+        visit(start(limits));
+        return violated_;
+    }
+    auto states() const -> std::size_t { return seen_.size(); }
+
+private:
+    auto start(const Limits& limits) const -> World
+    {
+        World world;
+        world.left_ = limits;
+        world.record_ = { 1, { "z", 1 }, true, {}, {}, {} };
+        for (std::size_t i = 0; i < fleetSize; ++i) {
+            world.record_.holders_.push_back(holderId(i));
+            world.record_.voters_.push_back(holderId(i));
+        }
+        for (std::size_t i = 0; i < fleetSize; ++i) {
+            Node node { EscrowLedger(holderId(i)), EscrowMembership(holderId(i)) };
+            node.membership_.observe(world.record_, world.now_, world.now_);
+            node.membership_.moved(node.ledger_.moveTo(1, totals));
+            node.membership_.observe(world.record_, world.now_, world.now_);
+            world.nodes_.push_back(std::move(node));
+        }
+        world.nodes_[0].ledger_.account(acme, totals.at(acme), world.now_).credit({ wholeBudget, 0 }, world.now_);
+        return world;
+    }
+
+    auto heldBy(const World& world, const Node& node) const -> Fraction
+    {
+        const bool mayHold = mutant_ == Mutant::IgnoreLease || node.membership_.mayHold(world.now_);
+        const auto found = node.ledger_.accounts().find(acme);
+        return mayHold && found != node.ledger_.accounts().end() ? found->second.fraction() : 0;
+    }
+
+    auto isViolated(const World& world) const -> bool
+    {
+        Fraction held = 0;
+        for (const auto& node : world.nodes_)
+            held += heldBy(world, node);
+        return held > wholeBudget;
+    }
+
+    auto visit(const World& first) -> void
+    {
+        std::vector<World> open { first };
+        while (!open.empty() && !violated_) {
+            const auto world = std::move(open.back());
+            open.pop_back();
+            if (!seen_.insert(world).second)
+                continue;
+            violated_ = isViolated(world);
+            expand(world, open);
+        }
+    }
+
+    auto expand(const World& world, std::vector<World>& open) -> void
+    {
+        if (world.left_.steps_ > 0) {
+            auto next = world;
+            --next.left_.steps_;
+            next.now_ += step;
+            open.push_back(std::move(next));
+        }
+        for (std::size_t i = 0; i < fleetSize; ++i) {
+            addTransfers(world, i, open);
+            addSync(world, i, open);
+            addEpoch(world, i, open);
+            addMessages(world, i, open);
+        }
+        for (const auto& message : world.messages_)
+            addDelivery(world, message, open);
+    }
+
+    auto addTransfers(const World& world, std::size_t from, std::vector<World>& open) -> void
+    {
+        const auto held = heldBy(world, world.nodes_[from]);
+        const bool reported = mutant_ == Mutant::TransferUnreported || world.nodes_[from].membership_.isReported();
+        if (world.left_.transfers_ == 0 || held == 0 || !reported)
+            return;
+        for (std::size_t to = 0; to < fleetSize; ++to) {
+            if (to == from)
+                continue;
+            auto next = world;
+            auto& ledger = next.nodes_[from].ledger_;
+            const auto before = ledger;
+            const auto message = ledger.transfer(holderId(to), { { acme, held / 2 + 1 } }, next.now_);
+            if (!message)
+                continue;
+            if (mutant_ == Mutant::SendBeforeDebit)
+                ledger = before;
+            --next.left_.transfers_;
+            next.messages_.insert(*message);
+            open.push_back(std::move(next));
+        }
+    }
+
+    // A read of the share table, and what the holder does about it.
+    auto addSync(const World& world, std::size_t index, std::vector<World>& open) -> void
+    {
+        auto next = world;
+        auto& [ledger, membership] = next.nodes_[index];
+        if (membership.hasLapsed(next.now_))
+            return;
+        const auto change = membership.observe(next.record_, next.now_, next.now_);
+        if (change == EpochStep::Restart)
+            return;
+        if (change == EpochStep::Move) {
+            auto carried = ledger.moveTo(next.record_.epoch_, totals);
+            membership.moved(mutant_ == Mutant::ReportNothing ? std::vector<BudgetShare>() : std::move(carried));
+        } else if (mutant_ == Mutant::RenewUnreported && membership.report()) {
+            auto renewed = membership;
+            renewed.reportAcknowledged({ EscrowMessageKind::ReportAcknowledge, membership.epoch(), next.record_.issuer_, ledger.self() });
+            renewed.observe(next.record_, next.now_, next.now_);
+            membership = renewed;
+        }
+        open.push_back(std::move(next));
+    }
+
+    auto addEpoch(const World& world, std::size_t index, std::vector<World>& open) -> void
+    {
+        const auto& membership = world.nodes_[index].membership_;
+        if (world.left_.epochs_ > 0 && membership.mayHold(world.now_) && membership.record() == world.record_) {
+            auto next = world;
+            --next.left_.epochs_;
+            next.record_ = membership.nextEpoch({});
+            open.push_back(std::move(next));
+        }
+        auto next = world;
+        auto& issuer = next.nodes_[index].membership_;
+        const auto at = next.now_ + (mutant_ == Mutant::IssueBeforeLapse ? escrowLapse : Duration::zero());
+        if (!issuer.mayHold(next.now_) || !issuer.isSettled(at))
+            return;
+        const auto fraction = issuer.issue(acme);
+        if (fraction > 0)
+            next.nodes_[index].ledger_.account(acme, totals.at(acme), next.now_).credit({ fraction, 0 }, next.now_);
+        open.push_back(std::move(next));
+    }
+
+    // Reports to the issuer, and pings while pings are left.
+    auto addMessages(const World& world, std::size_t index, std::vector<World>& open) -> void
+    {
+        const auto& membership = world.nodes_[index].membership_;
+        if (const auto report = membership.report(); report && !world.messages_.contains(*report)) {
+            auto next = world;
+            next.messages_.insert(*report);
+            open.push_back(std::move(next));
+        }
+        if (world.left_.pings_ == 0 || !membership.mayHold(world.now_))
+            return;
+        auto next = world;
+        --next.left_.pings_;
+        for (const auto& ping : membership.pings(next.now_))
+            next.messages_.insert(ping);
+        open.push_back(std::move(next));
+    }
+
+    auto addDelivery(const World& world, const EscrowMessage& message, std::vector<World>& open) -> void
+    {
+        if (world.left_.deliveries_ == 0)
+            return;
+        auto next = world;
+        --next.left_.deliveries_;
+        next.messages_.erase(message);
+        receive(next, message);
+        open.push_back(next);
+        if (world.left_.doubled_ == 0)
+            return;
+        --next.left_.doubled_;
+        next.messages_.insert(message);
+        open.push_back(std::move(next));
+    }
+
+    auto receive(World& world, EscrowMessage message) -> void
+    {
+        auto& [ledger, membership] = world.nodes_[static_cast<std::size_t>(message.to_.name_.front() - 'a')];
+        if (membership.hasLapsed(world.now_))
+            return;
+        const auto reply = [&world](const std::optional<EscrowMessage>& answer) {
+            if (answer)
+                world.messages_.insert(*answer);
+        };
+        switch (message.kind_) {
+        case EscrowMessageKind::Transfer:
+            if (mutant_ == Mutant::CreditTwice)
+                message.number_ += world.left_.deliveries_ == 0 ? 100 : 10 - world.left_.deliveries_;
+            if (mutant_ == Mutant::CreditOldEpoch)
+                message.epoch_ = ledger.epoch();
+            ledger.receive(message, totals, world.now_);
+            return;
+        case EscrowMessageKind::Report:
+            reply(membership.receiveReport(message, world.now_));
+            return;
+        case EscrowMessageKind::ReportAcknowledge:
+            membership.reportAcknowledged(message);
+            return;
+        case EscrowMessageKind::Ping:
+            reply(membership.answerPing(message));
+            return;
+        case EscrowMessageKind::Pong:
+            membership.receivePong(message);
+            return;
+        default:
+            return;
+        }
+    }
+
+    Mutant mutant_;
+    std::set<World> seen_;
+    bool violated_ = false;
+};
+
+}
+
+TEST_CASE("no order of events lets holders have more than the whole", "[escrow][model]")
+{
+    Explorer explorer(Mutant::None);
+    const auto limits = GENERATE(values<Limits>({
+        { 2, 3, 1, 0, 0, 0 },
+        { 2, 1, 0, 1, 1, 0 },
+        { 1, 2, 0, 2, 1, 0 },
+        { 0, 1, 0, 3, 1, 0 },
+    }));
+    CHECK_FALSE(explorer.findsViolation(limits));
+    CHECK(explorer.states() > 50);
+}
+
+TEST_CASE("each way to break the protocol is found", "[escrow][model]")
+{
+    const auto [mutant, limits] = GENERATE(table<Mutant, Limits>({
+        { Mutant::CreditTwice, { 1, 2, 1, 0, 0, 0 } },
+        { Mutant::SendBeforeDebit, { 1, 1, 0, 0, 0, 0 } },
+        { Mutant::IssueBeforeLapse, { 0, 1, 0, 1, 1, 0 } },
+        { Mutant::IgnoreLease, { 0, 1, 0, 3, 1, 0 } },
+        { Mutant::CreditOldEpoch, { 1, 2, 0, 2, 1, 0 } },
+        { Mutant::RenewUnreported, { 0, 1, 0, 3, 1, 0 } },
+        { Mutant::ReportNothing, { 0, 1, 0, 2, 1, 0 } },
+        { Mutant::TransferUnreported, { 1, 2, 0, 2, 1, 0 } },
+    }));
+    CAPTURE(static_cast<int>(mutant));
+    CHECK(Explorer(mutant).findsViolation(limits));
+    CHECK_FALSE(Explorer(Mutant::None).findsViolation(limits));
+}
