--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -58,6 +58,14 @@
 inline constexpr std::string_view noUpstream = "no upstream can take the request now";
 inline constexpr std::string_view upstreamFailed = "the upstream ended the call without an answer";
 inline constexpr std::string_view instanceStopping = "this instance is stopping; look up another";
+inline constexpr std::string_view notCurrent = "this instance cannot know whether keys are still valid; use another";
+inline constexpr std::string_view ticketNeeded = "this request may run only once; send it again with the ticket in Once-Ticket";
+inline constexpr std::string_view ticketBad = "the ticket is not one for this workspace";
+inline constexpr std::string_view ticketElsewhere = "the ticket belongs to instance '{}'; send the request there";
+inline constexpr std::string_view ticketVoid = "the ticket is void; its request may have run before and will not run again";
+inline constexpr std::string_view onceRunning = "the request with this ticket is running";
+inline constexpr std::string_view onceUnknown = "the request with this ticket was sent once; its outcome is not known and it will not run again";
+inline constexpr std::string_view onceFull = "this instance keeps as many outcomes as it can";
 inline constexpr std::string_view noInstance = "no live instance is known";
 inline constexpr std::string_view configurationMissing = "this instance has no configuration yet";
 inline constexpr std::string_view deadlinePassed = "the deadline has passed";
@@ -65,10 +73,12 @@
 
 // Control path.
 inline constexpr std::string_view storeDown = "the platform's store does not answer; nothing was changed";
+inline constexpr std::string_view enforcedNotDurable = "enforced, not yet durable: the store does not answer; the instances keep the withdrawal and append it when it does";
 inline constexpr std::string_view outcomeUnknown = "the store's answer was lost; ask 'show commands where id = {}' before sending again";
 inline constexpr std::string_view storeBehind = "the platform's store answers with an older log than the one in force; nothing was changed";
 inline constexpr std::string_view tooManyRaces = "other operators' commands kept winning; nothing was changed";
 inline constexpr std::string_view revisionMismatch = "revision is {}, not {}; nothing was changed";
+inline constexpr std::string_view revisionMalformed = "a revision is malformed";
 inline constexpr std::string_view hashMalformed = "a hash is malformed";
 inline constexpr std::string_view logFormatUnknown = "unknown format of the command log";
 inline constexpr std::string_view logIncomplete = "the revisions of the command log are not consecutive";
@@ -77,6 +87,7 @@
 inline constexpr std::string_view commandIdBad = "a command id has 1 to 64 letters, digits, '-', '_' and '.'";
 inline constexpr std::string_view commandIdUsed = "command id {} belongs to another command, accepted at revision {}; nothing was changed";
 inline constexpr std::string_view operatorNameBad = "an operator's name has 1 to 64 printable characters and no blank";
+inline constexpr std::string_view textUnreadable = "(commands that this version cannot read)";
 inline constexpr std::string_view trailUnreadable = "the audit trail cannot be read now: {}";
 inline constexpr std::string_view snapshotMalformed = "the snapshot is malformed";
 inline constexpr std::string_view snapshotFormatUnknown = "the snapshot has the unknown format '{}'";
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -14,6 +14,8 @@
     constexpr auto housekeepingPeriod = 30s;
     // Questions older than this are no evidence worth keeping.
     constexpr auto keepQuestions = 2 * freshnessLimit;
+    // How much more often an instance asks whose evidence runs out.
+    constexpr int urgency = 4;
     // Receivers of a withdrawal, in the own domain and elsewhere.
     constexpr int withdrawalWidth = 4;
 }
@@ -84,10 +86,10 @@
         behindSince_ = clock_.now();
 }
 
-auto FleetCore::isCurrent() const -> bool
+auto FleetCore::currentUntil() const -> MonotonicTime
 {
-    const bool leftBehind = behindSince_ && clock_.now() - *behindSince_ > freshnessLimit;
-    return !leftBehind && freshness_.isCurrent();
+    const auto heard = freshness_.currentUntil();
+    return behindSince_ ? std::min(heard, *behindSince_ + freshnessLimit) : heard;
 }
 
 // An answer proves something only to an instance that has all that the answering one had. It counts from
@@ -126,8 +128,14 @@
 
 auto FleetCore::handle(const InstanceId& from, const MemberReport& report) -> void
 {
-    if (report.member_.id_ == from)
-        members_.learn(report.member_);
+    const auto& member = report.member_;
+    if (member.id_ == from && member.leaving_ && !members_.hasLeft(member.id_.name_) && member.domain_ != members_.self().domain_) {
+        // A leaving instance tells its own domain and the watchers; they tell theirs.
+        for (const auto* other : members_.list().ofDomain(members_.self().domain_))
+            send(other->id_.name_, report);
+    }
+    if (member.id_ == from || member.leaving_)
+        members_.learn(member);
 }
 
 auto FleetCore::handle(const InstanceId& from, const MemberAsk&) -> void
@@ -170,8 +178,7 @@
     const auto now = clock_.now();
     afterRevision();
     if (now >= nextGossip_) {
-        const auto period = Duration(options_.gossipPeriod_).count();
-        nextGossip_ = now + Duration(std::uniform_int_distribution<std::int64_t>(period * 3 / 4, period * 5 / 4)(random_));
+        nextGossip_ = now + nextGossipIn();
         gossip();
     }
     if (now >= nextHeartbeat_) {
@@ -188,6 +195,14 @@
     }
 }
 
+// Sooner while evidence that this instance is current runs out.
+auto FleetCore::nextGossipIn() -> Duration
+{
+    const bool runsOut = currentUntil() - clock_.now() < freshnessLimit / 2;
+    const auto period = Duration(runsOut ? options_.gossipPeriod_ / urgency : options_.gossipPeriod_).count();
+    return Duration(std::uniform_int_distribution<std::int64_t>(period * 3 / 4, period * 5 / 4)(random_));
+}
+
 // Watchers of the domain hear at once what is in force here.
 auto FleetCore::afterRevision() -> void
 {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,6 +20,7 @@
 ABSL_FLAG(bool, test_run, false, "ctl: check the commands and change nothing");
 ABSL_FLAG(std::string, file, "", "ctl: run all commands of this file, or of standard input if it is -, as one batch");
 ABSL_FLAG(std::string, id, "", "ctl: id of the commands; the same id again never runs them twice");
+ABSL_FLAG(std::int64_t, wait_ms, 5000, "ctl: milliseconds to wait for a change to be in force everywhere");
 ABSL_FLAG(std::int64_t, only_at, -1, "ctl: refuse unless the configuration is at this revision");
 
 namespace sapphirepass {
@@ -33,7 +34,7 @@
                                        "  sapphirepass ctl --entry ADDRESS            run each line of standard input on its own\n"
                                        "  sapphirepass check-config FILE              check a settings file\n"
                                        "  sapphirepass version                        print the version\n\n"
-                                       "Exit codes: 0 done, 1 failed, 2 wrong usage or text, 3 refused, 4 unavailable, 5 outcome unknown\n";
+                                       "Exit codes: 0 done, 1 failed, 2 wrong usage or text, 3 refused, 4 unavailable, 5 outcome unknown,\n6 enforced but not durable\n";
     constexpr int usageExit = 2;
 
     auto failUsage(std::string_view message) -> int
@@ -99,6 +100,7 @@
         CtlOptions options { *address, output == "json" ? CtlOutput::Json : CtlOutput::Table, operatorName(), absl::GetFlag(FLAGS_test_run), std::nullopt, absl::GetFlag(FLAGS_id) };
         if (absl::GetFlag(FLAGS_only_at) >= 0)
             options.onlyAt_ = absl::GetFlag(FLAGS_only_at);
+        options.wait_ = std::chrono::milliseconds(absl::GetFlag(FLAGS_wait_ms));
         const auto file = absl::GetFlag(FLAGS_file);
         if (!file.empty())
             return arguments.empty() ? runCtlFile(options, file) : failUsage("ctl takes either --file or a text");
