--- a/src/config/log_codec.cpp
+++ b/src/config/log_codec.cpp
@@ -116,7 +116,8 @@
 auto encodeLogHead(const LogHead& head) -> std::string
 {
     const Json json { { "format", logFormat }, { "revision", head.revision_ }, { "entries", encodeEntries(head.entries_) },
-        { "snapshot", encodeReference(head.snapshot_) }, { "cut_ids", encodeCutIds(head.cutIds_) } };
+        { "snapshot", encodeReference(head.snapshot_) },
+        { "previous", encodeReference(head.previous_) }, { "cut_ids", encodeCutIds(head.cutIds_) } };
     return json.dump();
 }
 
@@ -126,6 +127,7 @@
         if (json.at("format") != logFormat)
             return LogDecodeError { std::string(texts::logFormatUnknown) };
         LogHead head { revisionOf(json.at("revision")), decodeEntries(json.at("entries")), decodeReference(json.at("snapshot")),
+            decodeReference(json.at("previous")),
             decodeCutIds(json.at("cut_ids").get<std::string>()) };
         if (!isComplete(head))
             return LogDecodeError { std::string(texts::logIncomplete) };
--- a/src/config/log_type.h
+++ b/src/config/log_type.h
@@ -46,6 +46,8 @@
     std::vector<LogEntry> entries_;
     // Holds what the entries that were cut off led to.
     SnapshotReference snapshot_ {};
+    // The snapshot before that one, for when a chunk of it cannot be read.
+    SnapshotReference previous_ {};
     // Hashes of the ids of the last commands that were cut off, in the order of their consecutive
     // revisions; the last one stands right before the first entry.
     std::vector<std::uint64_t> cutIds_ {};
--- a/src/store/log_cutter.cpp
+++ b/src/store/log_cutter.cpp
@@ -36,7 +36,7 @@
     auto cutHead(const LogHead& head, const SnapshotReference& snapshot, std::size_t cut, std::size_t mostIds) -> LogHead
     {
         const auto firstKept = head.entries_.begin() + static_cast<std::ptrdiff_t>(cut);
-        LogHead result { head.revision_, { firstKept, head.entries_.end() }, snapshot, head.cutIds_ };
+        LogHead result { head.revision_, { firstKept, head.entries_.end() }, snapshot, head.snapshot_, head.cutIds_ };
         for (std::size_t i = 0; i < cut; ++i)
             result.cutIds_.push_back(hashText(head.entries_[i].id_));
         if (result.cutIds_.size() > mostIds)
--- a/src/store/snapshot_store.cpp
+++ b/src/store/snapshot_store.cpp
@@ -5,6 +5,7 @@
 #include "base/field.h"
 #include "base/texts.h"
 #include "config/snapshot_codec.h"
+#include "store/audit_trail.h"
 
 #include <fmt/format.h>
 
@@ -100,20 +101,50 @@
     return Done {};
 }
 
+namespace {
+    // Pages between two snapshots; cuts that were broken off may have left several.
+    constexpr std::size_t pagesBetweenSnapshots = 8;
+
+    auto installFrom(ObjectStore& store, ConfigState& state, const SnapshotReference& reference) -> Result<Revision, ApplyError>
+    {
+        const auto snapshot = loadSnapshot(store, reference);
+        if (!isOk(snapshot)) {
+            logEvent(EventId::SnapshotUnreadable, "revision={} message=\"{}\"", reference.revision_, errorOf(snapshot).message_);
+            return ApplyError { ApplyErrorKind::Gap, errorOf(snapshot).message_ };
+        }
+        return state.install(valueOf(snapshot));
+    }
+
+    // Applies the entries that were cut off since this instance's revision, from the pages of the audit trail.
+    auto applyArchived(ObjectStore& store, ConfigState& state, Revision upTo) -> Result<Revision, ApplyError>
+    {
+        auto entries = readAccepted(store, upTo, pagesBetweenSnapshots);
+        if (!isOk(entries))
+            return ApplyError { ApplyErrorKind::Gap, errorOf(entries).message_ };
+        LogHead archived;
+        for (const auto& entry : valueOf(entries)) {
+            if (entry.revision_ > state.snapshot()->revision())
+                archived.entries_.push_back(entry);
+        }
+        archived.revision_ = upTo;
+        return state.apply(archived);
+    }
+}
+
 auto catchUp(ObjectStore& store, ConfigState& state, const LogHead& head) -> Result<Revision, ApplyError>
 {
     auto applied = state.apply(head);
     if (isOk(applied) || errorOf(applied).kind_ != ApplyErrorKind::Gap || head.snapshot_.revision_ == 0)
         return applied;
-    const auto snapshot = loadSnapshot(store, head.snapshot_);
-    if (!isOk(snapshot)) {
-        logEvent(EventId::SnapshotUnreadable, "revision={} message=\"{}\"", head.snapshot_.revision_, errorOf(snapshot).message_);
-        return ApplyError { ApplyErrorKind::Gap, errorOf(snapshot).message_ };
-    }
-    const auto installed = state.install(valueOf(snapshot));
-    if (!isOk(installed) && errorOf(installed).kind_ != ApplyErrorKind::Stale)
-        return errorOf(installed);
-    return state.apply(head);
+    const auto installed = installFrom(store, state, head.snapshot_);
+    if (isOk(installed) || errorOf(installed).kind_ != ApplyErrorKind::Gap)
+        return state.apply(head);
+    const auto previous = installFrom(store, state, head.previous_);
+    if (!isOk(previous) && errorOf(previous).kind_ == ApplyErrorKind::Gap)
+        return installed;
+    const auto beforeFirst = head.revision_ - static_cast<Revision>(head.entries_.size());
+    const auto archived = applyArchived(store, state, beforeFirst);
+    return isOk(archived) ? state.apply(head) : installed;
 }
 
 } // namespace sapphirepass
--- a/src/store/snapshot_store.h
+++ b/src/store/snapshot_store.h
@@ -15,7 +15,8 @@
 // Removes the chunks of all revisions below the given one, as far as the store answers.
 auto removeSnapshotsBelow(ObjectStore& store, Revision revision) -> Result<Done, StoreError>;
 
-// Applies the head; loads its snapshot first if this instance is behind the first entry.
+// Applies the head; loads its snapshot first if this instance is behind the first entry, or, if that cannot be
+// read, the one before and what the audit trail holds since.
 auto catchUp(ObjectStore& store, ConfigState& state, const LogHead& head) -> Result<Revision, ApplyError>;
 
 } // namespace sapphirepass
--- a/standin/local_entry_http.cpp
+++ b/standin/local_entry_http.cpp
@@ -5,6 +5,7 @@
 #include "standin/free_ports.h"
 #include "standin/memory_store.h"
 #include "store/command_service.h"
+#include "store/command_trail.h"
 
 #include <fmt/format.h>
 #include <map>
@@ -60,6 +61,7 @@
         const auto applied = config_.apply(head);
         if (!isOk(applied))
             throw std::runtime_error(errorOf(applied).message_);
+        operators_.addSource(std::make_unique<CommandTrail>(store_));
         server_.open();
     }
 
--- a/standin/socket_upstream.cpp
+++ b/standin/socket_upstream.cpp
@@ -114,7 +114,7 @@
         }
         buffer.erase(0, size);
         const auto part = behaviour_ == Behaviour::Answer ? answer_.size() : behaviour_ == Behaviour::CutAnswer ? answer_.size() - bodyBytes_ / 2
-                                                                                                                  : 0;
+                                                                                                                : 0;
         ::send(descriptor, answer_.data(), part, MSG_NOSIGNAL);
         if (behaviour_ != Behaviour::Answer) {
             shutdown(descriptor, SHUT_RDWR);
