--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -345,7 +345,8 @@
     response.set_body(upstream.body(), static_cast<utility::size64_t>(length), contentType(upstream));
     copyHeaders(upstream, response);
     noteAnswerBytes(exchange, assignment, length);
-    upstream.content_ready().then([this, assignment](const pplx::task<http::http_response>& ready) {
+    // Holds the exchange, so that the pipeline lives until the slot is released.
+    upstream.content_ready().then([this, exchange, assignment](const pplx::task<http::http_response>& ready) {
         auto outcome = CallOutcome::Answered;
         try {
             ready.wait();
@@ -360,7 +361,26 @@
 
 auto HttpRequestPipeline::refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void
 {
-    reply(exchange, makeProblem(refusal));
+    if (exchange->message_.content_ready().is_done())
+        reply(exchange, makeProblem(refusal));
+    else
+        replyUncounted(exchange, makeProblem(refusal));
+}
+
+// The library sends no answer before the whole body has arrived, which may be never: a refusal that waits
+// for that must not hold up a stop, so it touches nothing of this instance any more.
+auto HttpRequestPipeline::replyUncounted(const ExchangePtr& exchange, const http::http_response& response) -> void
+{
+    parts_.metrics_.increment({ "requests_total", fmt::format("status=\"{}\"", response.status_code()) });
+    const auto message = exchange->message_;
+    exchange->token_.reset();
+    message.reply(response).then([](const pplx::task<void>& sent) {
+        try {
+            sent.wait();
+        } catch (const std::exception&) {
+            // The caller has gone, or the instance has stopped.
+        }
+    });
 }
 
 auto HttpRequestPipeline::reply(const ExchangePtr& exchange, const http::http_response& response) -> void
--- a/src/entry/http_request_pipeline.h
+++ b/src/entry/http_request_pipeline.h
@@ -60,6 +60,7 @@
     auto refuseLate(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto cancelRun(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void;
+    auto replyUncounted(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
     auto reply(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
 
     PipelineParts parts_;
--- a/src/entry/in_flight.h
+++ b/src/entry/in_flight.h
@@ -1,6 +1,7 @@
 // Counts the requests in flight, so that a planned stop waits for the last one.
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <memory>
@@ -15,6 +16,8 @@
 
     auto enter() -> Token;
     auto count() const -> std::int64_t;
+    // Blocks until no request has arrived for the quiet time, for the longest time, or until interrupt() was called.
+    auto waitForQuiet(std::chrono::milliseconds quiet, std::chrono::milliseconds longest) -> void;
     // Blocks until no request is in flight or until interrupt() was called; true if none is in flight.
     auto waitForNone() -> bool;
     auto interrupt() -> void;
@@ -23,6 +26,7 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::int64_t count_ = 0;
+    std::int64_t entered_ = 0;
     bool interrupted_ = false;
 };
 
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -1,11 +1,11 @@
 #include "entry/run_entry.h"
 
+#include "admission/escrow_budgets.h"
 #include "base/event_log.h"
 #include "base/random.h"
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
 #include "fleet/fleet_node.h"
-#include "steering/fixed_share_budgets.h"
 #include "steering/move_progress.h"
 #include "steering/queued_steering.h"
 #include "steering/region_steering.h"
@@ -32,6 +32,9 @@
         return { { total, (total + 1) / 2 }, settings.queueWait_ };
     }
 
+    // Longest time that a planned stop takes to hand shares of limits to other instances.
+    constexpr std::chrono::milliseconds shareHandOver { 2'000 };
+
     using SignalSet = boost::asio::signal_set;
 
     // Blocks until the next SIGINT or SIGTERM.
@@ -80,6 +83,11 @@
         return isOk(result) || (errorOf(result).kind_ != CommandErrorKind::NotAccepted && errorOf(result).kind_ != CommandErrorKind::OutcomeUnknown);
     }
 
+    // An instance that stops is closed after this time without a request.
+    constexpr std::chrono::milliseconds stopQuiet { 1'000 };
+    // Twice the lifetime of a look-up's answer.
+    constexpr std::chrono::milliseconds longestLinger { 10'000 };
+
     // Waits for the last request; a second signal ends the wait. Returns whether nothing was cut.
     auto drain(InFlight& inFlight, SignalSet& signals) -> bool
     {
@@ -87,6 +95,9 @@
             if (!cancelled)
                 inFlight.interrupt();
         });
+        // Closing the listener leaves connections that are just arriving without an answer, so it stays open,
+        // refusing as not run, until look-ups that named this instance have been forgotten.
+        inFlight.waitForQuiet(stopQuiet, longestLinger);
         const bool finished = inFlight.waitForNone();
         signals.cancel();
         return finished;
@@ -116,8 +127,8 @@
         self.id_, settings.peer_, [&fleet](const std::string& name) { return fleet.resolve(name); }, metrics);
     fleet.attach(peers);
     follower.setObserver(&fleet);
-    EqualSplitAdmitter admitter(clock, settings.maxInstances_);
-    FixedShareBudgets budgets(clock, config, settings.maxInstances_);
+    EscrowBudgets budgets(clock, self.id_, peers, store, config, metrics);
+    EscrowAdmitter admitter(budgets);
     LinkMeter links(budgets);
     RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
@@ -138,6 +149,7 @@
     if (!startListening(settings.peer_, [&peers] { peers.start(); }) || !startListening(settings.http_, [&server] { server.open(); }))
         return 1;
     fleet.start();
+    budgets.start();
     logEvent(EventId::EntryStarted, "instance={} address={}", settings.name_, formatSocketAddress(settings.http_));
     const int signal = waitForSignal(signals);
     logEvent(EventId::EntryDraining, "signal={} in_flight={}", signal, inFlight.count());
@@ -147,6 +159,8 @@
     const bool finished = drain(inFlight, signals);
     const auto cut = inFlight.count();
     server.close();
+    budgets.leave(shareHandOver);
+    budgets.stop();
     fleet.stop();
     peers.stop();
     follower.stop();
--- a/standin/local_entry_http.cpp
+++ b/standin/local_entry_http.cpp
@@ -66,6 +66,7 @@
     ~Parts()
     {
         pipeline_.refuseNew();
+        inFlight_.waitForQuiet(std::chrono::milliseconds(100), std::chrono::seconds(10));
         inFlight_.waitForNone();
         server_.close();
     }
