--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -59,6 +59,14 @@
 inline constexpr std::string_view upstreamFailed = "the upstream ended the call without an answer";
 inline constexpr std::string_view instanceStopping = "this instance is stopping; look up another";
 inline constexpr std::string_view notCurrent = "this instance cannot know whether keys are still valid; use another";
+inline constexpr std::string_view ticketWorkspace = "name a declared workspace: /v1/ticket?workspace=NAME";
+inline constexpr std::string_view ticketNeeded = "this request may run only once; send it again with the ticket in Once-Ticket";
+inline constexpr std::string_view ticketBad = "the ticket is not one for this workspace";
+inline constexpr std::string_view ticketElsewhere = "the ticket belongs to instance '{}'; send the request there";
+inline constexpr std::string_view ticketVoid = "the ticket is void; its request may have run before and will not run again";
+inline constexpr std::string_view onceRunning = "the request with this ticket is running";
+inline constexpr std::string_view onceUnknown = "the request with this ticket was sent once; its outcome is not known and it will not run again";
+inline constexpr std::string_view onceFull = "this instance keeps as many outcomes as it can";
 inline constexpr std::string_view noInstance = "no live instance is known";
 inline constexpr std::string_view configurationMissing = "this instance has no configuration yet";
 inline constexpr std::string_view deadlinePassed = "the deadline has passed";
--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -120,6 +120,8 @@
     int notRun_ = 0;
     // Names the run at the upstream; empty if the caller has named it.
     std::string runId_ {};
+    // Name of the record of a request that may run only once; empty for others.
+    std::string once_ {};
 };
 
 HttpRequestPipeline::HttpRequestPipeline(const PipelineParts& parts)
@@ -138,6 +140,8 @@
         refuse(exchange, errorOf(admitted));
         return;
     }
+    if (!passOnce(exchange))
+        return;
     notRunRetries_.noteRequest();
     lostRetries_.noteRequest();
     collectBody(exchange);
@@ -163,6 +167,40 @@
     return parts_.admitter_.admit(exchange->grant_.workspace_);
 }
 
+// Answers repeats and requests that lack a ticket; true if the request goes on.
+auto HttpRequestPipeline::passOnce(const ExchangePtr& exchange) -> bool
+{
+    if (once_ == nullptr)
+        return true;
+    const auto decision = once_->decide(exchange->request_, exchange->grant_);
+    if (const auto* pass = std::get_if<OncePass>(&decision)) {
+        exchange->once_ = pass->name_;
+        return true;
+    }
+    if (const auto* answer = std::get_if<RecordedAnswer>(&decision)) {
+        http::http_response response(static_cast<http::status_code>(answer->status_));
+        response.set_body(answer->body_, answer->contentType_);
+        replyEarly(exchange, response);
+        return false;
+    }
+    const auto& refusal = std::get<OnceRefusal>(decision);
+    auto response = makeProblem(refusal.refusal_);
+    if (!refusal.ticket_.empty())
+        response.headers().add(std::string(ticketHeader), refusal.ticket_);
+    replyEarly(exchange, response);
+    return false;
+}
+
+auto HttpRequestPipeline::settleOnce(const ExchangePtr& exchange, Executed executed) -> void
+{
+    if (exchange->once_.empty())
+        return;
+    if (executed == Executed::No)
+        once_->notRun(exchange->once_);
+    else
+        once_->ended(exchange->once_, OnceUnknown {});
+}
+
 auto HttpRequestPipeline::collectBody(const ExchangePtr& exchange) -> void
 {
     const auto length = exchange->request_.length_;
@@ -222,7 +260,7 @@
     exchange->tried_.insert(assignment.upstream_.name_);
     const auto query = upstreamQuery(request.query_);
     auto headers = upstreamHeaders(request.headers_);
-    std::erase_if(headers, [](const Header& header) { return header.name_ == deadlineHeader || header.name_ == "Sapphirepass-Workspace"; });
+    std::erase_if(headers, [](const Header& header) { return header.name_ == deadlineHeader || equalsIgnoreCase(header.name_, ticketHeader) || header.name_ == "Sapphirepass-Workspace"; });
     headers.push_back({ std::string(deadlineHeader), fmt::format("{}", hopDeadline(remaining).count()) });
     const bool named = std::any_of(headers.begin(), headers.end(), [](const Header& header) { return equalsIgnoreCase(header.name_, requestIdHeader); });
     exchange->runId_ = named ? std::string() : randomHex(requestIdBytes);
@@ -321,6 +359,8 @@
             noteAnswerBytes(exchange, assignment, static_cast<std::int64_t>(bytes.size()));
             if (length && *length != static_cast<std::int64_t>(bytes.size()))
                 failure = "fewer bytes than announced";
+            if (failure.empty() && !exchange->once_.empty())
+                once_->ended(exchange->once_, RecordedAnswer { upstream.status_code(), contentType(upstream), std::string(bytes.begin(), bytes.end()) });
             response.set_body(std::move(bytes));
         } catch (const std::exception& error) {
             failure = error.what();
@@ -344,6 +384,8 @@
     auto response = startAnswer(upstream);
     response.set_body(upstream.body(), static_cast<utility::size64_t>(length), contentType(upstream));
     copyHeaders(upstream, response);
+    // Too large to be kept for a repeat.
+    settleOnce(exchange, Executed::Unknown);
     noteAnswerBytes(exchange, assignment, length);
     // Holds the exchange, so that the pipeline lives until the slot is released.
     upstream.content_ready().then([this, exchange, assignment](const pplx::task<http::http_response>& ready) {
@@ -360,11 +402,17 @@
 }
 
 auto HttpRequestPipeline::refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void
+{
+    settleOnce(exchange, refusal.executed_);
+    replyEarly(exchange, makeProblem(refusal));
+}
+
+auto HttpRequestPipeline::replyEarly(const ExchangePtr& exchange, const http::http_response& response) -> void
 {
     if (exchange->message_.content_ready().is_done())
-        reply(exchange, makeProblem(refusal));
+        reply(exchange, response);
     else
-        replyUncounted(exchange, makeProblem(refusal));
+        replyUncounted(exchange, response);
 }
 
 // The library sends no answer before the whole body has arrived, which may be never: a refusal that waits
--- a/src/entry/http_request_pipeline.h
+++ b/src/entry/http_request_pipeline.h
@@ -3,6 +3,7 @@
 
 #include "admission/admitter.h"
 #include "admission/authenticate_func.h"
+#include "admission/once_gate.h"
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "config/config_state.h"
@@ -40,6 +41,8 @@
     auto handle(const web::http::http_request& message) -> void;
     // To be called before the first request; asked about each request.
     auto setGate(const RequestGate* gate) -> void { gate_ = gate; }
+    // To be called before the first request; without it no request needs a ticket.
+    auto setOnce(OnceGate* once) -> void { once_ = once; }
     // From now on new requests are refused as not run.
     auto refuseNew() -> void { refusing_ = true; }
 
@@ -48,6 +51,8 @@
     using ExchangePtr = std::shared_ptr<Exchange>;
 
     auto admit(const ExchangePtr& exchange) -> Result<Done, Refusal>;
+    auto passOnce(const ExchangePtr& exchange) -> bool;
+    auto settleOnce(const ExchangePtr& exchange, Executed executed) -> void;
     auto collectBody(const ExchangePtr& exchange) -> void;
     auto steer(const ExchangePtr& exchange) -> void;
     auto forward(const ExchangePtr& exchange, const Assignment& assignment) -> void;
@@ -60,6 +65,7 @@
     auto refuseLate(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto cancelRun(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto refuse(const ExchangePtr& exchange, const Refusal& refusal) -> void;
+    auto replyEarly(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
     auto replyUncounted(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
     auto reply(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
 
@@ -68,6 +74,7 @@
     RetryBudget notRunRetries_;
     RetryBudget lostRetries_;
     const RequestGate* gate_ = nullptr;
+    OnceGate* once_ = nullptr;
     std::atomic<bool> refusing_ { false };
 };
 
