--- a/src/entry/in_flight.cpp
+++ b/src/entry/in_flight.cpp
@@ -6,6 +6,7 @@
 {
     const std::lock_guard lock(mutex_);
     ++count_;
+    ++entered_;
     return Token(this, [](InFlight* owner) {
         const std::lock_guard lock(owner->mutex_);
         --owner->count_;
@@ -19,6 +20,17 @@
     return count_;
 }
 
+auto InFlight::waitForQuiet(std::chrono::milliseconds quiet, std::chrono::milliseconds longest) -> void
+{
+    std::unique_lock lock(mutex_);
+    for (auto waited = std::chrono::milliseconds { 0 }; waited < longest && !interrupted_; waited += quiet) {
+        const auto before = entered_;
+        changed_.wait_for(lock, quiet, [this] { return interrupted_; });
+        if (entered_ == before)
+            return;
+    }
+}
+
 auto InFlight::waitForNone() -> bool
 {
     std::unique_lock lock(mutex_);
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -91,6 +91,11 @@
         return isOk(result) || (errorOf(result).kind_ != CommandErrorKind::NotAccepted && errorOf(result).kind_ != CommandErrorKind::OutcomeUnknown);
     }
 
+    // An instance that stops is closed after this time without a request.
+    constexpr std::chrono::milliseconds stopQuiet { 1'000 };
+    // Twice the lifetime of a look-up's answer.
+    constexpr std::chrono::milliseconds longestLinger { 10'000 };
+
     // Waits for the last request; a second signal ends the wait. Returns whether nothing was cut.
     auto drain(InFlight& inFlight, SignalSet& signals) -> bool
     {
@@ -98,6 +103,9 @@
             if (!cancelled)
                 inFlight.interrupt();
         });
+        // Closing the listener leaves connections that are just arriving without an answer, so it stays open,
+        // refusing as not run, until look-ups that named this instance have been forgotten.
+        inFlight.waitForQuiet(stopQuiet, longestLinger);
         const bool finished = inFlight.waitForNone();
         signals.cancel();
         return finished;
