--- a/bench/admission_bench.cpp
+++ b/bench/admission_bench.cpp
@@ -52,8 +52,7 @@
 
     auto admit(MonotonicTime now) -> bool
     {
-        if (last_ != MonotonicTime {})
-            tokens_ = std::min(burst_, tokens_ + rate_ * std::chrono::duration<double>(now - last_).count());
+        tokens_ = std::min(burst_, tokens_ + rate_ * std::chrono::duration<double>(now - last_).count());
         last_ = now;
         if (tokens_ < 1)
             return false;
@@ -67,7 +66,7 @@
     double rate_;
     double burst_;
     double tokens_;
-    MonotonicTime last_ {};
+    MonotonicTime last_ { std::chrono::hours(1) };
 };
 
 class Scheme {
