--- a/src/entry/http_entry_server.cpp
+++ b/src/entry/http_entry_server.cpp
@@ -61,6 +61,8 @@
         pipeline_.handle(message);
     else if (get && path == "/v1/lookup")
         answerLookup(message);
+    else if (get && path == "/v1/ticket" && once_ != nullptr)
+        answerTicket(message);
     else if (get && path == "/healthz")
         answerHealth(message);
     else if (get && path == "/metrics")
@@ -73,6 +75,20 @@
         refuseAs(message, RefusalKind::NotFound, texts::pathBad);
 }
 
+auto HttpEntryServer::answerTicket(const http::http_request& message) -> void
+{
+    const auto query = web::uri::split_query(message.request_uri().query());
+    const auto workspace = query.find("workspace");
+    if (workspace == query.end() || config_.snapshot()->find<Workspace>(workspace->second) == nullptr) {
+        refuseAs(message, RefusalKind::NotFound, texts::ticketWorkspace);
+        return;
+    }
+    auto body = value::object();
+    body["ticket"] = value::string(once_->issue(workspace->second));
+    body["instance"] = value::string(settings_.name_);
+    message.reply(http::status_codes::OK, body);
+}
+
 auto HttpEntryServer::answerLookup(const http::http_request& message) -> void
 {
     const auto query = web::uri::split_query(message.request_uri().query());
--- a/src/entry/run_entry_http.cpp
+++ b/src/entry/run_entry_http.cpp
@@ -6,6 +6,7 @@
 #include "entry/http_entry_server.h"
 #include "fleet/capnp_peer_link.h"
 #include "fleet/fleet_node.h"
+#include "steering/move_progress.h"
 #include "steering/queued_steering.h"
 #include "steering/region_steering.h"
 #include "store/command_trail.h"
@@ -31,6 +32,9 @@
         return { { total, (total + 1) / 2 }, settings.queueWait_ };
     }
 
+    constexpr std::size_t ticketSecretBytes = 32;
+    // Outcomes of requests that may run only once; with their answers about 64 MB at most.
+    constexpr OnceBounds onceBounds { 100'000, 32 * 1024 * 1024 };
     // Longest time that a planned stop takes to hand shares of limits to other instances.
     constexpr std::chrono::milliseconds shareHandOver { 2'000 };
 
@@ -75,6 +79,11 @@
         return options;
     }
 
+    auto isListed(const std::vector<PlatformInstance>& instances, const std::string& name) -> bool
+    {
+        return std::any_of(instances.begin(), instances.end(), [&name](const PlatformInstance& instance) { return instance.name_ == name; });
+    }
+
     // A withdrawal that the log refuses, such as of a key that is retired, is settled as well.
     auto makeDurable(CommandService& commands, const Withdrawal& withdrawal) -> bool
     {
@@ -123,11 +132,16 @@
     LinkMeter links(budgets);
     RegionSteering steering(settings.region_, clock, budgets, links, randomNumber());
     QueuedSteering queued(steering, clock, queuePolicy(settings));
-    HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_) });
+    HttpRequestPipeline pipeline({ clock, config, admitter, queued, metrics, inFlight, static_cast<std::size_t>(settings.maxHeaderBytes_), settings.region_, &links });
     HttpOperatorApi operators(commands, config);
+    operators.addSource(std::make_unique<MoveProgressSource>(steering, config, settings.name_));
     operators.addSource(std::make_unique<CommandTrail>(store));
     HttpEntryServer server(settings, config, instances, pipeline, operators, metrics, inFlight);
 
+    OnceGate once(clock, TicketOffice(self.id_, randomHex(ticketSecretBytes)), onceBounds,
+        [&instances](const std::string& name) { return isListed(instances.instances(), name); });
+    pipeline.setOnce(&once);
+    server.setOnce(&once);
     pipeline.setGate(&fleet);
     operators.setFleet(&fleet);
     operators.addSource(std::make_unique<InstanceRows>(fleet));
