--- a/src/store/snapshot_store.cpp
+++ b/src/store/snapshot_store.cpp
@@ -136,7 +136,7 @@
     auto applied = state.apply(head);
     if (isOk(applied) || errorOf(applied).kind_ != ApplyErrorKind::Gap || head.snapshot_.revision_ == 0)
         return applied;
-    const auto installed = installFrom(store, state, head.snapshot_);
+    auto installed = installFrom(store, state, head.snapshot_);
     if (isOk(installed) || errorOf(installed).kind_ != ApplyErrorKind::Gap)
         return state.apply(head);
     const auto previous = installFrom(store, state, head.previous_);
