--- a/src/base/texts.h
+++ b/src/base/texts.h
@@ -59,6 +59,7 @@
 inline constexpr std::string_view upstreamFailed = "the upstream ended the call without an answer";
 inline constexpr std::string_view instanceStopping = "this instance is stopping; look up another";
 inline constexpr std::string_view notCurrent = "this instance cannot know whether keys are still valid; use another";
+inline constexpr std::string_view ticketWorkspace = "name a declared workspace: /v1/ticket?workspace=NAME";
 inline constexpr std::string_view ticketNeeded = "this request may run only once; send it again with the ticket in Once-Ticket";
 inline constexpr std::string_view ticketBad = "the ticket is not one for this workspace";
 inline constexpr std::string_view ticketElsewhere = "the ticket belongs to instance '{}'; send the request there";
