--- a/bench/block_bench.cpp
+++ b/bench/block_bench.cpp
@@ -49,6 +49,7 @@
 auto instances() -> std::vector<PlatformInstance>
 {
     std::vector<PlatformInstance> list;
+    list.reserve(instanceCount);
     for (int i = 0; i < instanceCount; ++i)
         list.push_back({ fmt::format("entry-{}", i), i % 2 == 0 ? "luzon" : "visayas", "d", { "127.0.0.1", 1 }, { "127.0.0.1", 2 } });
     return list;
--- a/bench/hop_bench.cpp
+++ b/bench/hop_bench.cpp
@@ -62,7 +62,7 @@
     auto client = std::make_shared<web::http::client::http_client>(fmt::format("http://{}", formatSocketAddress(upstream)));
     return [client](const web::http::http_request& message) {
         client->request(message.method(), message.request_uri().to_string())
-            .then([](web::http::http_response response) { return response.extract_string(true); })
+            .then([](const web::http::http_response& response) { return response.extract_string(true); })
             .then([message](const std::string& body) { message.reply(200, body, "text/plain"); });
     };
 }
@@ -79,6 +79,7 @@
 auto onAllConnections(Work work) -> void
 {
     std::vector<std::thread> threads;
+    threads.reserve(connections);
     for (int i = 0; i < connections; ++i)
         threads.emplace_back([&work, i] { work(i); });
     for (auto& thread : threads)
--- a/bench/load/caller_load.cpp
+++ b/bench/load/caller_load.cpp
@@ -18,6 +18,7 @@
     constexpr std::size_t maxAttempts = 5;
     constexpr std::size_t progressEvery = 1'000;
     constexpr int overRate = 429;
+    constexpr int ticketNeeded = 428;
 
     // One caller: its connections and what it remembers of look-ups.
     class Caller {
@@ -33,12 +34,15 @@
         {
             const auto& workspace = experiment_.workspaces_[scheduled.workspace_];
             CallRecord record { fmt::format("load-{}-{}", experiment_.seed_, index), workspace.name_, !scheduled.write_, start + scheduled.at_, {} };
+            ticket_.clear();
             while (record.attempts_.size() < maxAttempts) {
                 record.attempts_.push_back(attempt(workspace, record));
                 const auto& last = record.attempts_.back();
                 if (!isWorthRepeating(record, last))
                     break;
-                useNext(workspace.name_);
+                // A ticket is good at the instance that issued it and nowhere else.
+                if (ticket_.empty())
+                    useNext(workspace.name_);
             }
             return record;
         }
@@ -64,6 +68,8 @@
 
         auto isWorthRepeating(const CallRecord& record, const Attempt& attempt) const -> bool
         {
+            if (attempt.status_ == ticketNeeded)
+                return !ticket_.empty();
             if (attempt.status_ == overRate || (attempt.status_ >= 200 && attempt.status_ < 500))
                 return false;
             const bool notRun = attempt.executed_ == "no" || attempt.executed_ == "unsent";
@@ -82,7 +88,7 @@
             const auto known = lookups_.find(workspace);
             if (known != lookups_.end() && known->second.until_ > steadyNow())
                 return known->second.addresses_.front();
-            const auto asked = anyEntry();
+            auto asked = anyEntry();
             HttpSocket socket(asked, callTimeLimit);
             socket.send(renderRequest("GET", fmt::format("/v1/lookup?workspace={}", workspace), "", ""));
             const auto answer = nlohmann::json::parse(socket.readAnswer().body_, nullptr, false);
@@ -115,6 +121,8 @@
             auto headers = fmt::format("Authorization: Bearer {}\r\nLoad-Id: {}\r\n", addresses_.keys_.at(workspace.name_), record.id_);
             if (!record.idempotent_ && experiment_.repeatLost_)
                 headers += fmt::format("Idempotency-Key: {}\r\n", record.id_);
+            if (!ticket_.empty())
+                headers += fmt::format("Once-Ticket: {}\r\n", ticket_);
             const std::string body(record.idempotent_ ? 0 : static_cast<std::size_t>(workspace.bytes_), 'b');
             auto& socket = connectionTo(lookUp(workspace.name_));
             Attempt attempt;
@@ -129,8 +137,10 @@
             return attempt;
         }
 
-        static auto judge(const SocketAnswer& answer, const std::string& echo, Attempt& attempt) -> void
+        auto judge(const SocketAnswer& answer, const std::string& echo, Attempt& attempt) -> void
         {
+            if (const auto ticket = answer.headers_.find("once-ticket"); answer.status_ == ticketNeeded && ticket != answer.headers_.end())
+                ticket_ = ticket->second;
             attempt.status_ = answer.status_;
             attempt.whole_ = answer.whole_;
             if (answer.status_ == 200) {
@@ -146,6 +156,8 @@
         const Addresses& addresses_;
         std::mt19937_64 random_;
         std::map<std::string, Lookup> lookups_;
+        // Of the request that is being sent; empty while none was issued.
+        std::string ticket_;
         std::map<SocketAddress, std::unique_ptr<HttpSocket>> sockets_;
     };
 }
--- a/tests/entry_upstream_fault_test.cpp
+++ b/tests/entry_upstream_fault_test.cpp
@@ -106,18 +106,19 @@
     const auto address = *parseSocketAddress(fmt::format("127.0.0.1:{}", standin::freePorts(1).front()));
     standin::UpstreamServer upstream({ address, 100, 400, std::chrono::milliseconds(1) });
     const Site site({ address });
-    constexpr int callers = 24;
-    constexpr int requests = 8;
+    constexpr std::size_t callers = 24;
+    constexpr std::size_t requests = 8;
     std::mutex mutex;
     std::vector<std::string> wrong;
     std::vector<std::thread> threads;
-    for (int caller = 0; caller < callers; ++caller) {
+    threads.reserve(callers);
+    for (std::size_t caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
-            for (int i = 0; i < requests; ++i) {
+            for (std::size_t i = 0; i < requests; ++i) {
                 upstream.setServiceTime(std::chrono::milliseconds((caller * requests + i) % 7));
                 const auto target = fmt::format("/quotes/{}-{}?bytes={}", caller, i, 50 + caller * 997);
                 const auto answer = site.send("GET", target, "");
-                const auto expected = static_cast<std::size_t>(50 + caller * 997);
+                const auto expected = 50 + caller * 997;
                 if (answer.status_ == 200 && answer.whole_ && answer.body_.starts_with("GET " + target + "\n") && answer.body_.size() == expected)
                     continue;
                 const std::lock_guard lock(mutex);
@@ -127,5 +128,6 @@
     }
     for (auto& thread : threads)
         thread.join();
-    CHECK(wrong == std::vector<std::string> {});
+    CAPTURE(wrong);
+    CHECK(wrong.empty());
 }
