--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -349,8 +349,7 @@
 // when such a stream breaks off.
 auto HttpRequestPipeline::answerBuffered(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream) -> void
 {
-    auto body = upstream;
-    body.extract_vector().then([this, exchange, assignment, upstream](const pplx::task<MemoryBody>& task) {
+    upstream.extract_vector().then([this, exchange, assignment, upstream](const pplx::task<MemoryBody>& task) {
         http::http_response response = startAnswer(upstream);
         std::string failure;
         try {
--- a/src/fleet/freshness.cpp
+++ b/src/fleet/freshness.cpp
@@ -12,7 +12,7 @@
     return hash == storeSource ? 1 : hash;
 }
 
-Freshness::Freshness(const Clock& clock, std::string ownDomain)
+Freshness::Freshness(const Clock& clock, std::string_view ownDomain)
     : clock_(clock)
     , own_(sourceOf(ownDomain))
     , domains_ { own_ }
--- a/src/fleet/freshness.h
+++ b/src/fleet/freshness.h
@@ -16,7 +16,7 @@
 // Times of hearing are times at which the source certainly was as the instance now knows it. Single-threaded.
 class Freshness {
 public:
-    Freshness(const Clock& clock, std::string ownDomain);
+    Freshness(const Clock& clock, std::string_view ownDomain);
 
     // The domains of all known instances, and whether any of these instances is another one.
     auto setFleet(const std::set<std::string>& domains, bool hasOthers) -> void;
--- a/standin/raw_upstream.cpp
+++ b/standin/raw_upstream.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -43,8 +44,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(listener_, reinterpret_cast<const sockaddr*>(&address), size);
-    listen(listener_, backlog);
+    if (bind(listener_, reinterpret_cast<const sockaddr*>(&address), size) != 0 || listen(listener_, backlog) != 0)
+        throw std::runtime_error("no free port");
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     address_ = { "127.0.0.1", ntohs(address.sin_port) };
     thread_ = std::thread([this] { run(); });
--- a/tests/graceful_stop_test.cpp
+++ b/tests/graceful_stop_test.cpp
@@ -57,6 +57,7 @@
     const auto request = load::renderRequest("GET", fmt::format("/w/acme/quotes/1?bytes={}", answerBytes), fmt::format("Authorization: Bearer {}\r\n", entry->bearer("acme")), "");
     Tally tally;
     std::vector<std::thread> threads;
+    threads.reserve(clients);
     for (int i = 0; i < clients; ++i)
         threads.emplace_back([&, address = entry->address()] { runClient(address, request, tally); });
     while (tally.whole_ < answersBeforeStop)
