--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -62,7 +62,7 @@
     if (head.revision_ > revision()) {
         const auto applied = state_.apply(head);
         if (!isOk(applied)) {
-            if (errorOf(applied).kind_ == ApplyErrorKind::UnknownCommand)
+            if (errorOf(applied).kind_ == ApplyErrorKind::UnknownCommand || errorOf(applied).kind_ == ApplyErrorKind::Diverged)
                 nextPull_ = clock_.now() + unreadablePause;
             return false;
         }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -145,6 +145,28 @@
     CHECK(sim.storeCalls() <= 12 * 20);
 }
 
+TEST_CASE("entries that cannot be applied are asked for again after a pause only", "[fleet]")
+{
+    const auto [text, hash] = GENERATE(table<std::string, std::uint64_t>({ { "teleport region a", 0 }, { "declare region a", 12'345 } }));
+    CAPTURE(text);
+    ManualClock clock;
+    ConfigState state;
+    std::mt19937_64 random(20261203);
+    Member self;
+    self.id_ = { "e1", 1 };
+    const MemberTable members(self, clock);
+    Relay relay(state, members, clock, {}, random);
+    Digest ahead;
+    ahead.revision_ = 1;
+    REQUIRE(relay.compare("e2", ahead).size() == 1);
+    relay.receive("e2", EntryBatch { LogHead { 1, { { 1, "x", "w", "f", "t", text, hash } } }, 0 });
+    CHECK(relay.revision() == 0);
+    clock.advance(9s);
+    CHECK(relay.compare("e2", ahead).empty());
+    clock.advance(1s);
+    CHECK(relay.compare("e2", ahead).size() == 1);
+}
+
 TEST_CASE("any order, loss and duplication leads to one state; no revision falls", "[fleet]")
 {
     rc::check([] {
