A body that stalls is refused as not run at the deadline

Cause: a request whose body stopped arriving had no time limit, and a planned stop waited for it without end. Change: a timer settles the wait for a body at the request's deadline. Before: the new test did not end within 10 s (timeout, exit 124); after: it passes. Also: the fair queue's per-workspace queues are called flows, the field's word.

--- a/bench/fair_queue_bench.cpp
+++ b/bench/fair_queue_bench.cpp
@@ -57,7 +57,7 @@
     return MonotonicTime(std::chrono::nanoseconds(static_cast<std::int64_t>(seconds * 1e9)));
 }
 
-// Whether all entries share one lane, and so are served first come, first served.
+// Whether all entries share one flow, and so are served first come, first served.
 enum class Order { Fifo,
     Fair };
 
@@ -98,8 +98,8 @@
             start(id, arrival.time_);
             continue;
         }
-        const auto lane = order == Order::Fifo ? std::string("all") : fmt::format("w{}", arrival.workspace_);
-        const auto pushed = queue.push({ id, lane, 1, toTime(arrival.time_), toTime(arrival.time_ + longestWait) });
+        const auto flow = order == Order::Fifo ? std::string("all") : fmt::format("w{}", arrival.workspace_);
+        const auto pushed = queue.push({ id, flow, 1, toTime(arrival.time_), toTime(arrival.time_ + longestWait) });
         if (!isOk(pushed))
             refuse(id, arrival.time_);
         else if (valueOf(pushed))
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -22,16 +22,16 @@
 {
 }
 
-auto FairQueue::longestLane() -> Lane&
+auto FairQueue::longestFlow() -> Flow&
 {
     const auto shorter = [](const auto& a, const auto& b) { return a.second.entries_.size() < b.second.entries_.size(); };
-    return std::max_element(lanes_.begin(), lanes_.end(), shorter)->second;
+    return std::max_element(flows_.begin(), flows_.end(), shorter)->second;
 }
 
 auto FairQueue::expectedWait(const std::string& workspace, MonotonicTime now) const -> Duration
 {
-    const auto found = lanes_.find(workspace);
-    if (found == lanes_.end() || found->second.entries_.empty())
+    const auto found = flows_.find(workspace);
+    if (found == flows_.end() || found->second.entries_.empty())
         return Duration { 0 };
     return (now - found->second.entries_.front().arrival_) * estimatePercent / 100;
 }
@@ -40,57 +40,57 @@
 {
     if (entry.arrival_ + expectedWait(entry.workspace_, entry.arrival_) > entry.expiry_)
         return QueueErrorKind::TooSlow;
-    const auto found = lanes_.find(entry.workspace_);
-    const auto held = found == lanes_.end() ? 0 : found->second.entries_.size();
+    const auto found = flows_.find(entry.workspace_);
+    const auto held = found == flows_.end() ? 0 : found->second.entries_.size();
     if (held >= bounds_.perWorkspace_)
         return QueueErrorKind::WorkspaceFull;
     std::optional<QueueEntry> dropped;
     if (size_ >= bounds_.total_) {
-        if (lanes_.empty() || longestLane().entries_.size() <= held + 1)
+        if (flows_.empty() || longestFlow().entries_.size() <= held + 1)
             return QueueErrorKind::QueueFull;
         // The newest entry has waited least.
-        auto& longest = longestLane();
+        auto& longest = longestFlow();
         dropped = longest.entries_.back();
         longest.entries_.pop_back();
         --size_;
     }
-    auto& lane = lanes_[entry.workspace_];
+    auto& flow = flows_[entry.workspace_];
     // A workspace that comes back after a pause starts at the present and gets no credit for the pause.
-    if (lane.entries_.empty())
-        lane.start_ = std::max(lane.start_, virtualTime_);
-    lane.entries_.push_back(entry);
+    if (flow.entries_.empty())
+        flow.start_ = std::max(flow.start_, virtualTime_);
+    flow.entries_.push_back(entry);
     ++size_;
     return dropped;
 }
 
 auto FairQueue::putBack(const QueueEntry& entry) -> void
 {
-    auto& lane = lanes_[entry.workspace_];
-    lane.start_ -= costOf(entry);
-    lane.entries_.push_front(entry);
+    auto& flow = flows_[entry.workspace_];
+    flow.start_ -= costOf(entry);
+    flow.entries_.push_front(entry);
     ++size_;
 }
 
 auto FairQueue::pop() -> std::optional<QueueEntry>
 {
-    auto next = lanes_.end();
-    for (auto lane = lanes_.begin(); lane != lanes_.end();) {
-        const bool idle = lane->second.entries_.empty();
-        if (idle && lane->second.start_ <= virtualTime_) {
-            lane = lanes_.erase(lane);
+    auto next = flows_.end();
+    for (auto flow = flows_.begin(); flow != flows_.end();) {
+        const bool idle = flow->second.entries_.empty();
+        if (idle && flow->second.start_ <= virtualTime_) {
+            flow = flows_.erase(flow);
             continue;
         }
-        if (!idle && (next == lanes_.end() || lane->second.start_ < next->second.start_))
-            next = lane;
-        ++lane;
+        if (!idle && (next == flows_.end() || flow->second.start_ < next->second.start_))
+            next = flow;
+        ++flow;
     }
-    if (next == lanes_.end())
+    if (next == flows_.end())
         return std::nullopt;
-    auto& lane = next->second;
-    const auto entry = lane.entries_.front();
-    lane.entries_.pop_front();
-    virtualTime_ = std::max(virtualTime_, lane.start_);
-    lane.start_ += costOf(entry);
+    auto& flow = next->second;
+    const auto entry = flow.entries_.front();
+    flow.entries_.pop_front();
+    virtualTime_ = std::max(virtualTime_, flow.start_);
+    flow.start_ += costOf(entry);
     --size_;
     return entry;
 }
@@ -98,10 +98,10 @@
 auto FairQueue::expire(MonotonicTime now) -> std::vector<QueueEntry>
 {
     std::vector<QueueEntry> expired;
-    for (auto& [workspace, lane] : lanes_) {
+    for (auto& [workspace, flow] : flows_) {
         const auto isOver = [now](const QueueEntry& entry) { return entry.expiry_ <= now; };
-        std::copy_if(lane.entries_.begin(), lane.entries_.end(), std::back_inserter(expired), isOver);
-        std::erase_if(lane.entries_, isOver);
+        std::copy_if(flow.entries_.begin(), flow.entries_.end(), std::back_inserter(expired), isOver);
+        std::erase_if(flow.entries_, isOver);
     }
     size_ -= expired.size();
     return expired;
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -60,16 +60,16 @@
     auto size() const -> std::size_t { return size_; }
 
 private:
-    struct Lane {
+    struct Flow {
         std::deque<QueueEntry> entries_;
         // Virtual time at which the workspace's next entry starts.
         std::int64_t start_ = 0;
     };
 
-    auto longestLane() -> Lane&;
+    auto longestFlow() -> Flow&;
 
     QueueBounds bounds_;
-    std::map<std::string, Lane> lanes_;
+    std::map<std::string, Flow> flows_;
     std::int64_t virtualTime_ = 0;
     std::size_t size_ = 0;
 };
--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -9,7 +9,10 @@
 #include "forward/hygiene_func.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
+#include <functional>
+#include <pplx/threadpool.h>
 
 namespace sapphirepass {
 
@@ -55,6 +58,29 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(grant.deadline_ - clock.now());
     }
 
+    using Timer = boost::asio::steady_timer;
+
+    // Calls back after that time, unless the timer is cancelled before.
+    auto startTimer(std::chrono::milliseconds time, std::function<void()> callback) -> std::shared_ptr<Timer>
+    {
+        auto timer = std::make_shared<Timer>(crossplat::threadpool::shared_instance().service(), time);
+        timer->async_wait([timer, callback = std::move(callback)](const boost::system::error_code& cancelled) {
+            if (!cancelled)
+                callback();
+        });
+        return timer;
+    }
+
+    // A task's exception that nobody looks at ends the process.
+    auto discardFailure(const pplx::task<MemoryBody>& task) -> void
+    {
+        try {
+            task.wait();
+        } catch (const std::exception&) {
+            // The request was refused before.
+        }
+    }
+
     auto deadlineRefusal(Executed executed) -> Refusal
     {
         return { RefusalKind::DeadlinePassed, std::string(texts::deadlinePassed), executed };
@@ -213,7 +239,19 @@
         steer(exchange);
         return;
     }
-    exchange->message_.extract_vector().then([this, exchange](const pplx::task<MemoryBody>& task) {
+    // Settled once: by the body's arrival or by the deadline.
+    auto settled = std::make_shared<std::atomic<bool>>(false);
+    auto timer = startTimer(remainingTime(exchange->grant_, parts_.clock_), [this, exchange, settled] {
+        if (!settled->exchange(true))
+            refuse(exchange, deadlineRefusal(Executed::No));
+    });
+    exchange->message_.extract_vector().then([this, exchange, settled, timer](const pplx::task<MemoryBody>& task) {
+        boost::system::error_code ignored;
+        timer->cancel(ignored);
+        if (settled->exchange(true)) {
+            discardFailure(task);
+            return;
+        }
         try {
             exchange->body_ = task.get();
         } catch (const std::exception& error) {
--- a/tests/entry_bad_input_test.cpp
+++ b/tests/entry_bad_input_test.cpp
@@ -167,6 +167,19 @@
     CHECK(socket->isConnected());
 }
 
+TEST_CASE("a body that stalls beyond the deadline neither runs nor holds up a stop", "[entry]")
+{
+    std::unique_ptr<load::HttpSocket> socket;
+    {
+        const Site site;
+        socket = std::make_unique<load::HttpSocket>(site.entry_.address(), timeLimit);
+        REQUIRE(socket->send(fillIn("POST /w/acme/quotes/1 HTTP/1.1\r\nHost: e\r\nKEY\r\nContent-Length: 10\r\nRequest-Deadline-Ms: 50\r\n\r\nabc", site)));
+        site.checkOnlyProbeForwarded();
+        // The site's end waits until nothing is in flight.
+    }
+    CHECK(socket->isConnected());
+}
+
 TEST_CASE("garbage bytes neither stop the entry nor reach an upstream", "[entry]")
 {
     const Site site;
