Real flag help; a deployment is ready when rates have reached its instances

Change: the help names this file's flags; the scripts wait for one admitted request of each workspace. Conclusion: the scripts only; a new workspace's first requests can still be refused.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
@@ -136,8 +137,22 @@
 
 } // namespace sapphirepass
 
+namespace {
+
+// --help shows the flags of this file; those of the libraries come with --helpfull.
+auto showOwnFlags() -> void
+{
+    absl::FlagsUsageConfig config;
+    config.contains_help_flags = [](absl::string_view file) { return std::string_view(file.data(), file.size()).ends_with("src/main.cpp"); };
+    config.contains_helpshort_flags = config.contains_help_flags;
+    absl::SetFlagsUsageConfig(config);
+}
+
+}
+
 auto main(int argc, char** argv) -> int
 {
+    showOwnFlags();
     absl::SetProgramUsageMessage(sapphirepass::usage.data());
     return sapphirepass::dispatch(absl::ParseCommandLine(argc, argv));
 }
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -26,6 +26,18 @@
     return 1
 }
 
+# Until the instance that the look-up names for a workspace admits its requests.
+wait_for_share() {
+    local use attempt
+    use=$(curl -s "http://${ENTRIES[0]}/v1/lookup?workspace=$1" | sed 's/.*"use":{"address":"\([^"]*\)".*/\1/')
+    for attempt in $(seq 1 100); do
+        curl -sf -o /dev/null --max-time 1 -H "Authorization: Bearer $(cat "$RUN/key-$1")" "http://$use/w/$1/quotes/ready" && return 0
+        sleep 0.05
+    done
+    echo "no share of the rate of $1 at $use" >&2
+    return 1
+}
+
 write_settings() {
     local index=$1 region=${REGIONS[$(($1 % 3))]}
     cat >"$RUN/entry-$index.ini" <<INI
@@ -117,6 +129,8 @@
     declare_deployment
     issue_keys
     for index in "${ENTRIES[@]}"; do wait_for "http://$index/v1/lookup?workspace=${WORKSPACES[0]}"; done
+    # A new instance holds no share of a rate until its first request has asked for one.
+    for index in "${WORKSPACES[@]}"; do wait_for_share "$index"; done
 }
 
 # Written under another name first, so that a reader never sees half of it.
