--- a/src/base/field.h
+++ b/src/base/field.h
@@ -59,6 +59,16 @@
     return number;
 }
 
+inline auto readDecimal(std::string_view text, const Bounds& bounds) -> std::optional<double>
+{
+    double number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = failure == std::errc() && end == text.data() + text.size();
+    if (!whole || !(number >= static_cast<double>(bounds.least_)) || !(number <= static_cast<double>(bounds.most_)))
+        return std::nullopt;
+    return number;
+}
+
 template <typename V>
 auto readValue(std::string_view text, const Bounds& bounds, V& value) -> bool
 {
@@ -66,6 +76,10 @@
         const auto number = readNumber(text, bounds);
         value = number.value_or(value);
         return number.has_value();
+    } else if constexpr (std::is_same_v<V, double>) {
+        const auto number = readDecimal(text, bounds);
+        value = number.value_or(value);
+        return number.has_value();
     } else if constexpr (std::is_same_v<V, std::chrono::milliseconds>) {
         const auto duration = parseDuration(text);
         const bool inside = duration && duration->count() >= bounds.least_ && duration->count() <= bounds.most_;
@@ -84,6 +98,7 @@
 }
 
 inline auto writeValue(std::int64_t value) -> std::string { return fmt::format("{}", value); }
+inline auto writeValue(double value) -> std::string { return fmt::format("{}", value); }
 inline auto writeValue(std::chrono::milliseconds value) -> std::string { return formatDuration(value); }
 inline auto writeValue(const SocketAddress& value) -> std::string { return formatSocketAddress(value); }
 
--- /dev/null
+++ b/src/gateway/belief_source.h
@@ -0,0 +1,53 @@
+// Where an instance learns what is declared and which upstreams there are.
+#pragma once
+
+#include "gateway/declaration_type.h"
+#include "gateway/upstream_type.h"
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirepass {
+
+// One stream of news. Each may be lost and regained on its own.
+enum class Feed { Declaration,
+    Upstreams,
+    Evacuations };
+
+// An instance of the gateway as the platform lists it; it may be gone.
+struct ListedInstance {
+    std::string name_;
+    SocketAddress peer_;
+
+    auto operator<=>(const ListedInstance&) const = default;
+};
+
+class BeliefSink {
+public:
+    virtual ~BeliefSink() = default;
+    virtual auto declarationSeen(Declaration declaration) -> void = 0;
+    virtual auto declarationUnreadable(std::string_view why) -> void = 0;
+    // All upstreams at one moment.
+    virtual auto upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void = 0;
+    virtual auto upstreamSeen(const UpstreamEntry& entry) -> void = 0;
+    virtual auto upstreamGone(const std::string& id) -> void = 0;
+    virtual auto entryUnreadable(const std::string& id, std::string_view why) -> void = 0;
+    virtual auto domainsEvacuated(std::set<std::string> domains) -> void = 0;
+    virtual auto instancesListed(const std::vector<ListedInstance>& instances) -> void = 0;
+    virtual auto feedLost(Feed feed, std::string_view why) -> void = 0;
+    virtual auto feedRegained(Feed feed) -> void = 0;
+};
+
+class BeliefSource {
+public:
+    virtual ~BeliefSource() = default;
+    // Tells the sink from then on, and enters this instance in the platform's list.
+    virtual auto start(BeliefSink& sink, const ListedInstance& self) -> void = 0;
+    virtual auto stop() -> void = 0;
+    // Calls to the platform so far.
+    virtual auto calls() const -> std::uint64_t = 0;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/beliefs.cpp
@@ -0,0 +1,145 @@
+#include "gateway/beliefs.h"
+
+namespace sapphirepass {
+
+using namespace std::chrono_literals;
+
+namespace {
+    // An outage that is shorter lets no entry lapse; a watch that is cut is resumed well within it.
+    constexpr Duration shortestOutage = 300ms;
+    // Living upstreams are listed again within this time of the store's return.
+    constexpr Duration returnTime = 2'200ms;
+
+    auto feedName(Feed feed) -> std::string_view
+    {
+        switch (feed) {
+        case Feed::Declaration:
+            return "declaration";
+        case Feed::Upstreams:
+            return "upstreams";
+        case Feed::Evacuations:
+            return "evacuations";
+        }
+        return "";
+    }
+
+    auto describeUpstream(const UpstreamEntry& entry) -> LogFields
+    {
+        return { { "upstream", entry.id_ }, { "service", entry.service_ }, { "address", formatSocketAddress(entry.address_) }, { "domain", entry.domain_ }, { "draining", entry.state_ == UpstreamState::Draining }, { "cold_ms", entry.coldLeft_ / 1ms } };
+    }
+}
+
+Beliefs::Beliefs(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log)
+    : clock_(clock)
+    , upstreams_(upstreams)
+    , fleet_(fleet)
+    , log_(log)
+{
+}
+
+// A version never goes back, whatever a stale read says.
+auto Beliefs::declarationSeen(Declaration declaration) -> void
+{
+    const auto version = declaration.version_;
+    const auto current = index_ ? index_->declaration().version_ : 0;
+    if (index_ && version <= current) {
+        if (version < current)
+            log_.write(EventId::DeclarationRefused, { { "version", version }, { "in_force", current }, { "why", "older" } });
+        return;
+    }
+    for (const auto& service : declaration.services_)
+        upstreams_.setColdTime(service.name_, service.coldFor_);
+    index_ = std::make_shared<const DeclarationIndex>(std::move(declaration));
+    log_.write(EventId::DeclarationInForce, { { "version", version }, { "before", current } });
+    if (declarationAction_)
+        declarationAction_();
+}
+
+auto Beliefs::declarationUnreadable(std::string_view why) -> void
+{
+    log_.write(EventId::DeclarationRefused, { { "why", why }, { "in_force", index_ ? index_->declaration().version_ : 0 } });
+}
+
+auto Beliefs::keepMissing() const -> Duration
+{
+    const auto found = feeds_.find(Feed::Upstreams);
+    const auto now = clock_.now();
+    if (found == feeds_.end() || found->second.doubtUntil_ <= now)
+        return Duration::zero();
+    return found->second.doubtUntil_ - now;
+}
+
+auto Beliefs::upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void
+{
+    upstreams_.replaceAll(entries, keepMissing());
+    hasUpstreams_ = true;
+    log_.write(EventId::UpstreamsChanged, { { "listed", entries.size() }, { "known", upstreams_.size() }, { "keep_missing_ms", keepMissing() / 1ms } });
+}
+
+auto Beliefs::upstreamSeen(const UpstreamEntry& entry) -> void
+{
+    upstreams_.put(entry);
+    log_.write(EventId::UpstreamsChanged, describeUpstream(entry));
+}
+
+auto Beliefs::upstreamGone(const std::string& id) -> void
+{
+    upstreams_.remove(id, keepMissing());
+    log_.write(EventId::UpstreamsChanged, { { "upstream", id }, { "gone", true }, { "keep_missing_ms", keepMissing() / 1ms } });
+}
+
+auto Beliefs::entryUnreadable(const std::string& id, std::string_view why) -> void
+{
+    upstreams_.remove(id, Duration::zero());
+    log_.write(EventId::UpstreamEntryRefused, { { "upstream", id }, { "why", why } });
+}
+
+auto Beliefs::domainsEvacuated(std::set<std::string> domains) -> void
+{
+    LogFields names = LogFields::array();
+    for (const auto& domain : domains)
+        names.push_back(domain);
+    if (!hasEvacuations_ || !domains.empty())
+        log_.write(EventId::DomainsEvacuated, { { "domains", names } });
+    hasEvacuations_ = true;
+    upstreams_.setEvacuated(std::move(domains));
+}
+
+auto Beliefs::instancesListed(const std::vector<ListedInstance>& instances) -> void
+{
+    hasInstances_ = true;
+    for (const auto& instance : instances)
+        fleet_.expect(instance.name_, instance.peer_);
+}
+
+auto Beliefs::feedLost(Feed feed, std::string_view why) -> void
+{
+    auto& state = feeds_[feed];
+    if (state.isLost_)
+        return;
+    state.isLost_ = true;
+    state.lostAt_ = clock_.now();
+    log_.write(EventId::SourceLost, { { "feed", feedName(feed) }, { "why", why }, { "version", index_ ? index_->declaration().version_ : 0 }, { "upstreams", upstreams_.size() } });
+}
+
+auto Beliefs::feedRegained(Feed feed) -> void
+{
+    auto& state = feeds_[feed];
+    if (!state.isLost_)
+        return;
+    const auto lost = lostFor(feed);
+    state.isLost_ = false;
+    if (lost >= shortestOutage)
+        state.doubtUntil_ = clock_.now() + returnTime;
+    log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
+}
+
+auto Beliefs::lostFor(Feed feed) const -> Duration
+{
+    const auto found = feeds_.find(feed);
+    if (found == feeds_.end() || !found->second.isLost_)
+        return Duration::zero();
+    return clock_.now() - found->second.lostAt_;
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/beliefs.h
@@ -0,0 +1,57 @@
+// What this instance believes of the declaration and the upstreams, and how it takes news in.
+#pragma once
+
+#include "gateway/belief_source.h"
+#include "gateway/decision_log.h"
+#include "gateway/declaration_index.h"
+#include "gateway/fleet_view.h"
+#include "gateway/upstream_set.h"
+
+#include <functional>
+
+namespace sapphirepass {
+
+class Beliefs final : public BeliefSink {
+public:
+    Beliefs(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log);
+
+    auto declarationSeen(Declaration declaration) -> void override;
+    auto declarationUnreadable(std::string_view why) -> void override;
+    auto upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void override;
+    auto upstreamSeen(const UpstreamEntry& entry) -> void override;
+    auto upstreamGone(const std::string& id) -> void override;
+    auto entryUnreadable(const std::string& id, std::string_view why) -> void override;
+    auto domainsEvacuated(std::set<std::string> domains) -> void override;
+    auto instancesListed(const std::vector<ListedInstance>& instances) -> void override;
+    auto feedLost(Feed feed, std::string_view why) -> void override;
+    auto feedRegained(Feed feed) -> void override;
+
+    auto index() const -> const std::shared_ptr<const DeclarationIndex>& { return index_; }
+    // Whether requests can be decided: everything has been heard at least once.
+    auto isComplete() const -> bool { return index_ && hasUpstreams_ && hasEvacuations_ && hasInstances_; }
+    auto lostFor(Feed feed) const -> Duration;
+    auto onDeclaration(std::function<void()> action) -> void { declarationAction_ = std::move(action); }
+
+private:
+    struct FeedState {
+        bool isLost_ = false;
+        MonotonicTime lostAt_ {};
+        // Until then, what is missing may only have lapsed during the outage.
+        MonotonicTime doubtUntil_ {};
+    };
+
+    auto keepMissing() const -> Duration;
+
+    const Clock& clock_;
+    UpstreamSet& upstreams_;
+    FleetView& fleet_;
+    DecisionLog& log_;
+    std::shared_ptr<const DeclarationIndex> index_;
+    std::map<Feed, FeedState> feeds_;
+    bool hasUpstreams_ = false;
+    bool hasEvacuations_ = false;
+    bool hasInstances_ = false;
+    std::function<void()> declarationAction_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/declaration_index.h
@@ -0,0 +1,35 @@
+// Look-ups in one version of the declaration.
+#pragma once
+
+#include "gateway/declaration_type.h"
+
+#include <string_view>
+#include <unordered_map>
+
+namespace sapphirepass {
+
+class DeclarationIndex {
+public:
+    explicit DeclarationIndex(Declaration declaration);
+
+    auto declaration() const -> const Declaration& { return declaration_; }
+    auto hasHost(std::string_view host) const -> bool;
+    // The route of the host with the longest prefix of the path, or null.
+    auto route(std::string_view host, std::string_view path) const -> const DeclaredRoute*;
+    auto service(const std::string& name) const -> const DeclaredService*;
+    // The workspace that holds the key, or null.
+    auto workspaceOf(const std::string& key) const -> const DeclaredWorkspace*;
+    auto needsKeys() const -> bool { return !declaration_.workspaces_.empty(); }
+
+private:
+    Declaration declaration_;
+    // Routes of a host, longest prefix first.
+    std::unordered_map<std::string, std::vector<const DeclaredRoute*>> routes_;
+    std::unordered_map<std::string, const DeclaredService*> services_;
+    std::unordered_map<std::string, const DeclaredWorkspace*> keys_;
+};
+
+// Host names compare without case and without the port.
+auto normalHost(std::string_view host) -> std::string;
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/fleet_view.cpp
@@ -0,0 +1,151 @@
+#include "gateway/fleet_view.h"
+
+#include "gateway/hashing.h"
+
+#include <algorithm>
+
+namespace sapphirepass {
+
+namespace {
+    // Part of a limit that is split evenly, so that demand that appears at an instance finds some room at once.
+    constexpr double evenPart = 0.15;
+}
+
+FleetView::FleetView(const Clock& clock, FleetTiming timing, std::string self)
+    : clock_(clock)
+    , timing_(timing)
+    , self_(std::move(self))
+{
+}
+
+auto FleetView::hear(const MemberReport& report) -> void
+{
+    if (report.name_ == self_ || report.name_.empty())
+        return;
+    auto& member = members_[report.name_];
+    member.report_ = report;
+    member.heardAt_ = clock_.now();
+    member.heard_ = true;
+}
+
+auto FleetView::expect(const std::string& name, const SocketAddress& peer) -> void
+{
+    if (name == self_ || members_.contains(name))
+        return;
+    Member member;
+    member.report_.name_ = name;
+    member.report_.peer_ = peer;
+    member.heardAt_ = clock_.now();
+    members_[name] = member;
+}
+
+auto FleetView::forgetSilent() -> void
+{
+    const auto now = clock_.now();
+    std::erase_if(members_, [this, now](const auto& item) {
+        const auto& member = item.second;
+        const auto kept = member.report_.phase_ == MemberPhase::Stopping ? timing_.silence_ * 2 : timing_.reserve_;
+        return now - member.heardAt_ > kept;
+    });
+}
+
+auto FleetView::isFresh(const Member& member) const -> bool
+{
+    return member.heard_ && clock_.now() - member.heardAt_ <= timing_.silence_;
+}
+
+auto FleetView::readyMembers(std::string_view region) const -> std::vector<const MemberReport*>
+{
+    auto ready = anyReadyMembers();
+    std::erase_if(ready, [region](const auto* report) { return report->region_ != region; });
+    return ready;
+}
+
+auto FleetView::anyReadyMembers() const -> std::vector<const MemberReport*>
+{
+    std::vector<const MemberReport*> ready;
+    for (const auto& [name, member] : members_) {
+        if (isFresh(member) && member.report_.phase_ == MemberPhase::Ready)
+            ready.push_back(&member.report_);
+    }
+    return ready;
+}
+
+auto FleetView::peerAddresses() const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [name, member] : members_)
+        addresses.push_back(member.report_.peer_);
+    return addresses;
+}
+
+auto FleetView::heardAddresses() const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [name, member] : members_) {
+        if (isFresh(member))
+            addresses.push_back(member.report_.peer_);
+    }
+    return addresses;
+}
+
+auto FleetView::demandOf(const Member& member, const std::string& workspace) const -> std::optional<double>
+{
+    if (!member.heard_)
+        return std::nullopt;
+    for (const auto& demand : member.report_.demands_) {
+        if (demand.workspace_ == workspace)
+            return demand.perSecond_;
+    }
+    return 0;
+}
+
+// Members that fell silent count with their last demand: behind a partition they go on spending it.
+auto FleetView::shareOf(const std::string& workspace) const -> double
+{
+    const auto own = ownDemand_.find(workspace);
+    const double ownDemand = own == ownDemand_.end() ? 0 : own->second;
+    const auto count = static_cast<double>(spenders());
+    double known = ownDemand;
+    double knownCount = 1;
+    double freshCount = 0;
+    for (const auto& [name, member] : members_) {
+        const auto demand = demandOf(member, workspace);
+        known += demand.value_or(0);
+        knownCount += demand ? 1 : 0;
+        freshCount += isFresh(member) ? 1 : 0;
+    }
+    const double total = known * count / knownCount;
+    const double byDemand = total > 0 ? ownDemand / total : 1 / count;
+    const double share = evenPart / count + (1 - evenPart) * byDemand;
+    // Out of touch with most others, their demand is not known: what was held before is kept, never raised.
+    const bool inTouch = freshCount * 2 >= count - 1;
+    auto& last = lastShare_[workspace];
+    if (inTouch || last == 0)
+        return last = inTouch ? share : std::min(share, 1 / count);
+    return last = std::min(last, share);
+}
+
+auto FleetView::coldSenders(std::string_view upstream, std::size_t most) const -> std::optional<std::size_t>
+{
+    const auto object = stableHash(upstream);
+    const auto ownWeight = rendezvousWeight(object, self_);
+    std::size_t before = 0;
+    for (const auto& [name, member] : members_)
+        before += rendezvousWeight(object, name) > ownWeight ? 1 : 0;
+    if (before >= most)
+        return std::nullopt;
+    return std::min(most, spenders());
+}
+
+auto FleetView::crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t
+{
+    std::uint32_t upstreams = 0;
+    for (const auto& [name, member] : members_) {
+        for (const auto& crash : member.report_.crashes_)
+            upstreams += crash.fingerprint_ == fingerprint ? crash.upstreams_ : 0;
+    }
+    return upstreams;
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/forwarding.cpp
@@ -0,0 +1,119 @@
+#include "gateway/forwarding.h"
+
+#include "base/field.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <fmt/format.h>
+#include <vector>
+
+namespace sapphirepass {
+
+namespace http = boost::beast::http;
+
+namespace {
+    constexpr Duration millisecond = std::chrono::milliseconds(1);
+    constexpr Bounds deadlineBounds { 0, 24LL * 60 * 60 * 1'000 };
+
+    auto view(boost::beast::string_view text) -> std::string_view { return { text.data(), text.size() }; }
+    auto view(const std::string& text) -> boost::beast::string_view { return { text.data(), text.size() }; }
+
+    auto trimmed(std::string_view text) -> std::string_view
+    {
+        while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
+            text.remove_prefix(1);
+        while (!text.empty() && (text.back() == ' ' || text.back() == '\t'))
+            text.remove_suffix(1);
+        return text;
+    }
+
+    auto keyOf(const OutgoingRequest& request, const std::string& scheme) -> std::optional<std::string>
+    {
+        const auto value = view(request[http::field::authorization]);
+        const auto blank = value.find(' ');
+        if (blank == std::string_view::npos || !boost::beast::iequals({ value.data(), blank }, view(scheme)))
+            return std::nullopt;
+        return std::string(trimmed(value.substr(blank)));
+    }
+
+    auto cookieOf(const OutgoingRequest& request, const std::string& name) -> std::optional<std::string>
+    {
+        auto rest = view(request[http::field::cookie]);
+        while (!rest.empty()) {
+            const auto end = rest.find(';');
+            const auto pair = trimmed(rest.substr(0, end));
+            if (pair.size() > name.size() && pair[name.size()] == '=' && pair.starts_with(name))
+                return std::string(pair.substr(name.size() + 1));
+            rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+        }
+        return std::nullopt;
+    }
+
+    template <typename Fields>
+    auto dropConnectionHeaders(Fields& fields) -> void
+    {
+        std::vector<std::string> named;
+        for (const auto& token : http::token_list(fields[http::field::connection]))
+            named.emplace_back(token.data(), token.size());
+        for (const auto& name : named)
+            fields.erase(view(name));
+        for (const auto field : { http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::proxy_authenticate, http::field::proxy_authorization, http::field::te, http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::content_length })
+            fields.erase(field);
+    }
+}
+
+auto readMarks(const OutgoingRequest& request, const HeaderNames& names) -> CallerMarks
+{
+    CallerMarks marks;
+    marks.attempt_ = std::string(view(request[view(names.attempt_)]));
+    if (const auto left = readNumber(trimmed(view(request[view(names.deadline_)])), deadlineBounds))
+        marks.deadline_ = millisecond * *left;
+    marks.key_ = keyOf(request, names.keyScheme_);
+    marks.object_ = cookieOf(request, names.objectCookie_);
+    return marks;
+}
+
+auto forwardedRequest(const OutgoingRequest& request, const HeaderNames& names, const std::string& workspace) -> OutgoingRequest
+{
+    OutgoingRequest forwarded = request;
+    forwarded.version(11);
+    dropConnectionHeaders(forwarded);
+    forwarded.erase(http::field::authorization);
+    forwarded.erase(http::field::expect);
+    forwarded.erase(view(names.workspace_));
+    forwarded.erase(view(names.expectedUpstream_));
+    if (!workspace.empty())
+        forwarded.set(view(names.workspace_), workspace);
+    if (!forwarded.body().empty() || forwarded.method() == http::verb::post || forwarded.method() == http::verb::put || forwarded.method() == http::verb::patch)
+        forwarded.content_length(forwarded.body().size());
+    return forwarded;
+}
+
+auto addressAttempt(OutgoingRequest& request, const HeaderNames& names, const UpstreamEntry& upstream, Duration left) -> void
+{
+    request.set(view(names.expectedUpstream_), upstream.id_);
+    request.set(view(names.deadline_), fmt::format("{}", std::max<std::int64_t>(1, left / millisecond)));
+}
+
+auto forwardedResponse(UpstreamResponse response) -> UpstreamResponse
+{
+    dropConnectionHeaders(response);
+    return response;
+}
+
+auto readLoad(const UpstreamResponse& response, const HeaderNames& names) -> std::optional<StatedLoad>
+{
+    const auto text = view(response[view(names.load_)]);
+    const auto first = text.find(',');
+    const auto second = first == std::string_view::npos ? first : text.find(',', first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    constexpr Bounds counts { 0, 1'000'000 };
+    const auto running = readNumber(trimmed(text.substr(0, first)), counts);
+    const auto waiting = readNumber(trimmed(text.substr(first + 1, second - first - 1)), counts);
+    const auto slots = readNumber(trimmed(text.substr(second + 1)), counts);
+    if (!running || !waiting || !slots)
+        return std::nullopt;
+    return StatedLoad { static_cast<int>(*running), static_cast<int>(*waiting), static_cast<int>(*slots) };
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/placement.cpp
@@ -0,0 +1,116 @@
+#include "gateway/placement.h"
+
+#include "gateway/hashing.h"
+
+#include <algorithm>
+
+namespace sapphirepass {
+
+using namespace std::chrono_literals;
+
+namespace {
+    // Owners that are looked at before load alone decides: the object is kept warm on few upstreams.
+    constexpr int owners = 4;
+    // A stated load says little after the time of a request or two.
+    constexpr Duration loadAge = 400ms;
+    // Instances that send to a cold upstream: few, so that each may send at a useful pace.
+    constexpr std::size_t coldSenders = 3;
+    // Part of what a cold upstream bears that is used; the rest covers requests that bunch up on the way.
+    constexpr double coldPart = 0.8;
+    // An upstream that fails or sheds more than this share of its attempts is used last.
+    constexpr double failingShare = 0.5;
+
+}
+
+Placer::Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet)
+    : clock_(clock)
+    , upstreams_(upstreams)
+    , fleet_(fleet)
+{
+}
+
+auto Placer::mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool
+{
+    if (!upstreams_.isOpen(upstream))
+        return false;
+    const auto* homes = query.homes_;
+    if (homes != nullptr && !homes->empty() && std::find(homes->begin(), homes->end(), upstream.region_) == homes->end())
+        return false;
+    if (std::find(query.tried_.begin(), query.tried_.end(), upstream.entry_.id_) != query.tried_.end())
+        return false;
+    return bearsCold(upstream, query);
+}
+
+// A few instances share what a cold upstream bears, each at an even pace.
+auto Placer::bearsCold(const Upstream& upstream, const PlacementQuery& query) const -> bool
+{
+    const auto now = clock_.now();
+    if (now >= upstream.coldUntil_ || query.coldPerSecond_ <= 0)
+        return true;
+    return fleet_.coldSenders(upstream.entry_.id_, coldSenders).has_value() && now >= upstream.nextColdSend_;
+}
+
+auto Placer::noteSent(Upstream& upstream, const PlacementQuery& query) const -> void
+{
+    const auto now = clock_.now();
+    const auto senders = fleet_.coldSenders(upstream.entry_.id_, coldSenders);
+    if (now >= upstream.coldUntil_ || query.coldPerSecond_ <= 0 || !senders)
+        return;
+    const double pace = query.coldPerSecond_ * coldPart / static_cast<double>(*senders);
+    upstream.nextColdSend_ = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / pace));
+}
+
+// The stated load counts requests of all instances, the own ones those sent since.
+auto Placer::occupied(const Upstream& upstream) const -> int
+{
+    const bool fresh = clock_.now() - upstream.loadAt_ <= loadAge;
+    const int stated = fresh ? upstream.load_.running_ + upstream.load_.waiting_ : 0;
+    return std::max(stated, upstream.inFlight_);
+}
+
+auto Placer::isSound(const Upstream& upstream) const -> bool
+{
+    return clock_.now() >= upstream.restsUntil_ && upstream.failing_ < failingShare;
+}
+
+auto Placer::candidates(const PlacementQuery& query) const -> std::vector<Candidate>
+{
+    std::vector<Candidate> found;
+    const auto object = query.object_.value_or(query.spread_);
+    for (const auto& upstream : upstreams_.ofService(query.service_)) {
+        if (mayUse(*upstream, query))
+            found.push_back({ upstream, rendezvousWeight(object, upstream->entry_.id_), occupied(*upstream) });
+    }
+    return found;
+}
+
+auto Placer::place(const PlacementQuery& query) const -> PlacementResult
+{
+    auto found = candidates(query);
+    if (found.empty())
+        return PlacementRefusal::NoUpstream;
+    // Unsound upstreams are kept for when nothing else is left.
+    const auto unsound = std::stable_partition(found.begin(), found.end(), [this](const auto& candidate) { return isSound(*candidate.upstream_); });
+    if (unsound != found.begin())
+        found.erase(unsound, found.end());
+    const auto first = std::min<std::size_t>(owners, found.size());
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(first), found.end(), [](const auto& a, const auto& b) { return a.weight_ > b.weight_; });
+    for (std::size_t rank = 0; rank < first; ++rank) {
+        const auto& candidate = found[rank];
+        const int slots = std::max(1, candidate.upstream_->entry_.slots_);
+        // Other instances send there as well: half of the slots is more than one instance's part.
+        if (candidate.upstream_->inFlight_ < (slots + 1) / 2 && candidate.occupied_ < slots)
+            return Placement { candidate.upstream_, static_cast<int>(rank), rank == 0, Duration::zero(), candidate.occupied_ };
+    }
+    const auto least = std::min_element(found.begin(), found.end(), [](const auto& a, const auto& b) {
+        return a.occupied_ * b.upstream_->entry_.slots_ < b.occupied_ * a.upstream_->entry_.slots_;
+    });
+    const int slots = std::max(1, least->upstream_->entry_.slots_);
+    const int ahead = std::max(0, least->occupied_ + 1 - slots);
+    const auto wait = query.usualWork_ * ahead / slots;
+    if (wait > query.longestWait_)
+        return PlacementRefusal::Full;
+    return Placement { least->upstream_, owners, false, wait, least->occupied_ };
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/placement.h
@@ -0,0 +1,72 @@
+// Chooses the upstream of a request, or says that none should get it.
+#pragma once
+
+#include "gateway/fleet_view.h"
+#include "gateway/upstream_set.h"
+
+#include <variant>
+
+namespace sapphirepass {
+
+struct PlacementQuery {
+    std::string service_;
+    // Hash of the object that the request concerns; nothing if it has none.
+    std::optional<std::uint64_t> object_;
+    // A number that differs between requests, to spread those without an object.
+    std::uint64_t spread_ = 0;
+    // Regions that may run the request; empty for all.
+    const std::vector<std::string>* homes_ = nullptr;
+    // Upstreams that the request has been sent to.
+    std::vector<std::string> tried_;
+    double coldPerSecond_ = 0;
+    Duration coldFor_ {};
+    Duration usualWork_ {};
+    // Longest wait for a slot after which the request is still worth sending.
+    Duration longestWait_ {};
+};
+
+struct Placement {
+    UpstreamPtr upstream_;
+    // Position among the owners of the object; 0 is the first.
+    int rank_ = 0;
+    bool warm_ = false;
+    Duration expectedWait_ {};
+    int occupied_ = 0;
+};
+
+enum class PlacementRefusal {
+    // No open upstream is known that may run it.
+    NoUpstream,
+    // All are so full that it would wait for longer than it is worth.
+    Full,
+};
+
+using PlacementResult = std::variant<Placement, PlacementRefusal>;
+
+class Placer {
+public:
+    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet);
+
+    auto place(const PlacementQuery& query) const -> PlacementResult;
+    // Counts a request that is about to be sent to a cold upstream.
+    auto noteSent(Upstream& upstream, const PlacementQuery& query) const -> void;
+
+private:
+    struct Candidate {
+        UpstreamPtr upstream_;
+        std::uint64_t weight_ = 0;
+        int occupied_ = 0;
+    };
+
+    auto candidates(const PlacementQuery& query) const -> std::vector<Candidate>;
+    auto mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool;
+    auto bearsCold(const Upstream& upstream, const PlacementQuery& query) const -> bool;
+    auto occupied(const Upstream& upstream) const -> int;
+    auto isSound(const Upstream& upstream) const -> bool;
+
+    const Clock& clock_;
+    const UpstreamSet& upstreams_;
+    const FleetView& fleet_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/request_run.h
@@ -0,0 +1,106 @@
+// The life of one request: checks, placing, attempts, and its one final answer.
+#pragma once
+
+#include "gateway/alarm.h"
+#include "gateway/answer.h"
+#include "gateway/decision_log.h"
+#include "gateway/declaration_index.h"
+#include "gateway/forwarding.h"
+#include "gateway/limits.h"
+#include "gateway/placement.h"
+#include "gateway/split_cursor.h"
+#include "gateway/upstream_caller.h"
+#include "gateway/work_times.h"
+
+namespace sapphirepass {
+
+// Counts of requests by how they ended.
+struct RequestCounts {
+    std::map<std::string, std::uint64_t> byOutcome_;
+};
+
+// What requests share on one instance. All of it lives longer than any request.
+struct RequestContext {
+    const Clock& clock_;
+    AlarmClock& alarms_;
+    const HeaderNames& names_;
+    // The declaration in force; null before the first.
+    std::shared_ptr<const DeclarationIndex> index_;
+    UpstreamSet& upstreams_;
+    const Placer& placer_;
+    RateGate& rates_;
+    RetryGate& retries_;
+    CrashRegister& crashes_;
+    SplitCursor& split_;
+    WorkTimes& workTimes_;
+    UpstreamCaller& caller_;
+    DecisionLog& log_;
+    RequestCounts& counts_;
+};
+
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+public:
+    using Answer = std::function<void(UpstreamResponse)>;
+
+    RequestRun(RequestContext& context, OutgoingRequest request, Answer answer);
+
+    auto start() -> void;
+    // The caller has left: the attempt ends, nothing more is sent.
+    auto cancel() -> void;
+
+private:
+    struct Sent {
+        UpstreamPtr upstream_;
+        MonotonicTime at_ {};
+        int rank_ = 0;
+        int occupied_ = 0;
+        bool warm_ = false;
+    };
+
+    auto checkRequest() -> bool;
+    auto checkKey() -> bool;
+    auto checkLimits() -> bool;
+    auto prepare() -> void;
+    auto tryUpstream() -> void;
+    auto send(const Placement& placement) -> void;
+    auto onOutcome(AttemptOutcome outcome) -> void;
+    auto onLoss(const AttemptLoss& loss) -> void;
+    auto onResponse(UpstreamResponse response) -> void;
+    auto onNotRun(const UpstreamResponse& response) -> void;
+    auto onFailure(UpstreamResponse response) -> void;
+    auto onTimeout() -> void;
+    auto isWholeSuccess(const UpstreamResponse& response) const -> bool;
+    // Whether another upstream may get the request, after one that may have run it or certainly did not.
+    auto mayRepeat(bool mayHaveRun) -> bool;
+    auto refuseUnplaced(PlacementRefusal refusal) -> void;
+    auto finishOwn(unsigned status, std::string_view reason, Executed executed, std::optional<Duration> retryAfter = std::nullopt) -> void;
+    auto finish(UpstreamResponse response, std::string_view reason) -> void;
+    auto tellEnd(unsigned status, std::string_view reason) -> void;
+    auto left() const -> Duration { return endsAt_ - context_.clock_.now(); }
+    auto releaseAttempt() -> void;
+
+    RequestContext& context_;
+    OutgoingRequest request_;
+    Answer answer_;
+    std::shared_ptr<const DeclarationIndex> index_;
+    CallerMarks marks_;
+    const DeclaredRoute* route_ = nullptr;
+    const DeclaredWorkspace* workspace_ = nullptr;
+    const DeclaredService* service_ = nullptr;
+    std::string serviceName_;
+    std::vector<std::string> homes_;
+    PlacementQuery query_;
+    std::shared_ptr<const OutgoingRequest> forwarded_;
+    MonotonicTime arrivedAt_;
+    MonotonicTime endsAt_ {};
+    std::uint64_t fingerprint_ = 0;
+    int sends_ = 0;
+    int failedConnects_ = 0;
+    bool mayHaveRun_ = false;
+    bool isDone_ = false;
+    Sent sent_;
+    std::unique_ptr<Attempt> attempt_;
+    std::unique_ptr<Alarm> deadline_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/upstream_caller.h
@@ -0,0 +1,49 @@
+// Sends one request to one upstream. An attempt sends at most once: there is no silent second send.
+#pragma once
+
+#include "gateway/upstream_set.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace sapphirepass {
+
+using OutgoingRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using UpstreamResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+enum class LossKind {
+    // No connection: the upstream has seen nothing of the request.
+    NotSent,
+    // The connection ended before the whole answer; the request may have run.
+    Cut,
+    // The upstream sent bytes that are no answer to this request.
+    Garbled,
+};
+
+struct AttemptLoss {
+    LossKind kind_ = LossKind::NotSent;
+    std::string reason_;
+
+    auto operator<=>(const AttemptLoss&) const = default;
+};
+
+using AttemptOutcome = std::variant<UpstreamResponse, AttemptLoss>;
+
+// An attempt under way. Its end before the outcome closes the connection, which cancels the upstream's work.
+class Attempt {
+public:
+    virtual ~Attempt() = default;
+};
+
+class UpstreamCaller {
+public:
+    virtual ~UpstreamCaller() = default;
+    // The request outlives the call; the outcome is told once, never before this returns.
+    virtual auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> = 0;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/upstream_set.cpp
@@ -0,0 +1,141 @@
+#include "gateway/upstream_set.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirepass {
+
+using namespace std::chrono_literals;
+
+namespace {
+    // First rest after a lost attempt; doubles with each further one. A crashed upstream is back after seconds.
+    constexpr Duration firstRest = 250ms;
+    constexpr Duration longestRest = 2s;
+    // Time in which a share of failures falls to a third without new ones: a few requests at usual rates.
+    constexpr Duration failureMemory = 1500ms;
+    // Weight of the newest attempt in the share of failures.
+    constexpr double failureWeight = 0.25;
+
+    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+}
+
+UpstreamSet::UpstreamSet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
+    : clock_(clock)
+    , regionOfDomain_(std::move(regionOfDomain))
+{
+}
+
+auto UpstreamSet::replaceAll(const std::vector<UpstreamEntry>& entries, Duration keepMissing) -> void
+{
+    std::set<std::string> named;
+    for (const auto& entry : entries) {
+        named.insert(entry.id_);
+        put(entry);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, upstream] : byId_) {
+        if (!named.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto& id : missing)
+        remove(id, keepMissing);
+}
+
+auto UpstreamSet::put(const UpstreamEntry& entry) -> void
+{
+    const auto now = clock_.now();
+    auto& slot = byId_[entry.id_];
+    const bool sameStart = slot && slot->entry_.born_ == entry.born_ && slot->entry_.address_ == entry.address_ && slot->entry_.service_ == entry.service_;
+    if (sameStart) {
+        slot->entry_ = entry;
+        slot->missingUntil_.reset();
+    } else {
+        if (slot)
+            retire(*slot);
+        slot = std::make_shared<Upstream>();
+        slot->entry_ = entry;
+        slot->region_ = regionOf(entry.domain_);
+    }
+    if (entry.coldLeft_ > Duration::zero())
+        slot->coldUntil_ = std::max(slot->coldUntil_, now + entry.coldLeft_);
+    rebuildServices();
+}
+
+auto UpstreamSet::remove(const std::string& id, Duration keepMissing) -> void
+{
+    const auto found = byId_.find(id);
+    if (found == byId_.end() || found->second->missingUntil_)
+        return;
+    if (keepMissing > Duration::zero() && found->second->entry_.state_ == UpstreamState::Ready) {
+        found->second->missingUntil_ = clock_.now() + keepMissing;
+        return;
+    }
+    retire(*found->second);
+    byId_.erase(found);
+    rebuildServices();
+}
+
+auto UpstreamSet::dropMissing() -> void
+{
+    const auto now = clock_.now();
+    const auto dropped = std::erase_if(byId_, [this, now](const auto& item) {
+        const bool over = item.second->missingUntil_ && *item.second->missingUntil_ <= now;
+        if (over)
+            retire(*item.second);
+        return over;
+    });
+    if (dropped > 0)
+        rebuildServices();
+}
+
+auto UpstreamSet::rebuildServices() -> void
+{
+    byService_.clear();
+    for (const auto& [id, upstream] : byId_)
+        byService_[upstream->entry_.service_].push_back(upstream);
+}
+
+auto UpstreamSet::ofService(const std::string& service) const -> const ServiceUpstreams&
+{
+    static const ServiceUpstreams none;
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? none : found->second;
+}
+
+auto UpstreamSet::isOpen(const Upstream& upstream) const -> bool
+{
+    return !upstream.retired_ && upstream.entry_.state_ == UpstreamState::Ready && !evacuated_.contains(upstream.entry_.domain_);
+}
+
+auto UpstreamSet::regionOf(const std::string& domain) const -> std::string
+{
+    const auto found = regionOfDomain_.find(domain);
+    return found == regionOfDomain_.end() ? std::string() : found->second;
+}
+
+auto UpstreamSet::noteAttempt(Upstream& upstream, AttemptHealth health) -> void
+{
+    const auto now = clock_.now();
+    const double faded = upstream.failing_ * std::exp(-seconds(now - upstream.failingAt_) / seconds(failureMemory));
+    const double newest = health == AttemptHealth::Answered ? 0 : 1;
+    upstream.failing_ = faded * (1 - failureWeight) + newest * failureWeight;
+    upstream.failingAt_ = now;
+    if (health != AttemptHealth::Lost) {
+        upstream.lostInRow_ = 0;
+        return;
+    }
+    const int doublings = std::min(upstream.lostInRow_++, 4);
+    upstream.restsUntil_ = now + std::min<Duration>(longestRest, firstRest * (1 << doublings));
+    // It may have crashed: whatever answers there next has just started.
+    const auto coldFor = coldFor_.find(upstream.entry_.service_);
+    if (coldFor != coldFor_.end() && upstream.lostInRow_ >= 2)
+        upstream.coldUntil_ = std::max(upstream.coldUntil_, upstream.restsUntil_ + coldFor->second);
+}
+
+auto UpstreamSet::noteLoad(Upstream& upstream, StatedLoad load) -> void
+{
+    upstream.load_ = load;
+    upstream.loadAt_ = clock_.now();
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/upstream_set.h
@@ -0,0 +1,83 @@
+// The upstreams that discovery names, with what this instance knows of each.
+#pragma once
+
+#include "gateway/upstream_type.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sapphirepass {
+
+// How an attempt at an upstream ended, as far as its health is concerned.
+enum class AttemptHealth { Answered,
+    // Answered with a failure of its own, or with bytes that are no answer.
+    Failed,
+    // Said that it did not run the request.
+    Shed,
+    // The connection was refused, reset or timed out.
+    Lost };
+
+struct Upstream {
+    UpstreamEntry entry_;
+    std::string region_;
+    int inFlight_ = 0;
+    StatedLoad load_;
+    MonotonicTime loadAt_ {};
+    MonotonicTime coldUntil_ {};
+    // No work until then, after lost attempts.
+    MonotonicTime restsUntil_ {};
+    int lostInRow_ = 0;
+    // Share of recent attempts that failed or were shed, 0 to 1.
+    double failing_ = 0;
+    MonotonicTime failingAt_ {};
+    // Pace of a cold upstream: when the next request may be sent.
+    MonotonicTime nextColdSend_ {};
+    // Discovery no longer names it, but may again until then.
+    std::optional<MonotonicTime> missingUntil_;
+    bool retired_ = false;
+};
+
+using UpstreamPtr = std::shared_ptr<Upstream>;
+
+// Upstreams of one service in the order of ids.
+using ServiceUpstreams = std::vector<UpstreamPtr>;
+
+class UpstreamSet {
+public:
+    UpstreamSet(const Clock& clock, std::map<std::string, std::string> regionOfDomain);
+
+    // Replaces all entries. Those that are missing are dropped at once, or after a while that starts now.
+    auto replaceAll(const std::vector<UpstreamEntry>& entries, Duration keepMissing) -> void;
+    auto put(const UpstreamEntry& entry) -> void;
+    auto remove(const std::string& id, Duration keepMissing) -> void;
+    // Drops the missing whose time is over.
+    auto dropMissing() -> void;
+    auto setEvacuated(std::set<std::string> domains) -> void { evacuated_ = std::move(domains); }
+    // The declared time that an upstream of a service stays cold after a restart.
+    auto setColdTime(const std::string& service, Duration coldFor) -> void { coldFor_[service] = coldFor; }
+
+    auto ofService(const std::string& service) const -> const ServiceUpstreams&;
+    auto size() const -> std::size_t { return byId_.size(); }
+    // May get work at all: named, not draining, its domain not evacuated.
+    auto isOpen(const Upstream& upstream) const -> bool;
+    auto regionOf(const std::string& domain) const -> std::string;
+    auto noteAttempt(Upstream& upstream, AttemptHealth health) -> void;
+    auto noteLoad(Upstream& upstream, StatedLoad load) -> void;
+
+private:
+    auto rebuildServices() -> void;
+    auto retire(Upstream& upstream) -> void { upstream.retired_ = true; }
+
+    const Clock& clock_;
+    std::map<std::string, std::string> regionOfDomain_;
+    std::map<std::string, UpstreamPtr> byId_;
+    std::map<std::string, ServiceUpstreams> byService_;
+    std::map<std::string, Duration> coldFor_;
+    std::set<std::string> evacuated_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/call_channel.cpp
@@ -0,0 +1,126 @@
+#include "loop/call_channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+namespace sapphirepass {
+
+namespace {
+    constexpr std::size_t readBytes = 32 * 1024;
+    // The platform's answers hold a list of about a megabyte at most.
+    constexpr std::uint64_t mostAnswerBytes = 8 * 1024 * 1024;
+}
+
+CallChannel::CallChannel(asio::io_context& loop, SocketAddress server)
+    : socket_(loop)
+    , timer_(loop)
+    , server_(std::move(server))
+{
+}
+
+auto CallChannel::call(HttpRequest request, Duration limit, Done done) -> void
+{
+    request_ = std::move(request);
+    request_->set(http::field::host, formatSocketAddress(server_));
+    request_->prepare_payload();
+    done_ = std::move(done);
+    isSent_ = false;
+    ++number_;
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this(), number = number_](NetError error) {
+        if (!error && number == self->number_)
+            self->fail("no answer in time");
+    });
+    if (isConnected_ && socket_.is_open())
+        write();
+    else
+        connect();
+}
+
+auto CallChannel::connect() -> void
+{
+    closeQuietly(socket_);
+    buffer_.clear();
+    const Tcp::endpoint endpoint { asio::ip::make_address_v4(server_.host_), server_.port_ };
+    socket_.async_connect(endpoint, [self = shared_from_this(), number = number_](NetError error) {
+        if (number != self->number_ || !self->done_)
+            return;
+        if (error)
+            return self->fail(error.message());
+        self->isConnected_ = true;
+        detectDeadPeer(self->socket_);
+        self->write();
+    });
+}
+
+auto CallChannel::write() -> void
+{
+    std::ostringstream out;
+    out << *request_;
+    bytes_ = out.str();
+    isSent_ = true;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(mostAnswerBytes);
+    asio::async_write(socket_, asio::buffer(bytes_), [self = shared_from_this(), number = number_](NetError error, std::size_t) {
+        if (error && number == self->number_ && self->done_)
+            self->fail(error.message());
+    });
+    readMore();
+}
+
+auto CallChannel::readMore() -> void
+{
+    socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this(), number = number_](NetError error, std::size_t count) {
+        if (number == self->number_ && self->done_)
+            self->onRead(error, count);
+    });
+}
+
+auto CallChannel::onRead(NetError error, std::size_t count) -> void
+{
+    if (error)
+        return fail(error.message());
+    buffer_.commit(count);
+    NetError failure;
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+        const auto used = parser_->put(buffer_.data(), failure);
+        buffer_.consume(used);
+        if (failure == http::error::need_more || used == 0)
+            break;
+        if (failure)
+            return fail(failure.message());
+    }
+    if (!parser_->is_done())
+        return readMore();
+    timer_.cancel();
+    if (!parser_->keep_alive() || buffer_.size() > 0) {
+        isConnected_ = false;
+        closeQuietly(socket_);
+    }
+    const auto done = std::move(done_);
+    done_ = nullptr;
+    done(parser_->release());
+}
+
+auto CallChannel::fail(std::string message) -> void
+{
+    timer_.cancel();
+    isConnected_ = false;
+    closeQuietly(socket_);
+    const auto done = std::move(done_);
+    done_ = nullptr;
+    if (done)
+        done(CallError { isSent_ ? CallErrorKind::AnswerLost : CallErrorKind::NotSent, std::move(message) });
+}
+
+auto CallChannel::stop() -> void
+{
+    done_ = nullptr;
+    timer_.cancel();
+    closeQuietly(socket_);
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/call_channel.h
@@ -0,0 +1,61 @@
+// A client of one HTTP server: one call at a time on one kept connection, each with a time limit.
+#pragma once
+
+#include "base/clock.h"
+#include "base/socket_address.h"
+#include "loop/net_type.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace sapphirepass {
+
+enum class CallErrorKind {
+    // No connection: nothing was sent.
+    NotSent,
+    // Sent; whether it took effect is not known.
+    AnswerLost,
+};
+
+struct CallError {
+    CallErrorKind kind_ = CallErrorKind::NotSent;
+    std::string message_;
+
+    auto operator<=>(const CallError&) const = default;
+};
+
+using CallResult = std::variant<HttpResponse, CallError>;
+
+class CallChannel : public std::enable_shared_from_this<CallChannel> {
+public:
+    using Done = std::function<void(CallResult)>;
+
+    CallChannel(asio::io_context& loop, SocketAddress server);
+
+    // One call at a time.
+    auto call(HttpRequest request, Duration limit, Done done) -> void;
+    auto stop() -> void;
+
+private:
+    auto connect() -> void;
+    auto write() -> void;
+    auto readMore() -> void;
+    auto onRead(NetError error, std::size_t count) -> void;
+    auto fail(std::string message) -> void;
+
+    Tcp::socket socket_;
+    asio::steady_timer timer_;
+    SocketAddress server_;
+    std::optional<HttpRequest> request_;
+    std::string bytes_;
+    Done done_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    bool isConnected_ = false;
+    bool isSent_ = false;
+    std::uint64_t number_ = 0;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/caller_listener.cpp
@@ -0,0 +1,71 @@
+#include "loop/caller_listener.h"
+
+namespace sapphirepass {
+
+namespace {
+    // Connections that may wait to be accepted: a burst of callers that open one each.
+    constexpr int backlog = 1'024;
+}
+
+CallerListener::CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock)
+    : acceptor_(loop)
+    , handler_(handler)
+    , clock_(clock)
+{
+}
+
+auto CallerListener::listen(const SocketAddress& address) -> std::string
+{
+    const Tcp::endpoint endpoint { asio::ip::make_address_v4(address.host_), address.port_ };
+    NetError error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(backlog, error);
+    if (error)
+        return error.message();
+    acceptNext();
+    return {};
+}
+
+auto CallerListener::acceptNext() -> void
+{
+    acceptor_.async_accept([this](NetError error, Tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open())
+            return;
+        if (!error) {
+            auto channel = std::make_shared<CallerChannel>(std::move(socket), handler_, clock_);
+            channels_.push_back(channel);
+            channel->start();
+        }
+        acceptNext();
+    });
+}
+
+auto CallerListener::stopAccepting() -> void
+{
+    NetError ignored;
+    acceptor_.close(ignored);
+}
+
+auto CallerListener::closeIdle() -> void
+{
+    for (const auto& entry : channels_) {
+        if (const auto channel = entry.lock())
+            channel->closeIfIdle();
+    }
+}
+
+auto CallerListener::sweep() -> void
+{
+    for (const auto& entry : channels_) {
+        if (const auto channel = entry.lock())
+            channel->checkTime();
+    }
+    std::erase_if(channels_, [](const auto& entry) { return entry.expired(); });
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/caller_listener.h
@@ -0,0 +1,33 @@
+// Accepts connections of callers on one address.
+#pragma once
+
+#include "base/socket_address.h"
+#include "loop/caller_channel.h"
+
+#include <string>
+#include <vector>
+
+namespace sapphirepass {
+
+class CallerListener {
+public:
+    CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock);
+
+    // An error message, or nothing.
+    auto listen(const SocketAddress& address) -> std::string;
+    auto stopAccepting() -> void;
+    auto closeIdle() -> void;
+    // Applies time limits and forgets closed connections. Called now and then.
+    auto sweep() -> void;
+    auto openCount() const -> std::size_t { return channels_.size(); }
+
+private:
+    auto acceptNext() -> void;
+
+    Tcp::acceptor acceptor_;
+    CallerHandler& handler_;
+    const Clock& clock_;
+    std::vector<std::weak_ptr<CallerChannel>> channels_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/gateway.cpp
@@ -0,0 +1,334 @@
+#include "loop/gateway.h"
+
+#include "base/random.h"
+#include "gateway/heartbeat_codec.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace sapphirepass {
+
+using namespace std::chrono_literals;
+
+namespace {
+    // Housekeeping: time limits, heartbeats, logs.
+    constexpr Duration tickTime = 200ms;
+    // Heartbeats go every so many ticks: shares of limits follow demand within a second.
+    constexpr std::uint64_t heartbeatTicks = 2;
+    constexpr std::uint64_t statusTicks = 25;
+    // Heartbeats name the instances that the sender hears every so many times.
+    constexpr std::uint64_t knownTicks = 10;
+    // After a request to stop: new connections are taken until callers have looked up another instance.
+    constexpr Duration acceptAfterStop = 1'500ms;
+    // Kept before the end of the grace time for the process to end by itself.
+    constexpr Duration graceMargin = 300ms;
+    // Addresses in one answer of the directory.
+    constexpr std::size_t mostAddresses = 64;
+
+    auto queryValue(std::string_view query, std::string_view name) -> std::string
+    {
+        while (!query.empty()) {
+            const auto end = query.find('&');
+            const auto pair = query.substr(0, end);
+            if (pair.size() > name.size() && pair.starts_with(name) && pair[name.size()] == '=')
+                return std::string(pair.substr(name.size() + 1));
+            query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+        }
+        return {};
+    }
+
+    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+}
+
+// A request of a caller as the gateway counts it.
+class Gateway::Run final : public RunningRequest {
+public:
+    Run(Gateway& gateway, HttpRequest request, CallerHandler::Answer answer)
+        : gateway_(gateway)
+        , run_(std::make_shared<RequestRun>(gateway.context_, std::move(request), std::move(answer)))
+    {
+        ++gateway_.inFlight_;
+    }
+    ~Run() override { --gateway_.inFlight_; }
+    Run(const Run&) = delete;
+    auto operator=(const Run&) -> Run& = delete;
+
+    auto start() -> void { run_->start(); }
+    auto cancel() -> void override { run_->cancel(); }
+
+private:
+    Gateway& gateway_;
+    std::shared_ptr<RequestRun> run_;
+};
+
+auto Gateway::FrontHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
+{
+    auto run = std::make_shared<Run>(gateway_, std::move(request), std::move(answer));
+    run->start();
+    return run;
+}
+
+auto Gateway::OwnHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
+{
+    answer(gateway_.answerOwn(request));
+    return nullptr;
+}
+
+Gateway::Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter)
+    : loop_(loop)
+    , clock_(clock)
+    , settings_(std::move(settings))
+    , adapter_(std::move(adapter))
+    , incarnation_(randomNumber())
+    , log_(clock, STDOUT_FILENO, { static_cast<double>(settings_.logBytesPerSecond_), LineLogBounds {}.bufferBytes_, static_cast<std::uint64_t>(settings_.logSuccessSample_) }, settings_.name_)
+    , alarms_(loop)
+    , upstreams_(clock, settings_.domains_)
+    , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
+    , beliefs_(clock, upstreams_, fleet_, log_)
+    , placer_(clock, upstreams_, fleet_)
+    , rates_(clock, fleet_)
+    , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
+    , crashes_(clock, fleet_)
+    , pool_(loop, clock, adapter_.headers_)
+    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, counts_ }
+    , frontHandler_(*this)
+    , ownHandler_(*this)
+    , front_(loop, frontHandler_, clock)
+    , directory_(loop, ownHandler_, clock)
+    , ready_(loop, ownHandler_, clock)
+    , control_(loop, ownHandler_, clock)
+    , heartbeats_(loop, [this](std::string_view bytes) { onHeartbeat(bytes); })
+    , timer_(loop)
+    , startedAt_(clock.now())
+{
+    beliefs_.onDeclaration([this] { context_.index_ = beliefs_.index(); });
+}
+
+auto Gateway::start() -> std::string
+{
+    struct Opening {
+        CallerListener& listener_;
+        const SocketAddress& address_;
+    };
+    for (const auto& opening : { Opening { front_, settings_.front_ }, Opening { directory_, settings_.directory_ }, Opening { ready_, settings_.ready_ }, Opening { control_, settings_.control_ } }) {
+        if (const auto error = opening.listener_.listen(opening.address_); !error.empty())
+            return fmt::format("{}: {}", formatSocketAddress(opening.address_), error);
+    }
+    if (const auto error = heartbeats_.open(settings_.peer_); !error.empty())
+        return fmt::format("{}: {}", formatSocketAddress(settings_.peer_), error);
+    log_.write(EventId::GatewayStarted, { { "front", formatSocketAddress(settings_.front_) }, { "region", settings_.region_ }, { "domain", settings_.domain_ }, { "incarnation", incarnation_ } });
+    adapter_.source_->start(beliefs_, { settings_.name_, settings_.peer_ });
+    sendHeartbeat();
+    scheduleTick();
+    return {};
+}
+
+auto Gateway::callerLimits() const -> CallerLimits
+{
+    return context_.index_ ? context_.index_->declaration().limits_ : CallerLimits {};
+}
+
+auto Gateway::answerOwn(const HttpRequest& request) const -> HttpResponse
+{
+    const std::string_view target { request.target().data(), request.target().size() };
+    const auto path = target.substr(0, target.find('?'));
+    if (path == adapter_.paths_.directory_)
+        return answerDirectory(path.size() < target.size() ? target.substr(path.size() + 1) : std::string_view());
+    if (path == adapter_.paths_.readiness_)
+        return answerReadiness();
+    if (path == "/metrics")
+        return answerMetrics();
+    return ownAnswer(404, "no such page", Executed::No);
+}
+
+auto Gateway::answerReadiness() const -> HttpResponse
+{
+    return isReady() ? ownAnswer(200, "ready", Executed::No) : ownAnswer(503, "not ready", Executed::No);
+}
+
+// Callers are named the ready instances of their own region; those of others only where it has none.
+auto Gateway::answerDirectory(std::string_view query) const -> HttpResponse
+{
+    const auto region = queryValue(query, "region");
+    auto members = fleet_.readyMembers(region);
+    const bool ownRegion = region == settings_.region_;
+    if (members.empty() && !(ownRegion && isReady()))
+        members = fleet_.anyReadyMembers();
+    nlohmann::json addresses = nlohmann::json::array();
+    if (isReady() && (ownRegion || members.empty()))
+        addresses.push_back(formatSocketAddress(settings_.front_));
+    for (const auto* member : members) {
+        if (addresses.size() < mostAddresses)
+            addresses.push_back(formatSocketAddress(member->front_));
+    }
+    if (addresses.empty())
+        return ownAnswer(503, "no ready instance is known", Executed::No, 500ms);
+    HttpResponse response;
+    response.result(200);
+    response.set(http::field::content_type, "application/json");
+    response.body() = nlohmann::json { { "addresses", addresses }, { "ttl_s", seconds(settings_.directoryTtl_) } }.dump();
+    return response;
+}
+
+auto Gateway::answerMetrics() const -> HttpResponse
+{
+    std::string text;
+    for (const auto& [outcome, count] : counts_.byOutcome_)
+        text += fmt::format("gateway_requests_total{{outcome=\"{}\"}} {}\n", outcome, count);
+    text += fmt::format("gateway_requests_in_flight {}\n", inFlight_);
+    text += fmt::format("gateway_connections_open {}\n", front_.openCount());
+    text += fmt::format("gateway_upstream_connections_opened_total {}\n", pool_.counts().opened_);
+    text += fmt::format("gateway_upstream_connections_reused_total {}\n", pool_.counts().reused_);
+    text += fmt::format("gateway_store_calls_total {}\n", adapter_.source_->calls());
+    text += fmt::format("gateway_declaration_version {}\n", context_.index_ ? context_.index_->declaration().version_ : 0);
+    text += fmt::format("gateway_upstreams_known {}\n", upstreams_.size());
+    text += fmt::format("gateway_peers_ready {}\n", fleet_.anyReadyMembers().size());
+    text += fmt::format("gateway_log_lines_dropped_total {}\n", log_.dropped());
+    HttpResponse response;
+    response.result(200);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = std::move(text);
+    return response;
+}
+
+auto Gateway::scheduleTick() -> void
+{
+    timer_.expires_after(tickTime);
+    timer_.async_wait([this](NetError error) {
+        if (error || isEnded_)
+            return;
+        tick();
+        if (!isEnded_)
+            scheduleTick();
+    });
+}
+
+auto Gateway::tick() -> void
+{
+    ++ticks_;
+    upstreams_.dropMissing();
+    if (ticks_ % heartbeatTicks == 0) {
+        demands_ = rates_.measureDemand();
+        fleet_.forgetSilent();
+        sendHeartbeat();
+        noteFleet();
+    }
+    for (auto* listener : { &front_, &directory_, &ready_, &control_ })
+        listener->sweep();
+    pool_.sweep();
+    if (ticks_ % statusTicks == 0)
+        noteStatus();
+    if (isStopping_)
+        continueStop();
+    log_.flush();
+}
+
+// Instances share one port number for heartbeats; a seed names any listener of its instance.
+auto Gateway::seedPeers() const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> peers;
+    std::string_view rest = settings_.seeds_;
+    while (!rest.empty()) {
+        const auto comma = rest.find(',');
+        if (const auto seed = parseSocketAddress(rest.substr(0, comma)); seed && seed->host_ != settings_.peer_.host_)
+            peers.push_back({ seed->host_, settings_.peer_.port_ });
+        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+    }
+    return peers;
+}
+
+auto Gateway::sendHeartbeat() -> void
+{
+    MemberReport report { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, MemberPhase::Starting, demands_, crashes_.counts(), {} };
+    if (isStopping_)
+        report.phase_ = MemberPhase::Stopping;
+    else if (isReady())
+        report.phase_ = MemberPhase::Ready;
+    if (ticks_ % (heartbeatTicks * knownTicks) == 0)
+        report.known_ = fleet_.heardAddresses();
+    auto to = fleet_.peerAddresses();
+    if (to.empty())
+        to = seedPeers();
+    heartbeats_.send(encodeHeartbeat(report), to);
+}
+
+auto Gateway::onHeartbeat(std::string_view bytes) -> void
+{
+    const auto decoded = decodeHeartbeat(bytes);
+    if (!isOk(decoded)) {
+        log_.write(EventId::HeartbeatRefused, { { "why", errorOf(decoded).message_ } });
+        return;
+    }
+    const auto& report = valueOf(decoded);
+    fleet_.hear(report);
+    const auto known = fleet_.peerAddresses();
+    std::vector<SocketAddress> strangers;
+    for (const auto& address : report.known_) {
+        if (address != settings_.peer_ && std::find(known.begin(), known.end(), address) == known.end())
+            strangers.push_back(address);
+    }
+    if (strangers.empty())
+        return;
+    MemberReport greeting { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, isStopping_ ? MemberPhase::Stopping : MemberPhase::Starting, demands_, {}, {} };
+    if (isReady())
+        greeting.phase_ = MemberPhase::Ready;
+    heartbeats_.send(encodeHeartbeat(greeting), strangers);
+}
+
+auto Gateway::noteFleet() -> void
+{
+    const auto ready = fleet_.anyReadyMembers().size();
+    if (ready == readyPeers_)
+        return;
+    log_.write(EventId::FleetChanged, { { "ready", ready }, { "before", readyPeers_ }, { "spenders", fleet_.spenders() } });
+    readyPeers_ = ready;
+}
+
+auto Gateway::noteStatus() -> void
+{
+    LogFields outcomes = LogFields::object();
+    for (const auto& [outcome, count] : counts_.byOutcome_)
+        outcomes[outcome] = count;
+    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", inFlight_ }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "outcomes", outcomes } });
+}
+
+auto Gateway::beginStop() -> void
+{
+    if (isStopping_)
+        return;
+    isStopping_ = true;
+    stoppingAt_ = clock_.now();
+    log_.write(EventId::GatewayStopping, { { "in_flight", inFlight_ }, { "connections", front_.openCount() } });
+    sendHeartbeat();
+}
+
+auto Gateway::continueStop() -> void
+{
+    const auto age = clock_.now() - stoppingAt_;
+    front_.closeIdle();
+    if (age >= acceptAfterStop)
+        front_.stopAccepting();
+    const bool isDone = age >= acceptAfterStop && front_.openCount() == 0;
+    if (isDone || age >= settings_.grace_ - graceMargin)
+        end();
+}
+
+auto Gateway::end() -> void
+{
+    isEnded_ = true;
+    log_.write(EventId::GatewayStopped, { { "in_flight", inFlight_ }, { "ran_s", seconds(clock_.now() - startedAt_) } });
+    log_.flush();
+    adapter_.source_->stop();
+    loop_.stop();
+}
+
+auto Gateway::rereadSettings(const std::string& path) -> void
+{
+    const auto settings = loadGatewaySettings(path);
+    LogFields fields { { "ok", isOk(settings) } };
+    if (!isOk(settings))
+        fields["why"] = renderViolation(path, errorOf(settings).front());
+    log_.write(EventId::SettingsReread, std::move(fields));
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/gateway.h
@@ -0,0 +1,123 @@
+// The gateway daemon: wires decisions, beliefs and the event loop.
+#pragma once
+
+#include "gateway/beliefs.h"
+#include "gateway/request_run.h"
+#include "loop/caller_listener.h"
+#include "loop/heartbeat_socket.h"
+#include "loop/line_log.h"
+#include "loop/loop_alarm.h"
+#include "loop/upstream_pool.h"
+#include "settings/gateway_settings.h"
+
+namespace sapphirepass {
+
+// Paths of the gateway's own that an adapter names.
+struct GatewayPaths {
+    std::string directory_;
+    std::string readiness_;
+
+    auto operator<=>(const GatewayPaths&) const = default;
+};
+
+struct GatewayAdapter {
+    HeaderNames headers_;
+    GatewayPaths paths_;
+    std::unique_ptr<BeliefSource> source_;
+};
+
+class Gateway {
+public:
+    Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter);
+
+    // An error message, or nothing.
+    auto start() -> std::string;
+    // Finishes what is in flight, then ends the loop.
+    auto beginStop() -> void;
+    auto rereadSettings(const std::string& path) -> void;
+    auto isReady() const -> bool { return beliefs_.isComplete() && !isStopping_; }
+
+private:
+    // Callers' requests.
+    class FrontHandler final : public CallerHandler {
+    public:
+        explicit FrontHandler(Gateway& gateway)
+            : gateway_(gateway)
+        {
+        }
+        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
+        auto limits() const -> CallerLimits override { return gateway_.callerLimits(); }
+        auto isClosing() const -> bool override { return gateway_.isStopping_; }
+
+    private:
+        Gateway& gateway_;
+    };
+    // The directory, readiness and metrics: answered at once.
+    class OwnHandler final : public CallerHandler {
+    public:
+        explicit OwnHandler(Gateway& gateway)
+            : gateway_(gateway)
+        {
+        }
+        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
+        auto limits() const -> CallerLimits override { return {}; }
+        auto isClosing() const -> bool override { return false; }
+
+    private:
+        Gateway& gateway_;
+    };
+    class Run;
+
+    auto callerLimits() const -> CallerLimits;
+    auto answerOwn(const HttpRequest& request) const -> HttpResponse;
+    auto answerDirectory(std::string_view query) const -> HttpResponse;
+    auto answerReadiness() const -> HttpResponse;
+    auto answerMetrics() const -> HttpResponse;
+    auto tick() -> void;
+    auto scheduleTick() -> void;
+    auto sendHeartbeat() -> void;
+    auto onHeartbeat(std::string_view bytes) -> void;
+    auto seedPeers() const -> std::vector<SocketAddress>;
+    auto noteFleet() -> void;
+    auto noteStatus() -> void;
+    auto continueStop() -> void;
+    auto end() -> void;
+
+    asio::io_context& loop_;
+    const Clock& clock_;
+    GatewaySettings settings_;
+    GatewayAdapter adapter_;
+    std::uint64_t incarnation_;
+    LineLog log_;
+    LoopAlarmClock alarms_;
+    UpstreamSet upstreams_;
+    FleetView fleet_;
+    Beliefs beliefs_;
+    Placer placer_;
+    RateGate rates_;
+    RetryGate retries_;
+    CrashRegister crashes_;
+    SplitCursor split_;
+    WorkTimes workTimes_;
+    UpstreamPool pool_;
+    RequestCounts counts_;
+    RequestContext context_;
+    FrontHandler frontHandler_;
+    OwnHandler ownHandler_;
+    CallerListener front_;
+    CallerListener directory_;
+    CallerListener ready_;
+    CallerListener control_;
+    HeartbeatSocket heartbeats_;
+    asio::steady_timer timer_;
+    std::uint64_t ticks_ = 0;
+    std::size_t inFlight_ = 0;
+    std::size_t readyPeers_ = 0;
+    bool isStopping_ = false;
+    bool isEnded_ = false;
+    MonotonicTime stoppingAt_ {};
+    MonotonicTime startedAt_;
+    std::vector<WorkspaceDemand> demands_;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/line_log.h
@@ -0,0 +1,44 @@
+// Structured lines on standard output that never hold up the event loop.
+#pragma once
+
+#include "base/clock.h"
+#include "gateway/decision_log.h"
+
+#include <string>
+
+namespace sapphirepass {
+
+struct LineLogBounds {
+    // Lines beyond this are dropped and counted.
+    double bytesPerSecond_ = 24.0 * 1024;
+    // Unwritten lines that are kept for a reader that is slow.
+    std::size_t bufferBytes_ = 256 * 1024;
+    // One ordinary success of so many is told.
+    std::uint64_t successSample_ = 100;
+};
+
+class LineLog final : public DecisionLog {
+public:
+    LineLog(const Clock& clock, int handle, LineLogBounds bounds, std::string instance);
+
+    auto keepsSuccess(std::string_view requestId) const -> bool override;
+    auto write(EventId id, LogFields fields) -> void override;
+    // Writes what the reader takes without waiting. Called now and then by the loop.
+    auto flush() -> void;
+    auto dropped() const -> std::uint64_t { return dropped_; }
+
+private:
+    auto append(EventId id, const LogFields& fields) -> bool;
+
+    const Clock& clock_;
+    int handle_;
+    LineLogBounds bounds_;
+    std::string instance_;
+    std::string buffer_;
+    double allowance_;
+    MonotonicTime filledAt_;
+    std::uint64_t dropped_ = 0;
+    std::uint64_t toldDropped_ = 0;
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/net_type.cpp
@@ -0,0 +1,42 @@
+#include "loop/net_type.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace sapphirepass {
+
+namespace {
+    // Written data that is not acknowledged for so long ends the connection.
+    constexpr int userTimeoutMs = 1'500;
+    // A connection without traffic is probed after a second and given up after two lost probes.
+    constexpr int keepAliveIdleS = 1;
+    constexpr int keepAliveIntervalS = 1;
+    constexpr int keepAliveProbes = 2;
+
+    auto setOption(int socket, int level, int name, int value) -> void
+    {
+        // A kernel that lacks the option leaves the connection to the time limits of its calls.
+        static_cast<void>(::setsockopt(socket, level, name, &value, sizeof value));
+    }
+}
+
+auto detectDeadPeer(Tcp::socket& socket) -> void
+{
+    const int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalS);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
+auto closeQuietly(Tcp::socket& socket) -> void
+{
+    // The connection is given up: errors of its end have no consequence.
+    NetError ignored;
+    socket.close(ignored);
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/net_type.h
@@ -0,0 +1,29 @@
+// Names of the event loop's types, and the options of its sockets.
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace sapphirepass {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using Udp = asio::ip::udp;
+using NetError = boost::system::error_code;
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+// Ends a connection whose peer is silent, which the kernel alone would not notice for minutes.
+auto detectDeadPeer(Tcp::socket& socket) -> void;
+auto closeQuietly(Tcp::socket& socket) -> void;
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/upstream_channel.cpp
@@ -0,0 +1,238 @@
+#include "loop/upstream_channel.h"
+
+#include "base/field.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <sstream>
+
+namespace sapphirepass {
+
+using namespace std::chrono_literals;
+
+namespace {
+    // A connection across regions takes a tenth of this; an upstream that needs longer is as good as gone.
+    constexpr Duration connectLimit = 400ms;
+    constexpr std::size_t readBytes = 16 * 1024;
+    // Larger answers are not kept in memory.
+    constexpr std::uint64_t mostAnswerBytes = 32 * 1024 * 1024;
+    // Part of the stated idle time in which a connection is reused, so that its close never crosses a request.
+    constexpr double idlePart = 0.5;
+    // Where the upstream states no time.
+    constexpr Duration assumedIdle = 4s;
+
+    auto endpointOf(const SocketAddress& address) -> Tcp::endpoint
+    {
+        return { asio::ip::make_address_v4(address.host_), address.port_ };
+    }
+
+    auto renderHead(const OutgoingRequest& request) -> std::string
+    {
+        std::string head;
+        head.reserve(512);
+        head.append(request.method_string().data(), request.method_string().size()).append(" ");
+        head.append(request.target().data(), request.target().size()).append(" HTTP/1.1\r\n");
+        for (const auto& field : request) {
+            head.append(field.name_string().data(), field.name_string().size()).append(": ");
+            head.append(field.value().data(), field.value().size()).append("\r\n");
+        }
+        return head.append("\r\n");
+    }
+}
+
+UpstreamChannel::UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names)
+    : socket_(loop)
+    , timer_(loop)
+    , clock_(clock)
+    , names_(names)
+{
+}
+
+auto UpstreamChannel::connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Done done) -> void
+{
+    request_ = std::move(request);
+    done_ = std::move(done);
+    timer_.expires_after(connectLimit);
+    timer_.async_wait([self = shared_from_this()](NetError error) {
+        if (!error && !self->isOpen_)
+            self->lose(LossKind::NotSent, "connect-timeout");
+    });
+    socket_.async_connect(endpointOf(address), [self = shared_from_this()](NetError error) { self->onConnected(error); });
+}
+
+auto UpstreamChannel::onConnected(NetError error) -> void
+{
+    timer_.cancel();
+    if (!done_)
+        return;
+    if (error)
+        return lose(LossKind::NotSent, error.message());
+    isOpen_ = true;
+    detectDeadPeer(socket_);
+    writeRequest();
+}
+
+auto UpstreamChannel::send(std::shared_ptr<const OutgoingRequest> request, Done done) -> void
+{
+    request_ = std::move(request);
+    done_ = std::move(done);
+    writeRequest();
+}
+
+auto UpstreamChannel::writeRequest() -> void
+{
+    newParser();
+    head_ = renderHead(*request_);
+    isWriting_ = true;
+    const std::array<asio::const_buffer, 2> parts { asio::buffer(head_), asio::buffer(request_->body()) };
+    asio::async_write(socket_, parts, [self = shared_from_this()](NetError error, std::size_t) { self->onWritten(error); });
+    readMore();
+}
+
+// A failed write is told by the read: the upstream may have answered before it closed.
+auto UpstreamChannel::onWritten(NetError error) -> void
+{
+    isWriting_ = false;
+    isTainted_ = isTainted_ || error;
+}
+
+auto UpstreamChannel::newParser() -> void
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(mostAnswerBytes);
+    if (request_->method() == http::verb::head)
+        parser_->skip(true);
+}
+
+auto UpstreamChannel::readMore() -> void
+{
+    if (isReading_ || !socket_.is_open())
+        return;
+    isReading_ = true;
+    socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](NetError error, std::size_t count) { self->onRead(error, count); });
+}
+
+auto UpstreamChannel::onRead(NetError error, std::size_t count) -> void
+{
+    isReading_ = false;
+    buffer_.commit(count);
+    if (!done_) {
+        // Idle: its end, or bytes that belong to no request.
+        isOpen_ = false;
+        closeQuietly(socket_);
+        return;
+    }
+    if (error)
+        return onEnd(error);
+    parseBuffer();
+}
+
+auto UpstreamChannel::parseBuffer() -> void
+{
+    NetError error;
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+        const auto used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error == http::error::need_more)
+            return readMore();
+        if (error)
+            return lose(LossKind::Garbled, error.message());
+        if (used == 0)
+            break;
+    }
+    if (!parser_->is_done())
+        return readMore();
+    onWholeResponse();
+}
+
+// An answer without a length ends with its connection, if that ends in order.
+auto UpstreamChannel::onEnd(NetError error) -> void
+{
+    isOpen_ = false;
+    const bool inOrder = error == asio::error::eof;
+    if (!inOrder || !parser_->got_some() || !parser_->need_eof())
+        return lose(LossKind::Cut, inOrder ? "closed" : error.message());
+    NetError failure;
+    parser_->put_eof(failure);
+    if (failure || !parser_->is_done())
+        return lose(LossKind::Cut, "closed-early");
+    onWholeResponse();
+}
+
+auto UpstreamChannel::onWholeResponse() -> void
+{
+    const auto& response = parser_->get();
+    const auto status = response.result_int();
+    const bool ended = !isOpen_ || parser_->need_eof();
+    if (status / 100 == 1) {
+        newParser();
+        return parseBuffer();
+    }
+    const boost::beast::string_view name { names_.attempt_.data(), names_.attempt_.size() };
+    const auto echoed = response[name];
+    // Late answers to earlier requests come first; what the id names belongs to this one.
+    if (!echoed.empty() && echoed != (*request_)[name]) {
+        isTainted_ = true;
+        if (ended)
+            return lose(LossKind::Garbled, "answer-of-another-request");
+        newParser();
+        return parseBuffer();
+    }
+    if (echoed.empty() && status / 100 == 2)
+        return lose(LossKind::Garbled, "answer-without-id");
+    const bool reusable = !ended && !isTainted_ && !isWriting_ && parser_->keep_alive() && buffer_.size() == 0;
+    if (reusable)
+        idleUntil_ = clock_.now() + keptFor(response);
+    tell(parser_->release(), reusable);
+}
+
+auto UpstreamChannel::keptFor(const HttpResponse& response) const -> Duration
+{
+    const auto header = response[http::field::keep_alive];
+    const auto parameters = ";" + std::string(header.data(), header.size());
+    for (const auto& parameter : http::param_list(parameters)) {
+        if (parameter.first != "timeout")
+            continue;
+        const auto stated = readNumber({ parameter.second.data(), parameter.second.size() }, Bounds { 0, 3'600 });
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(stated.value_or(0)) * idlePart));
+    }
+    return std::chrono::duration_cast<Duration>(assumedIdle * idlePart);
+}
+
+auto UpstreamChannel::lose(LossKind kind, std::string reason) -> void
+{
+    tell(AttemptLoss { kind, std::move(reason) }, false);
+}
+
+auto UpstreamChannel::tell(AttemptOutcome outcome, bool isReusable) -> void
+{
+    const auto done = std::move(done_);
+    done_ = nullptr;
+    request_.reset();
+    if (isReusable) {
+        readMore();
+    } else {
+        isOpen_ = false;
+        timer_.cancel();
+        closeQuietly(socket_);
+    }
+    if (done)
+        done(std::move(outcome), isReusable);
+}
+
+auto UpstreamChannel::abandon() -> void
+{
+    done_ = nullptr;
+    isOpen_ = false;
+    timer_.cancel();
+    closeQuietly(socket_);
+}
+
+auto UpstreamChannel::isFresh() const -> bool
+{
+    return isOpen_ && socket_.is_open() && clock_.now() < idleUntil_;
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/upstream_channel.h
@@ -0,0 +1,59 @@
+// One connection to an upstream.
+#pragma once
+
+#include "gateway/header_names.h"
+#include "gateway/upstream_caller.h"
+#include "loop/net_type.h"
+
+#include <optional>
+
+namespace sapphirepass {
+
+class UpstreamChannel : public std::enable_shared_from_this<UpstreamChannel> {
+public:
+    // The outcome, and whether the connection may carry another request.
+    using Done = std::function<void(AttemptOutcome, bool isReusable)>;
+
+    UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names);
+
+    auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
+    auto send(std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
+    // Closes the connection; no outcome is told any more.
+    auto abandon() -> void;
+    // Idle, still open, and well inside the time that the upstream keeps it.
+    auto isFresh() const -> bool;
+
+private:
+    using Parser = http::response_parser<http::string_body>;
+
+    auto onConnected(NetError error) -> void;
+    auto writeRequest() -> void;
+    auto onWritten(NetError error) -> void;
+    auto readMore() -> void;
+    auto onRead(NetError error, std::size_t count) -> void;
+    auto parseBuffer() -> void;
+    auto onEnd(NetError error) -> void;
+    auto newParser() -> void;
+    auto onWholeResponse() -> void;
+    auto lose(LossKind kind, std::string reason) -> void;
+    auto tell(AttemptOutcome outcome, bool isReusable) -> void;
+    auto keptFor(const HttpResponse& response) const -> Duration;
+
+    Tcp::socket socket_;
+    asio::steady_timer timer_;
+    const Clock& clock_;
+    const HeaderNames& names_;
+    std::shared_ptr<const OutgoingRequest> request_;
+    std::string head_;
+    Done done_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    bool isOpen_ = false;
+    bool isReading_ = false;
+    bool isWriting_ = false;
+    // An answer to another request came on it: it carries no further one.
+    bool isTainted_ = false;
+    MonotonicTime idleUntil_ {};
+};
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/upstream_pool.cpp
@@ -0,0 +1,108 @@
+#include "loop/upstream_pool.h"
+
+#include "loop/upstream_channel.h"
+
+namespace sapphirepass {
+
+namespace {
+    class ChannelAttempt final : public Attempt {
+    public:
+        explicit ChannelAttempt(std::shared_ptr<UpstreamChannel> channel)
+            : channel_(std::move(channel))
+        {
+        }
+        ~ChannelAttempt() override
+        {
+            if (!*isOver_)
+                channel_->abandon();
+        }
+        ChannelAttempt(const ChannelAttempt&) = delete;
+        auto operator=(const ChannelAttempt&) -> ChannelAttempt& = delete;
+
+        auto overFlag() const -> std::shared_ptr<bool> { return isOver_; }
+
+    private:
+        std::shared_ptr<UpstreamChannel> channel_;
+        std::shared_ptr<bool> isOver_ = std::make_shared<bool>(false);
+    };
+}
+
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names)
+    : loop_(loop)
+    , clock_(clock)
+    , names_(names)
+{
+}
+
+UpstreamPool::~UpstreamPool()
+{
+    for (auto& [upstream, channels] : idle_) {
+        for (auto& channel : channels)
+            channel->abandon();
+    }
+}
+
+auto UpstreamPool::takeIdle(const UpstreamPtr& upstream) -> std::shared_ptr<UpstreamChannel>
+{
+    auto& channels = idle_[upstream];
+    while (!channels.empty()) {
+        auto channel = std::move(channels.back());
+        channels.pop_back();
+        if (channel->isFresh())
+            return channel;
+        channel->abandon();
+    }
+    return nullptr;
+}
+
+auto UpstreamPool::call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt>
+{
+    auto channel = takeIdle(upstream);
+    const bool reused = channel != nullptr;
+    if (!reused)
+        channel = std::make_shared<UpstreamChannel>(loop_, clock_, names_);
+    auto attempt = std::make_unique<ChannelAttempt>(channel);
+    const auto onDone = [this, upstream, channel, over = attempt->overFlag(), done = std::move(done)](AttemptOutcome outcome, bool isReusable) {
+        *over = true;
+        if (isReusable)
+            keep(upstream, channel);
+        done(std::move(outcome));
+    };
+    ++(reused ? counts_.reused_ : counts_.opened_);
+    if (reused)
+        channel->send(std::move(request), onDone);
+    else
+        channel->connectAndSend(upstream->entry_.address_, std::move(request), onDone);
+    return attempt;
+}
+
+auto UpstreamPool::keep(const UpstreamPtr& upstream, std::shared_ptr<UpstreamChannel> channel) -> void
+{
+    if (upstream->retired_)
+        channel->abandon();
+    else
+        idle_[upstream].push_back(std::move(channel));
+}
+
+auto UpstreamPool::sweep() -> void
+{
+    for (auto& [upstream, channels] : idle_) {
+        std::erase_if(channels, [&upstream = upstream](const auto& channel) {
+            const bool over = upstream->retired_ || !channel->isFresh();
+            if (over)
+                channel->abandon();
+            return over;
+        });
+    }
+    std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+auto UpstreamPool::idleCount() const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto& [upstream, channels] : idle_)
+        count += channels.size();
+    return count;
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/loop/upstream_pool.h
@@ -0,0 +1,47 @@
+// Connections to upstreams: one request at a time on each, kept while they are surely open.
+#pragma once
+
+#include "gateway/header_names.h"
+#include "gateway/upstream_caller.h"
+#include "loop/net_type.h"
+
+#include <map>
+#include <vector>
+
+namespace sapphirepass {
+
+class UpstreamChannel;
+
+struct PoolCounts {
+    std::uint64_t opened_ = 0;
+    std::uint64_t reused_ = 0;
+};
+
+class UpstreamPool final : public UpstreamCaller {
+public:
+    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names);
+    ~UpstreamPool() override;
+    UpstreamPool(const UpstreamPool&) = delete;
+    auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
+
+    auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
+    // Closes connections that have been idle for too long or whose upstream is retired.
+    auto sweep() -> void;
+    auto counts() const -> const PoolCounts& { return counts_; }
+    auto idleCount() const -> std::size_t;
+    // Takes a channel back whose last answer allows another request.
+    auto keep(const UpstreamPtr& upstream, std::shared_ptr<UpstreamChannel> channel) -> void;
+
+private:
+    using Idle = std::vector<std::shared_ptr<UpstreamChannel>>;
+
+    auto takeIdle(const UpstreamPtr& upstream) -> std::shared_ptr<UpstreamChannel>;
+
+    asio::io_context& loop_;
+    const Clock& clock_;
+    const HeaderNames& names_;
+    std::map<UpstreamPtr, Idle> idle_;
+    PoolCounts counts_;
+};
+
+} // namespace sapphirepass
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,7 +2,9 @@
 #include "base/event_log.h"
 #include "base/texts.h"
 #include "entry/run_entry.h"
+#include "loop/run_gateway.h"
 #include "operator/run_ctl.h"
+#include "platform/adapter.h"
 #include "settings/entry_settings.h"
 
 #include <absl/flags/flag.h>
@@ -14,7 +16,7 @@
 #include <fstream>
 #include <iostream>
 
-ABSL_FLAG(std::string, config, "", "entry: the settings file (INI)");
+ABSL_FLAG(std::string, config, "", "entry, gateway: the settings file (INI)");
 ABSL_FLAG(std::string, entry, "", "ctl: address of an entry instance, such as 127.0.0.1:8000");
 ABSL_FLAG(std::string, output, "table", "ctl: table or json");
 ABSL_FLAG(std::string, who, "", "ctl: the operator's name for the audit trail; the default is the user's name");
@@ -30,6 +32,7 @@
     constexpr std::string_view version = "0.1.0";
     constexpr std::string_view usage = "steers request traffic for a shared service\n\n"
                                        "  sapphirepass entry --config FILE            run an entry instance\n"
+                                       "  sapphirepass gateway --config FILE          run an instance on the users' platform\n"
                                        "  sapphirepass ctl --entry ADDRESS [TEXT]     run commands or a query, as one batch\n"
                                        "  sapphirepass ctl --entry ADDRESS --file FILE  run a file, or standard input if it is -, as one batch\n"
                                        "  sapphirepass ctl --entry ADDRESS            run each line of standard input on its own\n"
@@ -57,6 +60,20 @@
         return usageExit;
     }
 
+    auto gatewayCommand() -> int
+    {
+        const auto given = absl::GetFlag(FLAGS_config);
+        const auto path = given.empty() ? platform::settingsPath() : given;
+        if (path.empty())
+            return failUsage("gateway needs --config FILE");
+        const auto settings = loadGatewaySettings(path);
+        if (isOk(settings))
+            return runGateway(path, valueOf(settings), platform::makeAdapter);
+        for (const auto& violation : errorOf(settings))
+            logEvent(EventId::SettingsRefused, "{}", renderViolation(path, violation));
+        return usageExit;
+    }
+
     auto checkConfigCommand(const std::vector<char*>& arguments) -> int
     {
         if (arguments.size() != 1)
@@ -118,11 +135,13 @@
     auto dispatch(const std::vector<char*>& words) -> int
     {
         if (words.size() < 2)
-            return failUsage("expected a subcommand: entry, ctl, check-config or version");
+            return failUsage("expected a subcommand: entry, gateway, ctl, check-config or version");
         const std::string_view subcommand = words[1];
         const std::vector<char*> arguments(words.begin() + 2, words.end());
         if (subcommand == "entry")
             return arguments.empty() ? entryCommand() : failUsage("entry takes no argument");
+        if (subcommand == "gateway")
+            return arguments.empty() ? gatewayCommand() : failUsage("gateway takes no argument");
         if (subcommand == "ctl")
             return ctlCommand(arguments);
         if (subcommand == "check-config")
--- a/src/settings/entry_settings.h
+++ b/src/settings/entry_settings.h
@@ -2,8 +2,7 @@
 #pragma once
 
 #include "base/event_type.h"
-#include "base/field.h"
-#include "base/result.h"
+#include "settings/ini_table.h"
 
 #include <compare>
 #include <span>
@@ -36,26 +35,12 @@
     auto operator<=>(const EntrySettings&) const = default;
 };
 
-// One row: section, field, unit or form, bounds. The default is the member's initial value.
-struct SettingRow {
-    std::string_view section_;
-    Field<EntrySettings> field_;
-};
+using SettingRow = SettingRowOf<EntrySettings>;
 
 auto entrySettingTable() -> std::span<const SettingRow>;
 
-struct SettingsViolation {
-    // Line in the file, from 1; 0 where a required setting is missing.
-    int line_ = 0;
-    std::string message_;
-
-    auto operator<=>(const SettingsViolation&) const = default;
-};
-
 // All violations at once, in the order of lines.
-auto parseEntrySettings(const std::string& text) -> Result<EntrySettings, std::vector<SettingsViolation>>;
-auto loadEntrySettings(const std::string& path) -> Result<EntrySettings, std::vector<SettingsViolation>>;
-// FILE:LINE: message
-auto renderViolation(const std::string& path, const SettingsViolation& violation) -> std::string;
+auto parseEntrySettings(const std::string& text) -> Result<EntrySettings, SettingsViolations>;
+auto loadEntrySettings(const std::string& path) -> Result<EntrySettings, SettingsViolations>;
 
 } // namespace sapphirepass
--- /dev/null
+++ b/src/settings/gateway_settings.h
@@ -0,0 +1,52 @@
+// Settings of the event-loop gateway, read from an INI file and checked against one table.
+#pragma once
+
+#include "settings/ini_table.h"
+
+#include <map>
+
+namespace sapphirepass {
+
+struct GatewaySettings {
+    // Identity and place of the instance.
+    std::string name_;
+    std::string region_;
+    std::string domain_;
+    // Where callers send requests, ask which instance to use, and where the platform asks for readiness.
+    SocketAddress front_;
+    SocketAddress directory_;
+    SocketAddress ready_;
+    // Operators' own address: metrics.
+    SocketAddress control_;
+    // Heartbeats between instances.
+    SocketAddress peer_;
+    // The platform's object store.
+    SocketAddress store_;
+    std::chrono::milliseconds storeTimeout_ { 1'500 };
+    // Peers to greet at the start: IP:PORT of any of their listeners, separated by commas.
+    std::string seeds_;
+    // An instance that is silent for longer is not named to callers.
+    std::chrono::milliseconds silence_ { 2'000 };
+    // How long the share of a silent instance is kept for it.
+    std::chrono::milliseconds reserve_ { 20'000 };
+    // Longest time that callers may keep an answer of the directory.
+    std::chrono::milliseconds directoryTtl_ { 3'000 };
+    // From a request to stop until the process is ended.
+    std::chrono::milliseconds grace_ { 6'000 };
+    double retryRatio_ = 0.2;
+    double retrySlack_ = 0;
+    std::chrono::milliseconds retryWindow_ { 10'000 };
+    std::int64_t logBytesPerSecond_ = 24 * 1024;
+    // One ordinary success of so many is logged.
+    std::int64_t logSuccessSample_ = 100;
+    // Region of each failure domain.
+    std::map<std::string, std::string> domains_;
+
+    auto operator<=>(const GatewaySettings&) const = default;
+};
+
+auto gatewaySettingTable() -> std::span<const SettingRowOf<GatewaySettings>>;
+auto parseGatewaySettings(const std::string& text) -> Result<GatewaySettings, SettingsViolations>;
+auto loadGatewaySettings(const std::string& path) -> Result<GatewaySettings, SettingsViolations>;
+
+} // namespace sapphirepass
