--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -12,8 +12,8 @@
     constexpr Duration shareAge = 100ms;
     // Time constant of the measured demand: about two heartbeats, so that shares follow within a second.
     constexpr double demandMemorySeconds = 0.8;
-    // Part of the declared burst that instances hold together; the rest covers shares that change hands.
-    constexpr double burstPart = 0.7;
+    // Part of what is allowed beyond the rate that instances hold together; the rest covers shares that change hands.
+    constexpr double capacityPart = 0.75;
     // Part of the bound on retries that instances spend together; the rest covers windows that overlap.
     constexpr double retryPart = 0.7;
     // Upstreams lost to one request before it is barred.
@@ -47,13 +47,21 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(0.0, 1 - tokens_) / perSecond));
 }
 
-RateGate::RateGate(const Clock& clock, FleetView& fleet)
+RateGate::RateGate(const Clock& clock, FleetView& fleet, RateTolerance tolerance)
     : clock_(clock)
     , fleet_(fleet)
+    , tolerance_(tolerance)
     , measuredAt_(clock.now())
 {
 }
 
+// In a window, buckets give their capacity and what refills: together no more than the window allows.
+auto RateGate::fleetCapacity(double ratePerSecond, double burst) const -> double
+{
+    const double tolerated = (ratePerSecond * seconds(tolerance_.window_) + burst) * tolerance_.over_ + tolerance_.slack_;
+    return (burst + tolerated) * capacityPart;
+}
+
 auto RateGate::admit(const std::string& workspace, double ratePerSecond, double burst) -> Verdict
 {
     const auto now = clock_.now();
@@ -66,7 +74,7 @@
         state.shareAt_ = now;
     }
     const double rate = ratePerSecond * state.share_;
-    state.bucket_.refill(now, rate, burst * burstPart * state.share_);
+    state.bucket_.refill(now, rate, fleetCapacity(ratePerSecond, burst) * state.share_);
     if (state.bucket_.take())
         return { true, state.share_, Duration::zero() };
     return { false, state.share_, state.bucket_.untilToken(rate) };
--- a/src/gateway/limits.h
+++ b/src/gateway/limits.h
@@ -26,10 +26,19 @@
     MonotonicTime filledAt_ {};
 };
 
+// What a workspace may send beyond its rate and burst, as its users allow it.
+struct RateTolerance {
+    Duration window_ {};
+    // Part of what is allowed in a window.
+    double over_ = 0;
+    // Requests beside that.
+    double slack_ = 0;
+};
+
 // Answers the load of workspaces that send more than their rate: admits the instance's share of it.
 class RateGate {
 public:
-    RateGate(const Clock& clock, FleetView& fleet);
+    RateGate(const Clock& clock, FleetView& fleet, RateTolerance tolerance);
 
     struct Verdict {
         bool admitted_ = true;
@@ -50,8 +59,12 @@
         MonotonicTime shareAt_ {};
     };
 
+    // Tokens that all instances together may hold at most.
+    auto fleetCapacity(double ratePerSecond, double burst) const -> double;
+
     const Clock& clock_;
     FleetView& fleet_;
+    RateTolerance tolerance_;
     std::map<std::string, State> states_;
     MonotonicTime measuredAt_;
 };
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -33,6 +33,10 @@
     std::chrono::milliseconds directoryTtl_ { 3'000 };
     // From a request to stop until the process is ended.
     std::chrono::milliseconds grace_ { 6'000 };
+    // What a workspace may send beyond its rate and burst in a window.
+    std::chrono::milliseconds rateWindow_ { 5'000 };
+    double rateOver_ = 0;
+    double rateSlack_ = 0;
     double retryRatio_ = 0.2;
     double retrySlack_ = 0;
     std::chrono::milliseconds retryWindow_ { 10'000 };
