Placing: an object's requests stay on three owners, full ones refuse

Ruled out: too little capacity (after the restart at 13 s the same load runs at p50 150 ms); rates (429 was as frequent before and after). Change: at most three owners an object; when all are full by stated load the request is refused; a stated load counts for 800 ms instead of 400. The first 14 s are still mostly late: next.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -9,10 +9,11 @@
 using namespace std::chrono_literals;
 
 namespace {
-    // Owners that are looked at before load alone decides: the object is kept warm on few upstreams.
-    constexpr int owners = 4;
-    // A stated load says little after the time of a request or two.
-    constexpr Duration loadAge = 400ms;
+    // Upstreams that share the requests of an object. Few, so that it stays warm on each: work on a cold upstream takes
+    // several times as long, and requests that spill further turn a full service into an overloaded one.
+    constexpr std::size_t owners = 3;
+    // A stated load says little after the time of a few requests.
+    constexpr Duration loadAge = 800ms;
     // Instances that send to a cold upstream: few, so that each may send at a useful pace.
     constexpr std::size_t coldSenders = 3;
     // Part of what a cold upstream bears that is used; the rest covers requests that bunch up on the way.
@@ -93,24 +94,30 @@
     const auto unsound = std::stable_partition(found.begin(), found.end(), [this](const auto& candidate) { return isSound(*candidate.upstream_); });
     if (unsound != found.begin())
         found.erase(unsound, found.end());
-    const auto first = std::min<std::size_t>(owners, found.size());
+    const auto first = std::min(owners, found.size());
     std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(first), found.end(), [](const auto& a, const auto& b) { return a.weight_ > b.weight_; });
+    found.resize(first);
     for (std::size_t rank = 0; rank < first; ++rank) {
         const auto& candidate = found[rank];
-        const int slots = std::max(1, candidate.upstream_->entry_.slots_);
+        const int slots = candidate.upstream_->entry_.slots_;
         // Other instances send there as well: half of the slots is more than one instance's part.
         if (candidate.upstream_->inFlight_ < (slots + 1) / 2 && candidate.occupied_ < slots)
             return Placement { candidate.upstream_, static_cast<int>(rank), rank == 0, Duration::zero(), candidate.occupied_ };
     }
+    return leastWait(found, query);
+}
+
+auto Placer::leastWait(const std::vector<Candidate>& found, const PlacementQuery& query) const -> PlacementResult
+{
     const auto least = std::min_element(found.begin(), found.end(), [](const auto& a, const auto& b) {
         return a.occupied_ * b.upstream_->entry_.slots_ < b.occupied_ * a.upstream_->entry_.slots_;
     });
-    const int slots = std::max(1, least->upstream_->entry_.slots_);
+    const int slots = least->upstream_->entry_.slots_;
     const int ahead = std::max(0, least->occupied_ + 1 - slots);
     const auto wait = query.usualWork_ * ahead / slots;
     if (wait > query.longestWait_)
         return PlacementRefusal::Full;
-    return Placement { least->upstream_, owners, false, wait, least->occupied_ };
+    return Placement { least->upstream_, static_cast<int>(least - found.begin()), false, wait, least->occupied_ };
 }
 
 } // namespace sapphirepass
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -59,6 +59,7 @@
     };
 
     auto candidates(const PlacementQuery& query) const -> std::vector<Candidate>;
+    auto leastWait(const std::vector<Candidate>& found, const PlacementQuery& query) const -> PlacementResult;
     auto mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto bearsCold(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto occupied(const Upstream& upstream) const -> int;
