--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -5,7 +5,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <sstream>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace sapphirepass {
 
@@ -230,9 +231,14 @@
     closeQuietly(socket_);
 }
 
-auto UpstreamChannel::isFresh() const -> bool
+// Asks the kernel too: an end that has arrived but was not handled yet would cost the next request.
+auto UpstreamChannel::isFresh() -> bool
 {
-    return isOpen_ && socket_.is_open() && clock_.now() < idleUntil_;
+    if (!isOpen_ || !socket_.is_open() || clock_.now() >= idleUntil_)
+        return false;
+    char byte = 0;
+    const auto count = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace sapphirepass
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -21,7 +21,9 @@
     // Closes the connection; no outcome is told any more.
     auto abandon() -> void;
     // Idle, still open, and well inside the time that the upstream keeps it.
-    auto isFresh() const -> bool;
+    auto isFresh() -> bool;
+    // Whether its time or its upstream is over, without asking the kernel.
+    auto isOver() const -> bool { return !isOpen_ || clock_.now() >= idleUntil_; }
 
 private:
     using Parser = http::response_parser<http::string_body>;
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -88,7 +88,7 @@
 {
     for (auto& [upstream, channels] : idle_) {
         std::erase_if(channels, [&upstream = upstream](const auto& channel) {
-            const bool over = upstream->retired_ || !channel->isFresh();
+            const bool over = upstream->retired_ || channel->isOver();
             if (over)
                 channel->abandon();
             return over;
--- /dev/null
+++ b/standin/platform_store.cpp
@@ -0,0 +1,203 @@
+#include "standin/platform_store.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace sapphirepass::standin {
+
+namespace {
+    using Json = nlohmann::json;
+
+    auto valueIn(const std::string& query, const std::string& name) -> std::string
+    {
+        const auto at = query.find(name + "=");
+        if (at == std::string::npos)
+            return {};
+        const auto from = at + name.size() + 1;
+        return query.substr(from, query.find('&', from) - from);
+    }
+}
+
+struct PlatformStore::Connection {
+    explicit Connection(Tcp::socket socket)
+        : socket_(std::move(socket))
+    {
+    }
+    Tcp::socket socket_;
+    std::string bytes_;
+    std::array<char, 8192> buffer_ {};
+    std::string kind_;
+    std::int64_t watchFrom_ = 0;
+};
+
+PlatformStore::PlatformStore(asio::io_context& loop)
+    : acceptor_(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , address_ { "127.0.0.1", acceptor_.local_endpoint().port() }
+{
+    acceptNext();
+}
+
+PlatformStore::~PlatformStore()
+{
+    NetError ignored;
+    acceptor_.close(ignored);
+    for (const auto& entry : open_) {
+        if (const auto connection = entry.lock())
+            closeQuietly(connection->socket_);
+    }
+}
+
+auto PlatformStore::acceptNext() -> void
+{
+    acceptor_.async_accept([this](NetError error, Tcp::socket socket) {
+        if (error)
+            return;
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        open_.push_back(connection);
+        read(connection);
+        acceptNext();
+    });
+}
+
+auto PlatformStore::read(const std::shared_ptr<Connection>& connection) -> void
+{
+    connection->socket_.async_read_some(asio::buffer(connection->buffer_), [this, connection](NetError error, std::size_t count) {
+        if (error) {
+            std::erase(watching_, connection);
+            return closeQuietly(connection->socket_);
+        }
+        connection->bytes_.append(connection->buffer_.data(), count);
+        answer(connection);
+        if (connection->socket_.is_open())
+            read(connection);
+    });
+}
+
+auto PlatformStore::answer(const std::shared_ptr<Connection>& connection) -> void
+{
+    const auto end = connection->bytes_.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return;
+    const auto at = connection->bytes_.find("Content-Length: ");
+    const auto length = at == std::string::npos || at > end ? 0 : std::stoul(connection->bytes_.substr(at + 16));
+    if (connection->bytes_.size() < end + 4 + length)
+        return;
+    const auto line = connection->bytes_.substr(0, connection->bytes_.find("\r\n"));
+    const auto body = connection->bytes_.substr(end + 4, length);
+    connection->bytes_.erase(0, end + 4 + length);
+    ++calls_;
+    if (mood_ == StoreMood::Silent)
+        return;
+    if (mood_ == StoreMood::Resetting)
+        return closeQuietly(connection->socket_);
+    if (mood_ == StoreMood::Busy)
+        return reply(connection, 503, { { "error", "busy" } });
+    const auto path = line.substr(line.find(' ') + 1, line.rfind(' ') - line.find(' ') - 1);
+    const auto question = path.find('?');
+    const auto kind = path.substr(std::string("/-/objects/").size(), question - std::string("/-/objects/").size());
+    if (line.starts_with("GET"))
+        return answerGet(connection, kind, question == std::string::npos ? "" : path.substr(question + 1));
+    answerPost(connection, kind, body);
+}
+
+auto PlatformStore::answerGet(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& query) -> void
+{
+    connection->kind_ = kind;
+    if (const auto from = valueIn(query, "watch"); !from.empty()) {
+        connection->watchFrom_ = std::stoll(from);
+        if (!answerWatch(connection))
+            watching_.push_back(connection);
+        return;
+    }
+    Json items = Json::array();
+    const auto after = valueIn(query, "after");
+    const auto& objects = kinds_[kind];
+    auto next = objects.upper_bound(after);
+    for (; next != objects.end() && items.size() < page_; ++next)
+        items.push_back(next->second);
+    reply(connection, 200, { { "items", items }, { "more", next != objects.end() }, { "current_rev", revision_ } });
+}
+
+// Whether the watch could be answered now.
+auto PlatformStore::answerWatch(const std::shared_ptr<Connection>& connection) -> bool
+{
+    if (connection->watchFrom_ < oldest_) {
+        reply(connection, 410, { { "error", "gone" } });
+        return true;
+    }
+    Json events = Json::array();
+    for (const auto& change : history_) {
+        if (change.revision_ > connection->watchFrom_ && change.kind_ == connection->kind_)
+            events.push_back(change.event_);
+    }
+    if (events.empty())
+        return false;
+    reply(connection, 200, { { "events", events }, { "current_rev", revision_ } });
+    return true;
+}
+
+auto PlatformStore::answerPost(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& body) -> void
+{
+    const auto object = Json::parse(body);
+    const auto name = object.at("metadata").at("name").get<std::string>();
+    if (kinds_[kind].contains(name))
+        return reply(connection, 409, kinds_[kind][name]);
+    put(kind, name, object.at("spec"));
+    reply(connection, 201, kinds_[kind][name]);
+}
+
+auto PlatformStore::reply(const std::shared_ptr<Connection>& connection, int status, const Json& body) -> void
+{
+    const auto text = body.dump();
+    NetError ignored;
+    asio::write(connection->socket_, asio::buffer(fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}", status, text.size(), text)), ignored);
+}
+
+auto PlatformStore::put(const std::string& kind, const std::string& name, const Json& spec) -> void
+{
+    ++revision_;
+    kinds_[kind][name] = { { "metadata", { { "name", name }, { "rev", revision_ } } }, { "spec", spec }, { "status", nullptr } };
+    history_.push_back({ revision_, kind, { { "deleted", false }, { "object", kinds_[kind][name] } } });
+    wakeWatches();
+}
+
+auto PlatformStore::remove(const std::string& kind, const std::string& name) -> void
+{
+    ++revision_;
+    history_.push_back({ revision_, kind, { { "deleted", true }, { "object", kinds_[kind][name] } } });
+    kinds_[kind].erase(name);
+    wakeWatches();
+}
+
+auto PlatformStore::wakeWatches() -> void
+{
+    if (mood_ != StoreMood::Well)
+        return;
+    const auto waiting = std::exchange(watching_, {});
+    for (const auto& connection : waiting) {
+        if (!answerWatch(connection))
+            watching_.push_back(connection);
+    }
+}
+
+auto PlatformStore::cutWatches() -> void
+{
+    for (const auto& connection : std::exchange(watching_, {}))
+        closeQuietly(connection->socket_);
+}
+
+auto PlatformStore::forgetHistory() -> void
+{
+    history_.clear();
+    oldest_ = revision_;
+    cutWatches();
+}
+
+auto PlatformStore::objects(const std::string& kind) const -> std::size_t
+{
+    const auto found = kinds_.find(kind);
+    return found == kinds_.end() ? 0 : found->second.size();
+}
+
+} // namespace sapphirepass::standin
--- /dev/null
+++ b/standin/platform_store.h
@@ -0,0 +1,67 @@
+// The platform's store as its pages describe it, on the test's own event loop: lists, watches, history, outages.
+#pragma once
+
+#include "standin/loop_peer.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace sapphirepass::standin {
+
+enum class StoreMood { Well,
+    // Answers 503 to everything.
+    Busy,
+    // Reads and never answers.
+    Silent,
+    // Resets each connection.
+    Resetting };
+
+class PlatformStore {
+public:
+    explicit PlatformStore(asio::io_context& loop);
+    ~PlatformStore();
+    PlatformStore(const PlatformStore&) = delete;
+    auto operator=(const PlatformStore&) -> PlatformStore& = delete;
+
+    auto address() const -> const SocketAddress& { return address_; }
+    auto put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void;
+    auto remove(const std::string& kind, const std::string& name) -> void;
+    auto setMood(StoreMood mood) -> void { mood_ = mood; }
+    // Forgets what has changed so far, and cuts the watches that wait.
+    auto forgetHistory() -> void;
+    auto cutWatches() -> void;
+    auto calls() const -> std::size_t { return calls_; }
+    auto objects(const std::string& kind) const -> std::size_t;
+    auto setPage(std::size_t page) -> void { page_ = page; }
+
+private:
+    struct Connection;
+    struct Change {
+        std::int64_t revision_;
+        std::string kind_;
+        nlohmann::json event_;
+    };
+
+    auto acceptNext() -> void;
+    auto read(const std::shared_ptr<Connection>& connection) -> void;
+    auto answer(const std::shared_ptr<Connection>& connection) -> void;
+    auto answerGet(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& query) -> void;
+    auto answerWatch(const std::shared_ptr<Connection>& connection) -> bool;
+    auto answerPost(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& body) -> void;
+    auto reply(const std::shared_ptr<Connection>& connection, int status, const nlohmann::json& body) -> void;
+    auto wakeWatches() -> void;
+
+    Tcp::acceptor acceptor_;
+    SocketAddress address_;
+    StoreMood mood_ = StoreMood::Well;
+    std::int64_t revision_ = 100;
+    std::int64_t oldest_ = 0;
+    std::size_t page_ = 50;
+    std::size_t calls_ = 0;
+    std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
+    std::vector<Change> history_;
+    std::vector<std::shared_ptr<Connection>> watching_;
+    std::vector<std::weak_ptr<Connection>> open_;
+};
+
+} // namespace sapphirepass::standin
--- /dev/null
+++ b/standin/scripted_caller.h
@@ -0,0 +1,53 @@
+// Upstreams whose outcomes a test decides, one attempt after the other.
+#pragma once
+
+#include "gateway/upstream_caller.h"
+
+#include <vector>
+
+namespace sapphirepass::standin {
+
+class ScriptedCaller final : public UpstreamCaller {
+public:
+    struct Call {
+        UpstreamPtr upstream_;
+        std::shared_ptr<const OutgoingRequest> request_;
+        std::function<void(AttemptOutcome)> done_;
+        // Whether the attempt was ended before its outcome.
+        std::shared_ptr<bool> isEnded_;
+    };
+
+    auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override
+    {
+        auto ended = std::make_shared<bool>(false);
+        calls_.push_back({ upstream, std::move(request), std::move(done), ended });
+        return std::make_unique<Open>(ended);
+    }
+
+    auto calls() const -> const std::vector<Call>& { return calls_; }
+    // Tells the outcome of the newest attempt.
+    auto finish(AttemptOutcome outcome) -> void
+    {
+        const auto done = calls_.back().done_;
+        done(std::move(outcome));
+    }
+
+private:
+    class Open final : public Attempt {
+    public:
+        explicit Open(std::shared_ptr<bool> ended)
+            : ended_(std::move(ended))
+        {
+        }
+        ~Open() override { *ended_ = true; }
+        Open(const Open&) = delete;
+        auto operator=(const Open&) -> Open& = delete;
+
+    private:
+        std::shared_ptr<bool> ended_;
+    };
+
+    std::vector<Call> calls_;
+};
+
+} // namespace sapphirepass::standin
--- /dev/null
+++ b/tests/gateway_beliefs_test.cpp
@@ -0,0 +1,141 @@
+// What an instance believes after news, cuts and outages of the platform's store.
+#include "gateway/beliefs.h"
+#include "standin/kept_log.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+    ManualClock clock_;
+    UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
+    FleetView fleet_ { clock_, { 2s, 20s }, "self" };
+    standin::KeptLog log_;
+    Beliefs beliefs_ { clock_, upstreams_, fleet_, log_ };
+
+    auto known() const -> std::size_t { return upstreams_.ofService("core").size(); }
+    auto outage(Duration length) -> void
+    {
+        beliefs_.feedLost(Feed::Upstreams, "down");
+        clock_.advance(length);
+        beliefs_.feedRegained(Feed::Upstreams);
+    }
+};
+
+auto entry(const std::string& id, std::int64_t born = 1) -> UpstreamEntry
+{
+    return { id, born, "core", { "127.0.0.1", 9000 }, "north-a", 4, UpstreamState::Ready, 0s };
+}
+
+auto declaration(std::uint64_t version) -> Declaration
+{
+    Declaration result;
+    result.version_ = version;
+    return result;
+}
+
+}
+
+TEST_CASE("the version in force never goes back", "[beliefs]")
+{
+    Fixture fixture;
+    fixture.beliefs_.declarationSeen(declaration(7));
+    fixture.beliefs_.declarationSeen(declaration(5));
+    CHECK(fixture.beliefs_.index()->declaration().version_ == 7);
+    CHECK(fixture.log_.count(EventId::DeclarationRefused) == 1);
+    fixture.beliefs_.declarationUnreadable("damaged");
+    CHECK(fixture.beliefs_.index()->declaration().version_ == 7);
+    fixture.beliefs_.declarationSeen(declaration(9));
+    CHECK(fixture.beliefs_.index()->declaration().version_ == 9);
+}
+
+TEST_CASE("an instance is ready only when everything was heard once", "[beliefs]")
+{
+    Fixture fixture;
+    CHECK_FALSE(fixture.beliefs_.isComplete());
+    fixture.beliefs_.declarationSeen(declaration(1));
+    fixture.beliefs_.upstreamsListed({ entry("a") });
+    fixture.beliefs_.domainsEvacuated({});
+    CHECK_FALSE(fixture.beliefs_.isComplete());
+    fixture.beliefs_.instancesListed({});
+    CHECK(fixture.beliefs_.isComplete());
+}
+
+TEST_CASE("an upstream that is gone in calm is dropped at once", "[beliefs]")
+{
+    Fixture fixture;
+    fixture.beliefs_.upstreamsListed({ entry("a"), entry("b") });
+    SECTION("by an event") { fixture.beliefs_.upstreamGone("a"); }
+    SECTION("by a list") { fixture.beliefs_.upstreamsListed({ entry("b") }); }
+    SECTION("by a list after a watch that was cut")
+    {
+        fixture.outage(10ms);
+        fixture.beliefs_.upstreamsListed({ entry("b") });
+    }
+    CHECK(fixture.known() == 1);
+}
+
+TEST_CASE("an entry that lapsed in an outage is kept until living upstreams would be back", "[beliefs]")
+{
+    Fixture fixture;
+    fixture.beliefs_.upstreamsListed({ entry("a"), entry("b") });
+    fixture.outage(4s);
+    const bool toldAsGone = GENERATE(false, true);
+    const bool isBack = GENERATE(false, true);
+    CAPTURE(toldAsGone, isBack);
+    if (toldAsGone) {
+        fixture.beliefs_.upstreamsListed({ entry("a"), entry("b") });
+        fixture.clock_.advance(500ms);
+        fixture.beliefs_.upstreamGone("a");
+    } else {
+        fixture.beliefs_.upstreamsListed({ entry("b") });
+    }
+    CHECK(fixture.known() == 2);
+    fixture.clock_.advance(1s);
+    fixture.upstreams_.dropMissing();
+    CHECK(fixture.known() == 2);
+    if (isBack)
+        fixture.beliefs_.upstreamSeen(entry("a"));
+    fixture.clock_.advance(1500ms);
+    fixture.upstreams_.dropMissing();
+    CHECK(fixture.known() == (isBack ? 2 : 1));
+}
+
+TEST_CASE("an upstream that was draining before an outage is not kept", "[beliefs]")
+{
+    Fixture fixture;
+    auto draining = entry("a");
+    draining.state_ = UpstreamState::Draining;
+    fixture.beliefs_.upstreamsListed({ draining });
+    fixture.outage(4s);
+    fixture.beliefs_.upstreamsListed({});
+    CHECK(fixture.known() == 0);
+}
+
+TEST_CASE("an entry that cannot be read names no upstream", "[beliefs]")
+{
+    Fixture fixture;
+    fixture.beliefs_.upstreamsListed({ entry("a"), entry("b") });
+    fixture.beliefs_.entryUnreadable("a", "no state");
+    CHECK(fixture.known() == 1);
+}
+
+TEST_CASE("another start under one id is another upstream", "[beliefs]")
+{
+    Fixture fixture;
+    fixture.beliefs_.upstreamSeen(entry("a", 1));
+    const auto first = fixture.upstreams_.ofService("core").front();
+    fixture.upstreams_.noteLoad(*first, { 4, 9, 4 });
+    auto second = entry("a", 2);
+    second.coldLeft_ = 3s;
+    fixture.beliefs_.upstreamSeen(second);
+    REQUIRE(fixture.known() == 1);
+    const auto now = fixture.upstreams_.ofService("core").front();
+    CHECK(now != first);
+    CHECK(first->retired_);
+    CHECK(now->load_ == StatedLoad {});
+    CHECK(now->coldUntil_ == fixture.clock_.now() + 3s);
+}
--- /dev/null
+++ b/tests/gateway_loop_test.cpp
@@ -0,0 +1,415 @@
+// The gateway's connections on loopback: what servers and callers may do to them.
+#include "loop/caller_listener.h"
+#include "loop/line_log.h"
+#include "loop/upstream_pool.h"
+#include "standin/loop_peer.h"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+using namespace sapphirepass;
+using namespace sapphirepass::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load" };
+
+auto success(const std::string& id, const std::string& body, const std::string& more = "") -> std::string
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nTry-Id: {}\r\nProof: p\r\n{}Content-Length: {}\r\n\r\n{}", id, more, body.size(), body);
+}
+
+// Calls one server through a pool.
+struct PoolFixture {
+    explicit PoolFixture(LoopServer::Script script)
+        : server_(loop_, std::move(script))
+    {
+        upstream_->entry_.address_ = server_.address();
+    }
+
+    // The outcome of one call.
+    auto call(const std::string& id, std::string body = "") -> AttemptOutcome
+    {
+        auto request = std::make_shared<OutgoingRequest>(body.empty() ? http::verb::get : http::verb::post, "/x", 11);
+        request->set(names.attempt_, id);
+        request->body() = std::move(body);
+        request->content_length(request->body().size());
+        std::optional<AttemptOutcome> outcome;
+        const auto attempt = pool_.call(upstream_, request, [&outcome](AttemptOutcome told) { outcome = std::move(told); });
+        REQUIRE(runUntil(loop_, [&outcome] { return outcome.has_value(); }));
+        return *std::move(outcome);
+    }
+
+    auto body(const AttemptOutcome& outcome) const -> std::string
+    {
+        const auto* response = std::get_if<UpstreamResponse>(&outcome);
+        return response == nullptr ? "(lost)" : response->body();
+    }
+
+    asio::io_context loop_;
+    SystemClock clock_;
+    UpstreamPool pool_ { loop_, clock_, names };
+    UpstreamPtr upstream_ = std::make_shared<Upstream>();
+    LoopServer server_;
+};
+
+auto lossOf(const AttemptOutcome& outcome) -> std::optional<LossKind>
+{
+    const auto* loss = std::get_if<AttemptLoss>(&outcome);
+    return loss == nullptr ? std::nullopt : std::optional(loss->kind_);
+}
+
+}
+
+TEST_CASE("connections are reused, one request after the other", "[pool]")
+{
+    PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes { return { success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n") }; });
+    for (int i = 0; i < 3; ++i)
+        CHECK(fixture.body(fixture.call(fmt::format("t{}", i))) == "body");
+    CHECK(fixture.server_.connections() == 1);
+}
+
+TEST_CASE("bytes after an answer end the connection and reach nobody", "[pool]")
+{
+    PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes {
+        const auto answer = success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n");
+        return { number == 0 ? answer + answer : answer };
+    });
+    CHECK(fixture.body(fixture.call("t0")) == "body");
+    CHECK(fixture.body(fixture.call("t1")) == "body");
+    CHECK(fixture.server_.connections() == 2);
+}
+
+TEST_CASE("a late answer to an earlier request is passed over", "[pool]")
+{
+    PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes {
+        if (number == 0)
+            return { success("t0", "first", "Keep-Alive: timeout=10\r\n") };
+        return { success("t0", "late") + success(fmt::format("t{}", number), "own", "Keep-Alive: timeout=10\r\n") };
+    });
+    CHECK(fixture.body(fixture.call("t0")) == "first");
+    CHECK(fixture.body(fixture.call("t1")) == "own");
+    CHECK(fixture.body(fixture.call("t2")) == "own");
+    // The connection on which it came is not used again.
+    CHECK(fixture.server_.connections() == 2);
+}
+
+TEST_CASE("bytes that come on an idle connection end it", "[pool]")
+{
+    PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes { return { success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n") }; });
+    CHECK(fixture.body(fixture.call("t0")) == "body");
+    fixture.server_.push(success("t0", "extra"));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.server_.ended() == 1; }));
+    CHECK(fixture.body(fixture.call("t1")) == "body");
+    CHECK(fixture.server_.connections() == 2);
+}
+
+TEST_CASE("answers that break off or are none", "[pool]")
+{
+    struct Case {
+        ScriptedBytes scripted_;
+        std::optional<LossKind> loss_;
+        const char* body_;
+    };
+    const auto row = GENERATE(values<Case>({
+        { { success("t0", "whole"), AfterBytes::Close }, std::nullopt, "whole" },
+        { { "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nContent-Length: 10\r\n\r\nhalf", AfterBytes::Close }, LossKind::Cut, "" },
+        { { "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nContent-Length: 10\r\n\r\nhalf", AfterBytes::Reset }, LossKind::Cut, "" },
+        { { "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", AfterBytes::Close }, LossKind::Cut, "" },
+        { { "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", AfterBytes::Keep }, std::nullopt, "body" },
+        // Without a length it ends with the connection, if that ends in order.
+        { { "HTTP/1.1 200 OK\r\nTry-Id: t0\r\n\r\nto the end", AfterBytes::Close }, std::nullopt, "to the end" },
+        { { "HTTP/1.1 200 OK\r\nTry-Id: t0\r\n\r\nto the end", AfterBytes::Reset }, LossKind::Cut, "" },
+        { { "HTTP/1.1 200", AfterBytes::Close }, LossKind::Cut, "" },
+        { { "", AfterBytes::Close }, LossKind::Cut, "" },
+        { { "", AfterBytes::Reset }, LossKind::Cut, "" },
+        { { "\x01\x02 nonsense\r\n\r\n", AfterBytes::Keep }, LossKind::Garbled, "" },
+        { { success("other", "x"), AfterBytes::Close }, LossKind::Cut, "" },
+        { { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", AfterBytes::Keep }, LossKind::Garbled, "" },
+        { { "HTTP/1.1 100 Continue\r\n\r\n" + success("t0", "whole"), AfterBytes::Keep }, std::nullopt, "whole" },
+        { { "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", AfterBytes::Keep }, std::nullopt, "" },
+    }));
+    CAPTURE(row.scripted_.bytes_);
+    PoolFixture fixture([&row](int, const std::string&) { return row.scripted_; });
+    const auto outcome = fixture.call("t0", "payload");
+    CHECK(lossOf(outcome) == row.loss_);
+    if (!row.loss_)
+        CHECK(fixture.body(outcome) == row.body_);
+    // Sent once, whatever came back.
+    CHECK(fixture.server_.requests().size() == 1);
+}
+
+TEST_CASE("a connection that the server closed while idle is not used", "[pool]")
+{
+    PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes { return { success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n"), AfterBytes::Close }; });
+    CHECK(fixture.body(fixture.call("t0")) == "body");
+    CHECK(fixture.body(fixture.call("t1")) == "body");
+    CHECK(fixture.server_.requests().size() == 2);
+}
+
+TEST_CASE("an attempt that is ended closes its connection", "[pool]")
+{
+    PoolFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
+    auto request = std::make_shared<OutgoingRequest>(http::verb::get, "/x", 11);
+    auto attempt = fixture.pool_.call(fixture.upstream_, request, [](AttemptOutcome) { FAIL("no outcome is told any more"); });
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.server_.requests().size() == 1; }));
+    attempt.reset();
+    CHECK(runUntil(fixture.loop_, [&] { return fixture.server_.ended() == 1; }));
+}
+
+TEST_CASE("a port without a listener has seen nothing of the request", "[pool]")
+{
+    asio::io_context loop;
+    SystemClock clock;
+    UpstreamPool pool(loop, clock, names);
+    const auto upstream = std::make_shared<Upstream>();
+    upstream->entry_.address_ = freeAddress(loop);
+    std::optional<AttemptOutcome> outcome;
+    const auto attempt = pool.call(upstream, std::make_shared<OutgoingRequest>(http::verb::get, "/x", 11), [&](AttemptOutcome told) { outcome = std::move(told); });
+    REQUIRE(runUntil(loop, [&] { return outcome.has_value(); }));
+    CHECK(lossOf(*outcome) == LossKind::NotSent);
+}
+
+namespace {
+
+// Answers requests when the test says so.
+class HeldHandler final : public CallerHandler {
+public:
+    class Held final : public RunningRequest {
+    public:
+        explicit Held(HeldHandler& handler)
+            : handler_(handler)
+        {
+        }
+        auto cancel() -> void override { ++handler_.cancelled_; }
+
+    private:
+        HeldHandler& handler_;
+    };
+
+    auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override
+    {
+        requests_.push_back(std::move(request));
+        if (isImmediate_) {
+            answer(response());
+            return nullptr;
+        }
+        answers_.push_back(std::move(answer));
+        return std::make_shared<Held>(*this);
+    }
+    auto limits() const -> CallerLimits override { return limits_; }
+    auto isClosing() const -> bool override { return isClosing_; }
+
+    auto response() const -> HttpResponse
+    {
+        HttpResponse response;
+        response.result(200);
+        response.body() = fmt::format("answer {}", requests_.size());
+        return response;
+    }
+
+    std::vector<HttpRequest> requests_;
+    std::vector<Answer> answers_;
+    CallerLimits limits_ { 1'024, 4'096, 3s, 15s };
+    int cancelled_ = 0;
+    bool isImmediate_ = true;
+    bool isClosing_ = false;
+};
+
+const std::string get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+}
+
+TEST_CASE("requests on one connection are answered in order", "[caller]")
+{
+    asio::io_context loop;
+    ManualClock clock;
+    HeldHandler handler;
+    CallerListener listener(loop, handler, clock);
+    const auto address = freeAddress(loop);
+    REQUIRE(listener.listen(address).empty());
+    LoopClient client(loop, address);
+    SECTION("one after the other")
+    {
+        client.send(get);
+        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
+        client.send(get);
+        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 2; }));
+        CHECK_FALSE(client.isEnded());
+    }
+    SECTION("sent at once")
+    {
+        client.send(get + get + get);
+        REQUIRE(runUntil(loop, [&] { return client.count("answer 3") == 1; }));
+    }
+    SECTION("in chunks and pieces")
+    {
+        client.send("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Enc");
+        loop.poll();
+        client.send("oding: chunked\r\n\r\n3\r\nabc\r\n");
+        loop.poll();
+        client.send("2\r\nde\r\n0\r\n\r\n");
+        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
+        CHECK(handler.requests_.front().body() == "abcde");
+    }
+    SECTION("with a body that waits for leave")
+    {
+        client.send("POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+        REQUIRE(runUntil(loop, [&] { return client.count("100 Continue") == 1; }));
+        client.send("abc");
+        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
+    }
+    listener.stopAccepting();
+}
+
+TEST_CASE("a caller that leaves is noticed while its request is being answered", "[caller]")
+{
+    asio::io_context loop;
+    ManualClock clock;
+    HeldHandler handler;
+    handler.isImmediate_ = false;
+    CallerListener listener(loop, handler, clock);
+    const auto address = freeAddress(loop);
+    REQUIRE(listener.listen(address).empty());
+    {
+        LoopClient client(loop, address);
+        client.send(get);
+        REQUIRE(runUntil(loop, [&] { return handler.requests_.size() == 1; }));
+        CHECK(handler.cancelled_ == 0);
+        client.close();
+        REQUIRE(runUntil(loop, [&] { return handler.cancelled_ == 1; }));
+    }
+    // An answer that comes now goes nowhere.
+    handler.answers_.front()(handler.response());
+    loop.poll();
+    listener.stopAccepting();
+}
+
+TEST_CASE("requests that are ambiguous or too large are refused before they are handled", "[caller]")
+{
+    struct Case {
+        std::string bytes_;
+        const char* status_;
+    };
+    const auto row = GENERATE(values<Case>({
+        { "nonsense\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413" },
+        { "GET /x HTTP/1.1\r\nHost: a\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", "HTTP/1.1 431" },
+    }));
+    CAPTURE(row.bytes_);
+    asio::io_context loop;
+    ManualClock clock;
+    HeldHandler handler;
+    CallerListener listener(loop, handler, clock);
+    const auto address = freeAddress(loop);
+    REQUIRE(listener.listen(address).empty());
+    LoopClient client(loop, address);
+    client.send(row.bytes_);
+    REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+    CHECK(client.received().starts_with(row.status_));
+    CHECK(handler.requests_.empty());
+    listener.stopAccepting();
+}
+
+TEST_CASE("idle and stalled connections end at their limits", "[caller]")
+{
+    asio::io_context loop;
+    ManualClock clock;
+    HeldHandler handler;
+    CallerListener listener(loop, handler, clock);
+    const auto address = freeAddress(loop);
+    REQUIRE(listener.listen(address).empty());
+    LoopClient client(loop, address);
+    SECTION("idle")
+    {
+        client.send(get);
+        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
+        clock.advance(14s);
+        listener.sweep();
+        loop.poll();
+        CHECK(listener.openCount() == 1);
+        clock.advance(2s);
+        listener.sweep();
+        REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+        CHECK(client.count("HTTP/1.1") == 1);
+    }
+    SECTION("a header that does not come to its end")
+    {
+        client.send("GET /x HTTP/1.1\r\nHost");
+        REQUIRE(runUntil(loop, [&] { return listener.openCount() == 1; }));
+        runUntil(loop, [&] { return loop.poll() == 0; });
+        clock.advance(4s);
+        listener.sweep();
+        REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+        CHECK(client.received().starts_with("HTTP/1.1 408"));
+    }
+    listener.stopAccepting();
+}
+
+TEST_CASE("while an instance stops, answers end their connections and idle ones close", "[caller]")
+{
+    asio::io_context loop;
+    ManualClock clock;
+    HeldHandler handler;
+    handler.isImmediate_ = false;
+    CallerListener listener(loop, handler, clock);
+    const auto address = freeAddress(loop);
+    REQUIRE(listener.listen(address).empty());
+    LoopClient client(loop, address);
+    client.send(get);
+    REQUIRE(runUntil(loop, [&] { return handler.requests_.size() == 1; }));
+    handler.isClosing_ = true;
+    listener.closeIdle();
+    loop.poll();
+    // The request under way is not cut.
+    CHECK_FALSE(client.isEnded());
+    CHECK(handler.cancelled_ == 0);
+    handler.answers_.front()(handler.response());
+    REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+    CHECK(client.count("answer") == 1);
+    CHECK(client.count("Connection: close") == 1);
+    listener.stopAccepting();
+}
+
+TEST_CASE("the log never waits for its reader and counts what it drops", "[line-log]")
+{
+    ManualClock clock;
+    std::array<int, 2> ends {};
+    REQUIRE(::pipe(ends.data()) == 0);
+    LineLog log(clock, ends[1], { 1e9, 64 * 1024, 100 }, "e1");
+    for (int i = 0; i < 5'000; ++i)
+        log.write(EventId::RequestEnded, { { "request", fmt::format("t{}", i) }, { "reason", "a reason of some length" } });
+    CHECK(log.dropped() > 0);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
+TEST_CASE("the log keeps to its bytes a second and tells of dropped lines", "[line-log]")
+{
+    ManualClock clock;
+    std::array<int, 2> ends {};
+    REQUIRE(::pipe(ends.data()) == 0);
+    LineLog log(clock, ends[1], { 2'000, 64 * 1024, 100 }, "e1");
+    for (int i = 0; i < 200; ++i)
+        log.write(EventId::RequestEnded, { { "request", fmt::format("t{}", i) } });
+    const auto dropped = log.dropped();
+    CHECK(dropped > 100);
+    clock.advance(10s);
+    log.write(EventId::RequestEnded, { { "request", "after" } });
+    log.flush();
+    std::array<char, 65'536> bytes {};
+    const auto count = ::read(ends[0], bytes.data(), bytes.size());
+    const std::string text(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+    CHECK(text.size() <= 2'000 * 2 + 2'000);
+    CHECK(text.find(fmt::format("\"lines\":{}", dropped)) != std::string::npos);
+    CHECK(text.find("\"request\":\"after\"") != std::string::npos);
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
--- /dev/null
+++ b/tests/gateway_placement_test.cpp
@@ -0,0 +1,211 @@
+// Which upstream a request goes to: the same on every instance, warm, within what each bears.
+#include "gateway/placement.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <rapidcheck/catch.h>
+#include <set>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::map<std::string, std::string> regionOfDomain { { "north-a", "north" }, { "south-a", "south" } };
+
+auto entry(const std::string& id, const std::string& domain = "north-a", int slots = 4) -> UpstreamEntry
+{
+    return { id, 1, "core", { "127.0.0.1", 9000 }, domain, slots, UpstreamState::Ready, 0s };
+}
+
+// One instance with its own view of the same upstreams.
+struct Instance {
+    explicit Instance(ManualClock& clock, const std::string& name = "self")
+        : upstreams_(clock, regionOfDomain)
+        , fleet_(clock, { 2s, 20s }, name)
+        , placer_(clock, upstreams_, fleet_)
+    {
+    }
+
+    auto put(int count, const std::string& domain = "north-a") -> void
+    {
+        for (int i = 0; i < count; ++i)
+            upstreams_.put(entry(fmt::format("{}-{}", domain, i), domain));
+    }
+
+    auto find(const std::string& id) -> UpstreamPtr
+    {
+        for (const auto& upstream : upstreams_.ofService("core")) {
+            if (upstream->entry_.id_ == id)
+                return upstream;
+        }
+        return nullptr;
+    }
+
+    UpstreamSet upstreams_;
+    FleetView fleet_;
+    Placer placer_;
+};
+
+auto query(std::uint64_t object) -> PlacementQuery
+{
+    PlacementQuery result;
+    result.service_ = "core";
+    result.object_ = object;
+    result.usualWork_ = 100ms;
+    result.longestWait_ = 200ms;
+    return result;
+}
+
+auto chosen(const PlacementResult& result) -> std::string
+{
+    const auto* placement = std::get_if<Placement>(&result);
+    return placement == nullptr ? std::string() : placement->upstream_->entry_.id_;
+}
+
+}
+
+TEST_CASE("all instances name the same owner of an object", "[placement]")
+{
+    ManualClock clock;
+    Instance a(clock, "a");
+    Instance b(clock, "b");
+    a.put(20);
+    b.put(20);
+    std::set<std::string> owners;
+    for (std::uint64_t object = 0; object < 200; ++object) {
+        const auto owner = chosen(a.placer_.place(query(object)));
+        CHECK(owner == chosen(b.placer_.place(query(object))));
+        owners.insert(owner);
+    }
+    CHECK(owners.size() == 20);
+}
+
+TEST_CASE("an upstream that leaves moves only its own objects", "[placement]")
+{
+    rc::prop("any upstream of any set", [](std::uint64_t seed) {
+        ManualClock clock;
+        Instance instance(clock);
+        instance.put(12);
+        std::map<std::uint64_t, std::string> before;
+        for (std::uint64_t object = seed; object < seed + 50; ++object)
+            before[object] = chosen(instance.placer_.place(query(object)));
+        const auto leaving = before[seed];
+        instance.upstreams_.remove(leaving, 0s);
+        for (const auto& [object, owner] : before) {
+            const auto now = chosen(instance.placer_.place(query(object)));
+            RC_ASSERT((owner == leaving ? now != leaving : now == owner));
+        }
+    });
+}
+
+TEST_CASE("an object spills to two more owners and is then refused", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(20);
+    std::set<std::string> used;
+    for (int sent = 0; sent < 200; ++sent) {
+        const auto result = instance.placer_.place(query(7));
+        if (const auto* placement = std::get_if<Placement>(&result)) {
+            used.insert(placement->upstream_->entry_.id_);
+            ++placement->upstream_->inFlight_;
+        } else {
+            CHECK(std::get<PlacementRefusal>(result) == PlacementRefusal::Full);
+        }
+    }
+    CHECK(used.size() == 3);
+    CHECK(std::holds_alternative<PlacementRefusal>(instance.placer_.place(query(7))));
+}
+
+TEST_CASE("a stated load passes an owner over while it is fresh", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(8);
+    const auto owner = chosen(instance.placer_.place(query(3)));
+    instance.upstreams_.noteLoad(*instance.find(owner), { 4, 2, 4 });
+    CHECK(chosen(instance.placer_.place(query(3))) != owner);
+    clock.advance(2s);
+    CHECK(chosen(instance.placer_.place(query(3))) == owner);
+}
+
+TEST_CASE("what must not be used is not used", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(1);
+    const auto only = instance.find("north-a-0");
+    auto asked = query(1);
+    const std::vector<std::string> elsewhere { "south" };
+    SECTION("draining")
+    {
+        auto draining = entry("north-a-0");
+        draining.state_ = UpstreamState::Draining;
+        instance.upstreams_.put(draining);
+    }
+    SECTION("evacuated") { instance.upstreams_.setEvacuated({ "north-a" }); }
+    SECTION("gone") { instance.upstreams_.remove("north-a-0", 0s); }
+    SECTION("outside the homes") { asked.homes_ = &elsewhere; }
+    SECTION("tried before") { asked.tried_ = { "north-a-0" }; }
+    SECTION("of another service") { asked.service_ = "other"; }
+    const auto result = instance.placer_.place(asked);
+    REQUIRE(std::holds_alternative<PlacementRefusal>(result));
+    CHECK(std::get<PlacementRefusal>(result) == PlacementRefusal::NoUpstream);
+}
+
+TEST_CASE("a lost upstream rests and is tried again", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(8);
+    const auto owner = chosen(instance.placer_.place(query(3)));
+    instance.upstreams_.noteAttempt(*instance.find(owner), AttemptHealth::Lost);
+    CHECK(chosen(instance.placer_.place(query(3))) != owner);
+    clock.advance(5s);
+    CHECK(chosen(instance.placer_.place(query(3))) == owner);
+}
+
+TEST_CASE("unsound upstreams are used when all are", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(4);
+    for (const auto& upstream : instance.upstreams_.ofService("core"))
+        instance.upstreams_.noteAttempt(*upstream, AttemptHealth::Lost);
+    CHECK_FALSE(chosen(instance.placer_.place(query(3))).empty());
+}
+
+// The bound of the users: coldPerSecond * 1.5 + 5 in any second, over all instances.
+TEST_CASE("a cold upstream gets no more than it bears from all instances together", "[placement]")
+{
+    ManualClock clock;
+    constexpr std::size_t count = 12;
+    constexpr double coldPerSecond = 9.2;
+    std::vector<std::unique_ptr<Instance>> instances;
+    for (std::size_t i = 0; i < count; ++i) {
+        instances.push_back(std::make_unique<Instance>(clock, fmt::format("e{}", i)));
+        for (std::size_t other = 0; other < count; ++other)
+            instances.back()->fleet_.expect(fmt::format("e{}", other), { "127.0.0.1", static_cast<std::uint16_t>(9100 + other) });
+        auto cold = entry("cold");
+        cold.coldLeft_ = 3s;
+        instances.back()->upstreams_.put(cold);
+    }
+    auto asked = query(1);
+    asked.coldPerSecond_ = coldPerSecond;
+    std::vector<int> sentAt;
+    for (int ms = 0; ms < 2'900; ms += 5) {
+        for (auto& instance : instances) {
+            const auto result = instance->placer_.place(asked);
+            if (const auto* placement = std::get_if<Placement>(&result)) {
+                instance->placer_.noteSent(*placement->upstream_, asked);
+                sentAt.push_back(ms);
+            }
+        }
+        clock.advance(5ms);
+    }
+    for (const auto from : sentAt)
+        CHECK(std::count_if(sentAt.begin(), sentAt.end(), [from](int at) { return at >= from && at < from + 1'000; }) <= coldPerSecond * 1.5 + 5);
+    // It gets work all the same.
+    CHECK(sentAt.size() >= 10);
+}
--- /dev/null
+++ b/tests/platform_store_test.cpp
@@ -0,0 +1,281 @@
+// The store's dialect and the whole gateway, against a stand-in of the platform on loopback.
+#include "loop/gateway.h"
+#include "platform/store_source.h"
+#include "platform/wire_names.h"
+#include "standin/platform_store.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace sapphirepass;
+using namespace sapphirepass::standin;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+// Keeps what the source tells.
+class KeptBeliefs final : public BeliefSink {
+public:
+    auto declarationSeen(Declaration declaration) -> void override { versions_.push_back(declaration.version_); }
+    auto declarationUnreadable(std::string_view) -> void override { ++unreadable_; }
+    auto upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void override
+    {
+        ++lists_;
+        upstreams_.clear();
+        for (const auto& entry : entries)
+            upstreams_.insert(entry.id_);
+    }
+    auto upstreamSeen(const UpstreamEntry& entry) -> void override { upstreams_.insert(entry.id_); }
+    auto upstreamGone(const std::string& id) -> void override { upstreams_.erase(id); }
+    auto entryUnreadable(const std::string&, std::string_view) -> void override { ++unreadable_; }
+    auto domainsEvacuated(std::set<std::string> domains) -> void override { evacuated_ = std::move(domains); }
+    auto instancesListed(const std::vector<ListedInstance>& instances) -> void override { instances_ = instances; }
+    auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
+    auto feedRegained(Feed) -> void override { ++regained_; }
+
+    std::vector<std::uint64_t> versions_;
+    std::set<std::string> upstreams_;
+    std::set<std::string> evacuated_;
+    std::vector<ListedInstance> instances_;
+    int lists_ = 0;
+    int unreadable_ = 0;
+    int lost_ = 0;
+    int regained_ = 0;
+};
+
+auto manifest(int version) -> json
+{
+    return { { "version", fmt::format("{:08x}", version) }, { "routes", { { { "name", "r" }, { "host", "a.example" }, { "path_prefix", "/x/" }, { "kind", "non_idempotent" }, { "timeout_s", 2 }, { "target_latency_s", 0.3 }, { "service", "s" }, { "max_attempts", 2 } } } }, { "services", { { { "name", "s" }, { "max_conns", 10 }, { "cold_start_s", 3 }, { "cold_per_s", 9 } } } }, { "tenants", { { { "name", "acme" }, { "api_keys", { "secret" } } } } } };
+}
+
+auto server(const SocketAddress& address, const std::string& state = "ready") -> json
+{
+    return { { "address", formatSocketAddress(address) }, { "born", 1 }, { "info", { { "service", "s" }, { "zone", "north-a" }, { "slots", 4 } } }, { "status", { { "state", state }, { "seq", 1 }, { "cold_left_s", 0 } } } };
+}
+
+struct SourceFixture {
+    SourceFixture()
+    {
+        store_.put("config", "main", manifest(1));
+        for (int i = 0; i < 5; ++i)
+            store_.put("servers", fmt::format("i-{}", i), server({ "127.0.0.1", 9000 }));
+    }
+    ~SourceFixture() { source_.stop(); }
+    SourceFixture(const SourceFixture&) = delete;
+    auto operator=(const SourceFixture&) -> SourceFixture& = delete;
+
+    auto start() -> void
+    {
+        source_.start(beliefs_, { "e1", { "127.0.0.1", 7000 } });
+        REQUIRE(runUntil(loop_, [this] { return beliefs_.lists_ == 1 && !beliefs_.versions_.empty() && !beliefs_.instances_.empty(); }));
+    }
+
+    asio::io_context loop_;
+    PlatformStore store_ { loop_ };
+    KeptBeliefs beliefs_;
+    platform::StoreSource source_ { loop_, store_.address(), 300ms };
+};
+
+}
+
+TEST_CASE("everything in the store is told, over several pages", "[store-source]")
+{
+    SourceFixture fixture;
+    fixture.store_.setPage(2);
+    fixture.store_.put("evacuations", "north-a", json::object());
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return !fixture.beliefs_.evacuated_.empty(); }));
+    CHECK(fixture.beliefs_.versions_ == std::vector<std::uint64_t> { 1 });
+    CHECK(fixture.beliefs_.upstreams_.size() == 5);
+    CHECK(fixture.beliefs_.evacuated_ == std::set<std::string> { "north-a" });
+    CHECK(fixture.beliefs_.instances_ == std::vector<ListedInstance> { { "e1", { "127.0.0.1", 7000 } } });
+    CHECK(fixture.beliefs_.lost_ == 0);
+}
+
+TEST_CASE("changes are told as they come", "[store-source]")
+{
+    SourceFixture fixture;
+    fixture.start();
+    fixture.store_.put("config", "main", manifest(2));
+    fixture.store_.put("servers", "i-9", server({ "127.0.0.1", 9000 }));
+    fixture.store_.remove("servers", "i-0");
+    fixture.store_.put("evacuations", "north-a", json::object());
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.versions_.size() == 2 && fixture.beliefs_.upstreams_.contains("i-9") && !fixture.beliefs_.upstreams_.contains("i-0") && fixture.beliefs_.evacuated_.size() == 1; }));
+    fixture.store_.remove("evacuations", "north-a");
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.evacuated_.empty(); }));
+    CHECK(fixture.beliefs_.lists_ == 1);
+}
+
+TEST_CASE("a watch that is cut, or whose history is gone, is no outage and loses no change", "[store-source]")
+{
+    SourceFixture fixture;
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.calls() >= 8; }));
+    const bool forgets = GENERATE(false, true);
+    CAPTURE(forgets);
+    if (forgets)
+        fixture.store_.forgetHistory();
+    else
+        fixture.store_.cutWatches();
+    fixture.store_.remove("servers", "i-0");
+    REQUIRE(runUntil(fixture.loop_, [&] { return !fixture.beliefs_.upstreams_.contains("i-0"); }));
+    CHECK(fixture.beliefs_.lost_ == 0);
+}
+
+TEST_CASE("an outage is told once, and what changed meanwhile after it", "[store-source]")
+{
+    SourceFixture fixture;
+    fixture.start();
+    const auto mood = GENERATE(StoreMood::Busy, StoreMood::Silent, StoreMood::Resetting);
+    CAPTURE(static_cast<int>(mood));
+    fixture.store_.setMood(mood);
+    fixture.store_.cutWatches();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.lost_ >= 3; }));
+    fixture.store_.put("config", "main", manifest(4));
+    fixture.store_.remove("servers", "i-0");
+    fixture.store_.setMood(StoreMood::Well);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.versions_.back() == 4 && !fixture.beliefs_.upstreams_.contains("i-0"); }));
+}
+
+TEST_CASE("entries of other writers are told as unreadable, the others hold", "[store-source]")
+{
+    SourceFixture fixture;
+    fixture.store_.put("servers", "i-bad", { { "address", 7 } });
+    fixture.store_.put("servers", "i-none", json());
+    fixture.start();
+    CHECK(fixture.beliefs_.upstreams_.size() == 5);
+    CHECK(fixture.beliefs_.unreadable_ == 2);
+    fixture.store_.put("config", "main", { { "version", "zz" } });
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.unreadable_ == 3; }));
+    CHECK(fixture.beliefs_.versions_.back() == 1);
+}
+
+namespace {
+
+// A whole gateway with a store and one upstream.
+struct GatewayFixture {
+    explicit GatewayFixture(LoopServer::Script script)
+        : server_(loop_, std::move(script))
+    {
+        settings_.name_ = "e1";
+        settings_.region_ = "north";
+        settings_.domain_ = "north-a";
+        settings_.domains_ = { { "north-a", "north" } };
+        for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
+            *address = freeAddress(loop_);
+        settings_.storeTimeout_ = 300ms;
+        settings_.store_ = store_.address();
+    }
+
+    auto start() -> void
+    {
+        GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(loop_, store_.address(), 300ms) };
+        gateway_ = std::make_unique<Gateway>(loop_, clock_, settings_, std::move(adapter));
+        REQUIRE(gateway_->start().empty());
+    }
+
+    auto ask(const SocketAddress& address, const std::string& path) -> std::string
+    {
+        LoopClient client(loop_, address);
+        client.send(fmt::format("GET {} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", path));
+        REQUIRE(runUntil(loop_, [&] { return client.isEnded(); }));
+        return client.received();
+    }
+
+    asio::io_context loop_;
+    SystemClock clock_;
+    PlatformStore store_ { loop_ };
+    LoopServer server_;
+    GatewaySettings settings_;
+    std::unique_ptr<Gateway> gateway_;
+};
+
+const std::string order = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: t1\r\nAuthorization: Token secret\r\nContent-Length: 2\r\n\r\nhi";
+const std::string orderAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nContent-Length: 4\r\n\r\ndone";
+
+}
+
+TEST_CASE("a gateway is ready once it knows everything, and serves", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.start();
+    CHECK(fixture.ask(fixture.settings_.ready_, "/-/readiness").starts_with("HTTP/1.1 503"));
+    LoopClient early(fixture.loop_, fixture.settings_.front_);
+    early.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&] { return early.count("HTTP/1.1") == 1; }));
+    CHECK(early.received().starts_with("HTTP/1.1 503"));
+    CHECK(early.count("Retry-After") == 1);
+    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
+    fixture.store_.put("config", "main", manifest(1));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
+    CHECK(fixture.ask(fixture.settings_.ready_, "/-/readiness").starts_with("HTTP/1.1 200"));
+    CHECK(fixture.ask(fixture.settings_.directory_, "/-/resolve?name=a.example&region=north&zone=north-a").find(formatSocketAddress(fixture.settings_.front_)) != std::string::npos);
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&] { return client.count("done") == 1; }));
+    REQUIRE(fixture.server_.requests().size() == 1);
+    const auto& sent = fixture.server_.requests().front();
+    CHECK(sent.find("Expected-Instance: i-1") != std::string::npos);
+    CHECK(sent.find("Tenant: acme") != std::string::npos);
+    CHECK(sent.find("secret") == std::string::npos);
+    CHECK(fixture.ask(fixture.settings_.control_, "/metrics").find("gateway_requests_total{outcome=\"answered\"} 1") != std::string::npos);
+}
+
+TEST_CASE("a gateway serves on through an outage of the store", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
+    fixture.store_.put("config", "main", manifest(1));
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
+    fixture.store_.setMood(StoreMood::Silent);
+    fixture.store_.cutWatches();
+    const auto calls = fixture.store_.calls();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.calls() > calls + 3; }));
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&] { return client.count("done") == 1; }));
+    CHECK(fixture.gateway_->isReady());
+}
+
+TEST_CASE("a gateway that is told to stop finishes what is in flight", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
+    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
+    fixture.store_.put("config", "main", manifest(1));
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.server_.requests().size() == 1; }));
+    fixture.gateway_->beginStop();
+    CHECK(fixture.ask(fixture.settings_.ready_, "/-/readiness").starts_with("HTTP/1.1 503"));
+    CHECK(fixture.ask(fixture.settings_.directory_, "/-/resolve?region=north").starts_with("HTTP/1.1 503"));
+    CHECK_FALSE(client.isEnded());
+    fixture.server_.push(orderAnswer);
+    REQUIRE(runUntil(fixture.loop_, [&] { return client.isEnded(); }));
+    CHECK(client.count("done") == 1);
+    CHECK(client.count("Connection: close") == 1);
+}
+
+TEST_CASE("two gateways find each other through the store and name each other", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("config", "main", manifest(1));
+    fixture.start();
+    auto second = fixture.settings_;
+    second.name_ = "e2";
+    for (auto* address : { &second.front_, &second.directory_, &second.ready_, &second.control_, &second.peer_ })
+        *address = freeAddress(fixture.loop_);
+    GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), 300ms) };
+    Gateway other(fixture.loop_, fixture.clock_, second, std::move(adapter));
+    REQUIRE(other.start().empty());
+    const auto names = [&](const SocketAddress& directory) {
+        const auto answer = fixture.ask(directory, "/-/resolve?region=north");
+        return answer.find(formatSocketAddress(fixture.settings_.front_)) != std::string::npos && answer.find(formatSocketAddress(second.front_)) != std::string::npos;
+    };
+    CHECK(runUntil(fixture.loop_, [&] { return names(fixture.settings_.directory_) && names(second.directory_); }));
+    other.beginStop();
+    CHECK(runUntil(fixture.loop_, [&] { return fixture.ask(fixture.settings_.directory_, "/-/resolve?region=north").find(formatSocketAddress(second.front_)) == std::string::npos; }));
+}
