--- /dev/null
+++ b/src/gateway/datagram_codec.cpp
@@ -0,0 +1,126 @@
+#include "gateway/datagram_codec.h"
+
+#include "wire/datagram.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace sapphirepass {
+
+namespace {
+    // A heartbeat fits a datagram; anything larger is no heartbeat.
+    constexpr std::uint64_t mostWords = 8 * 1024;
+
+    auto writeAddress(wire::PeerAddress::Builder builder, const SocketAddress& address) -> void
+    {
+        builder.setHost(address.host_);
+        builder.setPort(address.port_);
+    }
+
+    auto readAddress(wire::PeerAddress::Reader reader) -> SocketAddress
+    {
+        return { reader.getHost().cStr(), reader.getPort() };
+    }
+
+    auto readReport(wire::Heartbeat::Reader reader) -> MemberReport
+    {
+        MemberReport report { reader.getName().cStr(), reader.getIncarnation(), readAddress(reader.getFront()), readAddress(reader.getPeer()), reader.getRegion().cStr(), reader.getDomain().cStr(), static_cast<MemberPhase>(reader.getPhase()), {}, {} };
+        for (const auto crash : reader.getCrashes())
+            report.crashes_.push_back({ crash.getFingerprint(), crash.getUpstreams() });
+        for (const auto address : reader.getKnown())
+            report.known_.push_back(readAddress(address));
+        return report;
+    }
+
+    auto isPlausible(const MemberReport& report) -> bool
+    {
+        return !report.name_.empty() && report.phase_ <= MemberPhase::Stopping && parseSocketAddress(formatSocketAddress(report.peer_)).has_value();
+    }
+
+    auto write(wire::PeerDatagram::Builder builder, const MemberReport& report) -> void
+    {
+        auto heartbeat = builder.initHeartbeat();
+        heartbeat.setName(report.name_);
+        heartbeat.setIncarnation(report.incarnation_);
+        writeAddress(heartbeat.initFront(), report.front_);
+        writeAddress(heartbeat.initPeer(), report.peer_);
+        heartbeat.setRegion(report.region_);
+        heartbeat.setDomain(report.domain_);
+        heartbeat.setPhase(static_cast<std::uint16_t>(report.phase_));
+        auto crashes = heartbeat.initCrashes(static_cast<unsigned>(report.crashes_.size()));
+        for (unsigned i = 0; i < crashes.size(); ++i) {
+            crashes[i].setFingerprint(report.crashes_[i].fingerprint_);
+            crashes[i].setUpstreams(report.crashes_[i].upstreams_);
+        }
+        auto known = heartbeat.initKnown(static_cast<unsigned>(report.known_.size()));
+        for (unsigned i = 0; i < known.size(); ++i)
+            writeAddress(known[i], report.known_[i]);
+    }
+
+    auto write(wire::PeerDatagram::Builder builder, const RateAsk& ask) -> void
+    {
+        auto message = builder.initAsk();
+        message.setNumber(ask.number_);
+        message.setWorkspace(ask.workspace_);
+        message.setWanted(ask.wanted_);
+    }
+
+    auto write(wire::PeerDatagram::Builder builder, const RateGrant& grant) -> void
+    {
+        auto message = builder.initGrant();
+        message.setNumber(grant.number_);
+        message.setWorkspace(grant.workspace_);
+        message.setGranted(grant.granted_);
+        message.setRetryAfterMs(static_cast<std::uint32_t>(grant.retryAfter_.count()));
+    }
+
+    auto read(wire::PeerDatagram::Reader reader) -> Result<PeerDatagram, DatagramError>
+    {
+        switch (reader.which()) {
+        case wire::PeerDatagram::HEARTBEAT: {
+            auto report = readReport(reader.getHeartbeat());
+            if (!isPlausible(report))
+                return DatagramError { "a heartbeat has impossible values" };
+            return PeerDatagram(std::move(report));
+        }
+        case wire::PeerDatagram::ASK: {
+            const auto ask = reader.getAsk();
+            return PeerDatagram(RateAsk { ask.getNumber(), ask.getWorkspace().cStr(), ask.getWanted() });
+        }
+        case wire::PeerDatagram::GRANT: {
+            const auto grant = reader.getGrant();
+            return PeerDatagram(RateGrant { grant.getNumber(), grant.getWorkspace().cStr(), grant.getGranted(), std::chrono::milliseconds(grant.getRetryAfterMs()) });
+        }
+        }
+        return DatagramError { "a datagram of an unknown kind" };
+    }
+}
+
+auto encodeDatagram(const PeerDatagram& datagram) -> std::string
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<wire::PeerDatagram>();
+    std::visit([&root](const auto& content) { write(root, content); }, datagram);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
+}
+
+auto decodeDatagram(std::string_view bytes) -> Result<PeerDatagram, DatagramError>
+{
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = mostWords;
+        capnp::PackedMessageReader message(in, options);
+        return read(message.getRoot<wire::PeerDatagram>());
+    } catch (const kj::Exception& exception) {
+        return DatagramError { exception.getDescription().cStr() };
+    }
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/datagram_codec.h
@@ -0,0 +1,25 @@
+// Datagrams between instances as bytes.
+#pragma once
+
+#include "base/result.h"
+#include "gateway/fleet_view.h"
+#include "gateway/rate_type.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sapphirepass {
+
+struct DatagramError {
+    std::string message_;
+
+    auto operator<=>(const DatagramError&) const = default;
+};
+
+using PeerDatagram = std::variant<MemberReport, RateAsk, RateGrant>;
+
+auto encodeDatagram(const PeerDatagram& datagram) -> std::string;
+auto decodeDatagram(std::string_view bytes) -> Result<PeerDatagram, DatagramError>;
+
+} // namespace sapphirepass
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -6,11 +6,6 @@
 
 namespace sapphirepass {
 
-namespace {
-    // Part of a limit that is split evenly, so that demand that appears at an instance finds some room at once.
-    constexpr double evenPart = 0.15;
-}
-
 FleetView::FleetView(const Clock& clock, FleetTiming timing, std::string self)
     : clock_(clock)
     , timing_(timing)
@@ -89,41 +84,29 @@
     return addresses;
 }
 
-auto FleetView::demandOf(const Member& member, const std::string& workspace) const -> std::optional<double>
+auto FleetView::isInTouch() const -> bool
 {
-    if (!member.heard_)
-        return std::nullopt;
-    for (const auto& demand : member.report_.demands_) {
-        if (demand.workspace_ == workspace)
-            return demand.perSecond_;
-    }
-    return 0;
+    const auto fresh = std::count_if(members_.begin(), members_.end(), [this](const auto& item) { return isFresh(item.second); });
+    return static_cast<std::size_t>(fresh) * 2 >= members_.size();
 }
 
-// Members that fell silent count with their last demand: behind a partition they go on spending it.
-auto FleetView::shareOf(const std::string& workspace) const -> double
+auto FleetView::keeperOf(std::string_view workspace) const -> std::optional<Keeper>
 {
-    const auto own = ownDemand_.find(workspace);
-    const double ownDemand = own == ownDemand_.end() ? 0 : own->second;
-    const auto count = static_cast<double>(spenders());
-    double known = ownDemand;
-    double knownCount = 1;
-    double freshCount = 0;
-    for (const auto& [name, member] : members_) {
-        const auto demand = demandOf(member, workspace);
-        known += demand.value_or(0);
-        knownCount += demand ? 1 : 0;
-        freshCount += isFresh(member) ? 1 : 0;
-    }
-    const double total = known * count / knownCount;
-    const double byDemand = total > 0 ? ownDemand / total : 1 / count;
-    const double share = evenPart / count + (1 - evenPart) * byDemand;
-    // Out of touch with most others, their demand is not known: what was held before is kept, never raised.
-    const bool inTouch = freshCount * 2 >= count - 1;
-    auto& last = lastShare_[workspace];
-    if (inTouch || last == 0)
-        return last = inTouch ? share : std::min(share, 1 / count);
-    return last = std::min(last, share);
+    const auto object = stableHash(workspace);
+    std::optional<Keeper> keeper;
+    std::uint64_t most = 0;
+    const auto consider = [&](const std::string& name, const SocketAddress& peer) {
+        const auto weight = rendezvousWeight(object, name);
+        if (keeper && weight <= most)
+            return;
+        keeper = Keeper { name, peer };
+        most = weight;
+    };
+    if (isReady_)
+        consider(self_, {});
+    for (const auto* report : anyReadyMembers())
+        consider(report->name_, report->peer_);
+    return keeper;
 }
 
 auto FleetView::coldSenders(std::string_view upstream, std::size_t most) const -> std::optional<std::size_t>
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -1,4 +1,4 @@
-// The other instances of the gateway, as their heartbeats tell, and this instance's share of fleet-wide limits.
+// The other instances of the gateway, as their heartbeats tell.
 #pragma once
 
 #include "base/clock.h"
@@ -18,14 +18,6 @@
     Ready,
     Stopping };
 
-// Arrivals a second of one workspace at one instance.
-struct WorkspaceDemand {
-    std::string workspace_;
-    double perSecond_ = 0;
-
-    auto operator<=>(const WorkspaceDemand&) const = default;
-};
-
 // A request whose attempts ended with lost connections at this instance.
 struct CrashCount {
     std::uint64_t fingerprint_ = 0;
@@ -43,7 +35,6 @@
     std::string region_;
     std::string domain_;
     MemberPhase phase_ = MemberPhase::Starting;
-    std::vector<WorkspaceDemand> demands_;
     std::vector<CrashCount> crashes_;
     // Peer addresses of instances that the sender has heard of late.
     std::vector<SocketAddress> known_;
@@ -58,14 +49,23 @@
     Duration reserve_ {};
 };
 
+struct Keeper {
+    std::string name_;
+    SocketAddress peer_;
+
+    auto operator<=>(const Keeper&) const = default;
+};
+
 class FleetView {
 public:
     FleetView(const Clock& clock, FleetTiming timing, std::string self);
 
+    auto self() const -> const std::string& { return self_; }
     auto hear(const MemberReport& report) -> void;
     // An instance that the platform lists but that may be gone.
     auto expect(const std::string& name, const SocketAddress& peer) -> void;
-    auto setOwnDemand(const std::string& workspace, double perSecond) -> void { ownDemand_[workspace] = perSecond; }
+    // Whether this instance is ready itself.
+    auto setReady(bool ready) -> void { isReady_ = ready; }
     auto forgetSilent() -> void;
 
     // Ready instances that were heard of late, all regions or one.
@@ -76,8 +76,11 @@
     auto heardAddresses() const -> std::vector<SocketAddress>;
     // Instances that may spend of a limit now, this one included.
     auto spenders() const -> std::size_t { return members_.size() + 1; }
-    // The part of a workspace's rate that this instance may spend, 0 to 1. All instances' parts add up to 1 in steady state.
-    auto shareOf(const std::string& workspace) const -> double;
+    // Hears at least half of the others: not on the smaller side of a partition.
+    auto isInTouch() const -> bool;
+    // The instance that keeps the common tokens of a workspace: all instances in touch name the same one.
+    // Its own name stands for this instance; nothing if none is ready.
+    auto keeperOf(std::string_view workspace) const -> std::optional<Keeper>;
     // Whether this instance is among the few that send to a cold upstream, and how many these are.
     auto coldSenders(std::string_view upstream, std::size_t most) const -> std::optional<std::size_t>;
     auto crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t;
@@ -90,15 +93,11 @@
     };
 
     auto isFresh(const Member& member) const -> bool;
-    auto demandOf(const Member& member, const std::string& workspace) const -> std::optional<double>;
-
     const Clock& clock_;
     FleetTiming timing_;
     std::string self_;
     std::map<std::string, Member> members_;
-    std::map<std::string, double> ownDemand_;
-    // The last share that rests on what others said, per workspace; used while nobody is heard.
-    mutable std::map<std::string, double> lastShare_;
+    bool isReady_ = false;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -1,19 +1,12 @@
 #include "gateway/limits.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sapphirepass {
 
 using namespace std::chrono_literals;
 
 namespace {
-    // How often a workspace's share is worked out anew; heartbeats come no faster.
-    constexpr Duration shareAge = 100ms;
-    // Time constant of the measured demand: about two heartbeats, so that shares follow within a second.
-    constexpr double demandMemorySeconds = 0.8;
-    // Part of what is allowed beyond the rate that instances hold together; the rest covers shares that change hands.
-    constexpr double capacityPart = 0.75;
     // Part of the bound on retries that instances spend together; the rest covers windows that overlap.
     constexpr double retryPart = 0.7;
     // Upstreams lost to one request before it is barred.
@@ -21,80 +14,6 @@
     // How long a barred request is remembered after its last crash.
     constexpr Duration crashMemory = 30s;
     constexpr std::size_t mostCrashes = 256;
-
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
-}
-
-auto TokenBucket::refill(MonotonicTime now, double perSecond, double capacity) -> void
-{
-    const double elapsed = filledAt_ == MonotonicTime {} ? 0 : seconds(now - filledAt_);
-    tokens_ = std::min(std::max(capacity, 1.0), tokens_ + elapsed * perSecond);
-    filledAt_ = now;
-}
-
-auto TokenBucket::take() -> bool
-{
-    if (tokens_ < 1)
-        return false;
-    tokens_ -= 1;
-    return true;
-}
-
-auto TokenBucket::untilToken(double perSecond) const -> Duration
-{
-    if (perSecond <= 0)
-        return 1s;
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(0.0, 1 - tokens_) / perSecond));
-}
-
-RateGate::RateGate(const Clock& clock, FleetView& fleet, RateTolerance tolerance)
-    : clock_(clock)
-    , fleet_(fleet)
-    , tolerance_(tolerance)
-    , measuredAt_(clock.now())
-{
-}
-
-// In a window, buckets give their capacity and what refills: together no more than the window allows.
-auto RateGate::fleetCapacity(double ratePerSecond, double burst) const -> double
-{
-    const double tolerated = (ratePerSecond * seconds(tolerance_.window_) + burst) * tolerance_.over_ + tolerance_.slack_;
-    return (burst + tolerated) * capacityPart;
-}
-
-auto RateGate::admit(const std::string& workspace, double ratePerSecond, double burst) -> Verdict
-{
-    const auto now = clock_.now();
-    auto& state = states_[workspace];
-    state.arrivals_ += 1;
-    if (ratePerSecond <= 0)
-        return {};
-    if (now - state.shareAt_ > shareAge) {
-        state.share_ = fleet_.shareOf(workspace);
-        state.shareAt_ = now;
-    }
-    const double rate = ratePerSecond * state.share_;
-    state.bucket_.refill(now, rate, fleetCapacity(ratePerSecond, burst) * state.share_);
-    if (state.bucket_.take())
-        return { true, state.share_, Duration::zero() };
-    return { false, state.share_, state.bucket_.untilToken(rate) };
-}
-
-auto RateGate::measureDemand() -> std::vector<WorkspaceDemand>
-{
-    const auto now = clock_.now();
-    const double elapsed = std::max(0.001, seconds(now - measuredAt_));
-    const double fading = std::exp(-elapsed / demandMemorySeconds);
-    measuredAt_ = now;
-    std::vector<WorkspaceDemand> demands;
-    for (auto& [workspace, state] : states_) {
-        state.perSecond_ = state.perSecond_ * fading + state.arrivals_ / elapsed * (1 - fading);
-        state.arrivals_ = 0;
-        fleet_.setOwnDemand(workspace, state.perSecond_);
-        if (state.perSecond_ >= 0.05)
-            demands.push_back({ workspace, state.perSecond_ });
-    }
-    return demands;
 }
 
 RetryGate::RetryGate(const Clock& clock, const FleetView& fleet, RetryBound bound)
--- a/src/gateway/limits.h
+++ b/src/gateway/limits.h
@@ -1,4 +1,4 @@
-// Limits that hold over the whole fleet, as one instance keeps its part of them.
+// Bounds on retries and on requests that crash upstreams, as one instance keeps its part of them.
 #pragma once
 
 #include "base/clock.h"
@@ -13,62 +13,6 @@
 
 namespace sapphirepass {
 
-// Tokens that refill at a rate up to a capacity. Starts empty: a restarted instance has no burst.
-class TokenBucket {
-public:
-    auto refill(MonotonicTime now, double perSecond, double capacity) -> void;
-    auto take() -> bool;
-    // Time until a token is there at the given rate.
-    auto untilToken(double perSecond) const -> Duration;
-
-private:
-    double tokens_ = 0;
-    MonotonicTime filledAt_ {};
-};
-
-// What a workspace may send beyond its rate and burst, as its users allow it.
-struct RateTolerance {
-    Duration window_ {};
-    // Part of what is allowed in a window.
-    double over_ = 0;
-    // Requests beside that.
-    double slack_ = 0;
-};
-
-// Answers the load of workspaces that send more than their rate: admits the instance's share of it.
-class RateGate {
-public:
-    RateGate(const Clock& clock, FleetView& fleet, RateTolerance tolerance);
-
-    struct Verdict {
-        bool admitted_ = true;
-        double share_ = 1;
-        Duration retryAfter_ {};
-    };
-
-    auto admit(const std::string& workspace, double ratePerSecond, double burst) -> Verdict;
-    // Folds the arrivals since the last call into the demand that peers are told.
-    auto measureDemand() -> std::vector<WorkspaceDemand>;
-
-private:
-    struct State {
-        TokenBucket bucket_;
-        double arrivals_ = 0;
-        double perSecond_ = 0;
-        double share_ = 0;
-        MonotonicTime shareAt_ {};
-    };
-
-    // Tokens that all instances together may hold at most.
-    auto fleetCapacity(double ratePerSecond, double burst) const -> double;
-
-    const Clock& clock_;
-    FleetView& fleet_;
-    RateTolerance tolerance_;
-    std::map<std::string, State> states_;
-    MonotonicTime measuredAt_;
-};
-
 struct RetryBound {
     // Retries per request, and a number beside it for the whole fleet, over a window.
     double ratio_ = 0;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -55,10 +55,10 @@
 auto RequestRun::start() -> void
 {
     marks_ = readMarks(request_, context_.names_);
-    if (!checkRequest() || !checkKey() || !checkLimits())
+    if (!checkRequest() || !checkKey() || !checkDeadline() || !checkCrashes())
         return;
-    prepare();
-    tryUpstream();
+    startDeadline();
+    checkRate();
 }
 
 auto RequestRun::checkRequest() -> bool
@@ -88,29 +88,55 @@
     return open || workspace_ != nullptr;
 }
 
-auto RequestRun::checkLimits() -> bool
+auto RequestRun::checkDeadline() -> bool
 {
     const auto callerTime = marks_.deadline_.value_or(route_->timeout_ + callerMargin) - callerMargin;
     endsAt_ = arrivedAt_ + std::min(callerTime, route_->timeout_);
-    if (left() <= Duration::zero()) {
-        finishOwn(503, "deadline-passed", Executed::No);
-        return false;
-    }
+    if (left() > Duration::zero())
+        return true;
+    finishOwn(503, "deadline-passed", Executed::No);
+    return false;
+}
+
+auto RequestRun::checkCrashes() -> bool
+{
     const auto name = workspace_ == nullptr ? std::string() : workspace_->name_;
-    if (workspace_ != nullptr) {
-        const auto verdict = context_.rates_.admit(name, workspace_->ratePerSecond_, workspace_->burst_);
-        if (!verdict.admitted_) {
-            finishOwn(429, "over-rate", Executed::No, std::max<Duration>(leastRetryAfter, verdict.retryAfter_));
-            return false;
-        }
-    }
     const auto head = stableHash(view(request_.target()), stableHash(name, stableHash(view(request_.method_string()))));
     fingerprint_ = stableHash(request_.body(), head);
-    if (context_.crashes_.isBarred(fingerprint_)) {
-        finishOwn(503, "crashes-upstreams", Executed::No, 2s);
-        return false;
-    }
-    return true;
+    if (!context_.crashes_.isBarred(fingerprint_))
+        return true;
+    finishOwn(503, "crashes-upstreams", Executed::No, 2s);
+    return false;
+}
+
+auto RequestRun::startDeadline() -> void
+{
+    const auto self = weak_from_this();
+    deadline_ = context_.alarms_.after(left() + answerGrace, [self] {
+        if (const auto run = self.lock())
+            run->onTimeout();
+    });
+}
+
+auto RequestRun::checkRate() -> void
+{
+    if (workspace_ == nullptr)
+        return onRate({});
+    const auto self = weak_from_this();
+    context_.rates_.admit(*workspace_, [self](const RateVerdict& verdict) {
+        if (const auto run = self.lock())
+            run->onRate(verdict);
+    });
+}
+
+auto RequestRun::onRate(const RateVerdict& verdict) -> void
+{
+    if (isDone_)
+        return;
+    if (!verdict.admitted_)
+        return finishOwn(429, "over-rate", Executed::No, std::max<Duration>(leastRetryAfter, verdict.retryAfter_));
+    prepare();
+    tryUpstream();
 }
 
 auto RequestRun::prepare() -> void
@@ -128,11 +154,6 @@
     query_.usualWork_ = context_.workTimes_.usual(route_->name_, route_->latencyTarget_ * assumedTargets);
     forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.names_, workspace_ == nullptr ? std::string() : workspace_->name_));
     context_.retries_.noteRequest(serviceName_);
-    const auto self = weak_from_this();
-    deadline_ = context_.alarms_.after(left() + answerGrace, [self] {
-        if (const auto run = self.lock())
-            run->onTimeout();
-    });
 }
 
 auto RequestRun::tryUpstream() -> void
@@ -225,7 +246,7 @@
 
 auto RequestRun::onNotRun(const UpstreamResponse& response) -> void
 {
-    context_.upstreams_.noteAttempt(*sent_.upstream_, AttemptHealth::Shed);
+    context_.upstreams_.noteAttempt(*sent_.upstream_, response.result_int() == 421 ? AttemptHealth::Elsewhere : AttemptHealth::Shed);
     context_.log_.write(EventId::AttemptNotRun, { { "request", marks_.attempt_ }, { "upstream", sent_.upstream_->entry_.id_ }, { "status", response.result_int() }, { "occupied", sent_.occupied_ } });
     query_.tried_.push_back(sent_.upstream_->entry_.id_);
     if (mayRepeat(false))
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -8,6 +8,7 @@
 #include "gateway/forwarding.h"
 #include "gateway/limits.h"
 #include "gateway/placement.h"
+#include "gateway/rate_gate.h"
 #include "gateway/split_cursor.h"
 #include "gateway/upstream_caller.h"
 #include "gateway/work_times.h"
@@ -59,8 +60,12 @@
 
     auto checkRequest() -> bool;
     auto checkKey() -> bool;
-    auto checkLimits() -> bool;
+    auto checkDeadline() -> bool;
+    auto checkRate() -> void;
+    auto onRate(const RateVerdict& verdict) -> void;
+    auto checkCrashes() -> bool;
     auto prepare() -> void;
+    auto startDeadline() -> void;
     auto tryUpstream() -> void;
     auto send(const Placement& placement) -> void;
     auto onOutcome(AttemptOutcome outcome) -> void;
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -11,6 +11,8 @@
     // First rest after a lost attempt; doubles with each further one. A crashed upstream is back after seconds.
     constexpr Duration firstRest = 250ms;
     constexpr Duration longestRest = 2s;
+    // An address that another upstream has taken over stays with it; discovery will say so when it can.
+    constexpr Duration elsewhereRest = 10s;
     // Time in which a share of failures falls to a third without new ones: a few requests at usual rates.
     constexpr Duration failureMemory = 1500ms;
     // Weight of the newest attempt in the share of failures.
@@ -120,6 +122,8 @@
     const double newest = health == AttemptHealth::Answered ? 0 : 1;
     upstream.failing_ = faded * (1 - failureWeight) + newest * failureWeight;
     upstream.failingAt_ = now;
+    if (health == AttemptHealth::Elsewhere)
+        upstream.restsUntil_ = now + elsewhereRest;
     if (health != AttemptHealth::Lost) {
         upstream.lostInRow_ = 0;
         return;
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -18,6 +18,8 @@
     Failed,
     // Said that it did not run the request.
     Shed,
+    // Another upstream answered at its address.
+    Elsewhere,
     // The connection was refused, reset or timed out.
     Lost };
 
--- a/src/loop/heartbeat_socket.cpp
+++ b/src/loop/datagram_socket.cpp
@@ -1,16 +1,16 @@
-#include "loop/heartbeat_socket.h"
+#include "loop/datagram_socket.h"
 
 #include <boost/asio/buffer.hpp>
 
 namespace sapphirepass {
 
-HeartbeatSocket::HeartbeatSocket(asio::io_context& loop, Received received)
+DatagramSocket::DatagramSocket(asio::io_context& loop, Received received)
     : socket_(loop)
     , received_(std::move(received))
 {
 }
 
-auto HeartbeatSocket::open(const SocketAddress& address) -> std::string
+auto DatagramSocket::open(const SocketAddress& address) -> std::string
 {
     const Udp::endpoint endpoint { asio::ip::make_address_v4(address.host_), address.port_ };
     NetError error;
@@ -25,18 +25,18 @@
     return {};
 }
 
-auto HeartbeatSocket::receiveNext() -> void
+auto DatagramSocket::receiveNext() -> void
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_, [this](NetError error, std::size_t count) {
         if (error == asio::error::operation_aborted || !socket_.is_open())
             return;
         if (!error)
-            received_({ buffer_.data(), count });
+            received_({ buffer_.data(), count }, { sender_.address().to_string(), sender_.port() });
         receiveNext();
     });
 }
 
-auto HeartbeatSocket::send(const std::string& bytes, const std::vector<SocketAddress>& to) -> void
+auto DatagramSocket::send(const std::string& bytes, const std::vector<SocketAddress>& to) -> void
 {
     for (const auto& address : to) {
         NetError ignored;
@@ -44,7 +44,7 @@
     }
 }
 
-auto HeartbeatSocket::close() -> void
+auto DatagramSocket::close() -> void
 {
     NetError ignored;
     socket_.close(ignored);
--- a/src/loop/heartbeat_socket.h
+++ b/src/loop/datagram_socket.h
@@ -1,4 +1,4 @@
-// Sends and receives heartbeats as datagrams.
+// Sends and receives datagrams between instances.
 #pragma once
 
 #include "base/socket_address.h"
@@ -11,11 +11,11 @@
 
 namespace sapphirepass {
 
-class HeartbeatSocket {
+class DatagramSocket {
 public:
-    using Received = std::function<void(std::string_view bytes)>;
+    using Received = std::function<void(std::string_view bytes, const SocketAddress& from)>;
 
-    HeartbeatSocket(asio::io_context& loop, Received received);
+    DatagramSocket(asio::io_context& loop, Received received);
 
     // An error message, or nothing.
     auto open(const SocketAddress& address) -> std::string;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -1,7 +1,7 @@
 #include "loop/gateway.h"
 
 #include "base/random.h"
-#include "gateway/heartbeat_codec.h"
+#include "gateway/datagram_codec.h"
 
 #include <fmt/format.h>
 #include <unistd.h>
@@ -86,7 +86,7 @@
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
     , beliefs_(clock, upstreams_, fleet_, log_)
     , placer_(clock, upstreams_, fleet_)
-    , rates_(clock, fleet_, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ })
+    , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ })
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , pool_(loop, clock, adapter_.headers_)
@@ -97,11 +97,11 @@
     , directory_(loop, ownHandler_, clock)
     , ready_(loop, ownHandler_, clock)
     , control_(loop, ownHandler_, clock)
-    , heartbeats_(loop, [this](std::string_view bytes) { onHeartbeat(bytes); })
+    , datagrams_(loop, [this](std::string_view bytes, const SocketAddress& from) { onDatagram(bytes, from); })
     , timer_(loop)
     , startedAt_(clock.now())
 {
-    beliefs_.onDeclaration([this] { context_.index_ = beliefs_.index(); });
+    beliefs_.onDeclaration([this] { onDeclaration(); });
 }
 
 auto Gateway::start() -> std::string
@@ -114,7 +114,7 @@
         if (const auto error = opening.listener_.listen(opening.address_); !error.empty())
             return fmt::format("{}: {}", formatSocketAddress(opening.address_), error);
     }
-    if (const auto error = heartbeats_.open(settings_.peer_); !error.empty())
+    if (const auto error = datagrams_.open(settings_.peer_); !error.empty())
         return fmt::format("{}: {}", formatSocketAddress(settings_.peer_), error);
     log_.write(EventId::GatewayStarted, { { "front", formatSocketAddress(settings_.front_) }, { "region", settings_.region_ }, { "domain", settings_.domain_ }, { "incarnation", incarnation_ } });
     adapter_.source_->start(beliefs_, { settings_.name_, settings_.peer_ });
@@ -208,7 +208,6 @@
     ++ticks_;
     upstreams_.dropMissing();
     if (ticks_ % heartbeatTicks == 0) {
-        demands_ = rates_.measureDemand();
         fleet_.forgetSilent();
         sendHeartbeat();
         noteFleet();
@@ -237,29 +236,50 @@
     return peers;
 }
 
-auto Gateway::sendHeartbeat() -> void
+auto Gateway::ownReport() const -> MemberReport
 {
-    MemberReport report { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, MemberPhase::Starting, demands_, crashes_.counts(), {} };
+    auto phase = isReady() ? MemberPhase::Ready : MemberPhase::Starting;
     if (isStopping_)
-        report.phase_ = MemberPhase::Stopping;
-    else if (isReady())
-        report.phase_ = MemberPhase::Ready;
+        phase = MemberPhase::Stopping;
+    return { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, phase, {}, {} };
+}
+
+auto Gateway::sendHeartbeat() -> void
+{
+    fleet_.setReady(isReady());
+    auto report = ownReport();
+    report.crashes_ = crashes_.counts();
     if (ticks_ % (heartbeatTicks * knownTicks) == 0)
         report.known_ = fleet_.heardAddresses();
     auto to = fleet_.peerAddresses();
     if (to.empty())
         to = seedPeers();
-    heartbeats_.send(encodeHeartbeat(report), to);
+    datagrams_.send(encodeDatagram(report), to);
+}
+
+auto Gateway::sendAsk(const Keeper& keeper, const RateAsk& ask) -> void
+{
+    datagrams_.send(encodeDatagram(ask), { keeper.peer_ });
 }
 
-auto Gateway::onHeartbeat(std::string_view bytes) -> void
+auto Gateway::onDatagram(std::string_view bytes, const SocketAddress& from) -> void
 {
-    const auto decoded = decodeHeartbeat(bytes);
+    const auto decoded = decodeDatagram(bytes);
     if (!isOk(decoded)) {
-        log_.write(EventId::HeartbeatRefused, { { "why", errorOf(decoded).message_ } });
+        log_.write(EventId::DatagramRefused, { { "from", formatSocketAddress(from) }, { "why", errorOf(decoded).message_ } });
         return;
     }
-    const auto& report = valueOf(decoded);
+    const auto& datagram = valueOf(decoded);
+    if (const auto* report = std::get_if<MemberReport>(&datagram))
+        onReport(*report);
+    else if (const auto* ask = std::get_if<RateAsk>(&datagram))
+        datagrams_.send(encodeDatagram(rates_.onAsk(*ask)), { from });
+    else
+        rates_.onGrant(std::get<RateGrant>(datagram));
+}
+
+auto Gateway::onReport(const MemberReport& report) -> void
+{
     fleet_.hear(report);
     const auto known = fleet_.peerAddresses();
     std::vector<SocketAddress> strangers;
@@ -267,12 +287,14 @@
         if (address != settings_.peer_ && std::find(known.begin(), known.end(), address) == known.end())
             strangers.push_back(address);
     }
-    if (strangers.empty())
-        return;
-    MemberReport greeting { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, isStopping_ ? MemberPhase::Stopping : MemberPhase::Starting, demands_, {}, {} };
-    if (isReady())
-        greeting.phase_ = MemberPhase::Ready;
-    heartbeats_.send(encodeHeartbeat(greeting), strangers);
+    if (!strangers.empty())
+        datagrams_.send(encodeDatagram(ownReport()), strangers);
+}
+
+auto Gateway::onDeclaration() -> void
+{
+    context_.index_ = beliefs_.index();
+    rates_.setLimits(beliefs_.index()->declaration().workspaces_);
 }
 
 auto Gateway::noteFleet() -> void
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -4,7 +4,7 @@
 #include "gateway/beliefs.h"
 #include "gateway/request_run.h"
 #include "loop/caller_listener.h"
-#include "loop/heartbeat_socket.h"
+#include "loop/datagram_socket.h"
 #include "loop/line_log.h"
 #include "loop/loop_alarm.h"
 #include "loop/upstream_pool.h"
@@ -26,7 +26,7 @@
     std::unique_ptr<BeliefSource> source_;
 };
 
-class Gateway {
+class Gateway final : private RatePeers {
 public:
     Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter);
 
@@ -76,7 +76,11 @@
     auto tick() -> void;
     auto scheduleTick() -> void;
     auto sendHeartbeat() -> void;
-    auto onHeartbeat(std::string_view bytes) -> void;
+    auto ownReport() const -> MemberReport;
+    auto onDatagram(std::string_view bytes, const SocketAddress& from) -> void;
+    auto onReport(const MemberReport& report) -> void;
+    auto sendAsk(const Keeper& keeper, const RateAsk& ask) -> void override;
+    auto onDeclaration() -> void;
     auto seedPeers() const -> std::vector<SocketAddress>;
     auto noteFleet() -> void;
     auto noteStatus() -> void;
@@ -108,7 +112,7 @@
     CallerListener directory_;
     CallerListener ready_;
     CallerListener control_;
-    HeartbeatSocket heartbeats_;
+    DatagramSocket datagrams_;
     asio::steady_timer timer_;
     std::uint64_t ticks_ = 0;
     std::size_t inFlight_ = 0;
@@ -117,7 +121,6 @@
     bool isEnded_ = false;
     MonotonicTime stoppingAt_ {};
     MonotonicTime startedAt_;
-    std::vector<WorkspaceDemand> demands_;
 };
 
 } // namespace sapphirepass
--- /dev/null
+++ b/src/wire/datagram.capnp
@@ -0,0 +1,48 @@
+@0xe2c4b19a7d5f3608;
+# Datagrams between instances of the gateway. See src/gateway/fleet_view.h and src/gateway/rate_type.h.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("sapphirepass::wire");
+
+struct PeerAddress {
+  host @0 :Text;
+  port @1 :UInt16;
+}
+
+struct Crash {
+  fingerprint @0 :UInt64;
+  upstreams @1 :UInt32;
+}
+
+struct Heartbeat {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  front @2 :PeerAddress;
+  peer @3 :PeerAddress;
+  region @4 :Text;
+  domain @5 :Text;
+  phase @6 :UInt16;
+  crashes @7 :List(Crash);
+  known @8 :List(PeerAddress);
+}
+
+struct RateAsk {
+  number @0 :UInt64;
+  workspace @1 :Text;
+  wanted @2 :UInt16;
+}
+
+struct RateGrant {
+  number @0 :UInt64;
+  workspace @1 :Text;
+  granted @2 :UInt16;
+  retryAfterMs @3 :UInt32;
+}
+
+struct PeerDatagram {
+  union {
+    heartbeat @0 :Heartbeat;
+    ask @1 :RateAsk;
+    grant @2 :RateGrant;
+  }
+}
--- a/tests/catalogue_test.cpp
+++ b/tests/catalogue_test.cpp
@@ -29,7 +29,7 @@
         CAPTURE(row);
         CHECK(page.find(row) != std::string::npos);
     }
-    CHECK(static_cast<std::size_t>(std::count(page.begin(), page.end(), '\n')) == eventTable.size() + 9);
+    CHECK(static_cast<std::size_t>(std::count(page.begin(), page.end(), '\n')) == eventTable.size() + 10);
 }
 
 TEST_CASE("event numbers ascend and are described", "[docs]")
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -1,11 +1,11 @@
 // What an instance knows of the others, and heartbeats as bytes.
 #include "gateway/fleet_view.h"
-#include "gateway/heartbeat_codec.h"
+#include "gateway/datagram_codec.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <random>
-#include <rapidcheck/catch.h>
+#include <set>
 
 using namespace sapphirepass;
 using namespace std::chrono_literals;
@@ -53,75 +53,83 @@
     }
 }
 
-TEST_CASE("shares of a limit follow demand and add up to the whole", "[fleet-view]")
+TEST_CASE("all instances in touch name the same keeper of a workspace", "[fleet-view]")
 {
-    rc::prop("any demands of up to ten instances", []() {
-        const auto demands = *rc::gen::container<std::vector<double>>(10, rc::gen::map(rc::gen::inRange(0, 1000), [](int n) { return n / 10.0; }));
-        ManualClock clock;
-        double sum = 0;
-        for (std::size_t self = 0; self < demands.size(); ++self) {
+    ManualClock clock;
+    std::set<std::string> keepers;
+    for (const auto* workspace : { "acme", "beta", "gamma", "delta", "omega", "sigma" }) {
+        std::set<std::string> named;
+        for (int self = 0; self < 8; ++self) {
             FleetView fleet(clock, { 2s, 20s }, fmt::format("e{}", self));
-            for (std::size_t other = 0; other < demands.size(); ++other) {
-                auto heard = report(fmt::format("e{}", other));
-                heard.demands_ = { { "acme", demands[other] } };
-                fleet.hear(heard);
-            }
-            fleet.setOwnDemand("acme", demands[self]);
-            sum += fleet.shareOf("acme");
+            fleet.setReady(true);
+            for (int other = 0; other < 8; ++other)
+                fleet.hear(report(fmt::format("e{}", other)));
+            named.insert(fleet.keeperOf(workspace)->name_);
         }
-        RC_ASSERT(sum > 0.999);
-        RC_ASSERT(sum < 1.001);
-    });
+        CHECK(named.size() == 1);
+        keepers.merge(named);
+    }
+    CHECK(keepers.size() > 1);
 }
 
-TEST_CASE("an instance out of touch with most others never raises its share", "[fleet-view]")
+TEST_CASE("a keeper that stops or falls silent is followed by another", "[fleet-view]")
 {
     ManualClock clock;
     FleetView fleet(clock, { 2s, 20s }, "self");
-    for (int i = 0; i < 9; ++i) {
-        auto heard = report(fmt::format("e{}", i));
-        heard.demands_ = { { "acme", 10 } };
-        fleet.hear(heard);
-    }
-    fleet.setOwnDemand("acme", 10);
-    const auto before = fleet.shareOf("acme");
-    clock.advance(5s);
-    fleet.setOwnDemand("acme", 500);
-    CHECK(fleet.shareOf("acme") <= before);
+    CHECK_FALSE(fleet.keeperOf("acme").has_value());
+    fleet.hear(report("a"));
+    CHECK(fleet.keeperOf("acme")->name_ == "a");
+    fleet.setReady(true);
+    fleet.hear(report("a", MemberPhase::Stopping));
+    CHECK(fleet.keeperOf("acme")->name_ == "self");
 }
 
-TEST_CASE("heartbeats survive their encoding", "[fleet-view]")
+TEST_CASE("an instance that hears less than half of the others is out of touch", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    for (const auto* name : { "a", "b", "c", "d" })
+        fleet.hear(report(name));
+    CHECK(fleet.isInTouch());
+    clock.advance(3s);
+    CHECK_FALSE(fleet.isInTouch());
+    fleet.hear(report("a"));
+    CHECK_FALSE(fleet.isInTouch());
+    fleet.hear(report("b"));
+    CHECK(fleet.isInTouch());
+}
+
+TEST_CASE("datagrams survive their encoding", "[fleet-view]")
 {
     auto sent = report("a");
     sent.incarnation_ = 77;
     sent.domain_ = "north-a";
-    sent.demands_ = { { "acme", 12.5 }, { "beta", 0.25 } };
     sent.crashes_ = { { 9, 2 } };
     sent.known_ = { { "127.0.0.1", 8009 } };
-    const auto received = decodeHeartbeat(encodeHeartbeat(sent));
+    const auto datagram = GENERATE_COPY(PeerDatagram(sent), PeerDatagram(RateAsk { 5, "acme", 3 }), PeerDatagram(RateGrant { 5, "acme", 0, 250ms }));
+    const auto received = decodeDatagram(encodeDatagram(datagram));
     REQUIRE(isOk(received));
-    CHECK(valueOf(received) == sent);
+    CHECK((valueOf(received) == datagram));
 }
 
-TEST_CASE("damaged heartbeats are refused or read, never worse", "[fleet-view]")
+TEST_CASE("damaged datagrams are refused or read, never worse", "[fleet-view]")
 {
     auto sent = report("a");
-    sent.demands_ = { { "acme", 12.5 } };
-    const auto bytes = encodeHeartbeat(sent);
+    sent.crashes_ = { { 9, 2 } };
     std::mt19937_64 random(20261203);
     int refused = 0;
-    for (int round = 0; round < 5'000; ++round) {
-        auto damaged = bytes;
-        for (auto flips = random() % 4 + 1; flips > 0; --flips)
-            damaged[random() % damaged.size()] = static_cast<char>(random());
-        damaged.resize(damaged.size() - random() % 3);
-        const auto received = decodeHeartbeat(damaged);
-        refused += isOk(received) ? 0 : 1;
-        if (isOk(received)) {
-            for (const auto& demand : valueOf(received).demands_)
-                CHECK(demand.perSecond_ >= 0);
+    for (const auto& bytes : { encodeDatagram(sent), encodeDatagram(RateAsk { 5, "acme", 3 }), encodeDatagram(RateGrant { 5, "acme", 2, 0ms }) }) {
+        for (int round = 0; round < 3'000; ++round) {
+            auto damaged = bytes;
+            for (auto flips = random() % 4 + 1; flips > 0; --flips)
+                damaged[random() % damaged.size()] = static_cast<char>(random());
+            damaged.resize(damaged.size() - random() % 3);
+            const auto received = decodeDatagram(damaged);
+            refused += isOk(received) ? 0 : 1;
+            if (isOk(received) && std::holds_alternative<MemberReport>(valueOf(received)))
+                CHECK_FALSE(std::get<MemberReport>(valueOf(received)).name_.empty());
         }
     }
     CHECK(refused > 0);
-    CHECK_FALSE(isOk(decodeHeartbeat("")));
+    CHECK_FALSE(isOk(decodeDatagram("")));
 }
--- a/tests/gateway_limits_test.cpp
+++ b/tests/gateway_limits_test.cpp
@@ -1,5 +1,8 @@
 // Limits over the whole fleet, kept by instances that only hear each other's heartbeats.
+#include "gateway/datagram_codec.h"
 #include "gateway/limits.h"
+#include "gateway/rate_gate.h"
+#include "standin/manual_alarms.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
@@ -15,55 +18,109 @@
 constexpr FleetTiming timing { 2s, 20s };
 constexpr RateTolerance tolerance { 5s, 0.1, 20 };
 constexpr RetryBound retryBound { 0.2, 64, 10s };
+// One way between regions.
+constexpr Duration messageTime = 12ms;
 
-struct Limiter {
-    Limiter(ManualClock& clock, std::string name)
-        : name_(std::move(name))
-        , fleet_(clock, timing, name_)
-        , rates_(clock, fleet_, tolerance)
-        , retries_(clock, fleet_, retryBound)
-    {
-    }
+class Fleet;
+
+struct Limiter final : RatePeers {
+    Limiter(Fleet& fleet, std::size_t number);
+
+    auto sendAsk(const Keeper& keeper, const RateAsk& ask) -> void override;
 
+    Fleet& all_;
+    std::size_t number_;
     std::string name_;
     FleetView fleet_;
     RateGate rates_;
     RetryGate retries_;
 };
 
-// Instances on one clock that hear each other every 400 ms, unless cut.
+// Instances on one clock that hear each other every 400 ms, unless cut, and ask each other for tokens.
 class Fleet {
 public:
     explicit Fleet(std::size_t count)
     {
         for (std::size_t i = 0; i < count; ++i)
-            limiters_.push_back(start(i));
+            limiters_.push_back(nullptr);
+        for (std::size_t i = 0; i < count; ++i)
+            restart(i);
+        // Past the first heartbeats, as before any traffic.
+        for (int i = 0; i < 100; ++i)
+            step(50ms);
     }
 
-    auto start(std::size_t number) -> std::unique_ptr<Limiter>
+    auto restart(std::size_t number) -> void
     {
-        auto limiter = std::make_unique<Limiter>(clock_, fmt::format("e{}", number));
+        limiters_[number].reset();
+        limiters_[number] = std::make_unique<Limiter>(*this, number);
         // The platform's list names all instances that ever were.
-        for (std::size_t other = 0; other < 12; ++other)
-            limiter->fleet_.expect(fmt::format("e{}", other), {});
-        return limiter;
+        for (std::size_t other = 0; other < limiters_.size(); ++other)
+            limiters_[number]->fleet_.expect(fmt::format("e{}", other), {});
     }
 
-    auto restart(std::size_t number) -> void { limiters_[number] = start(number); }
+    auto reaches(std::size_t from, std::size_t to) const -> bool { return (from < cut_) == (to < cut_); }
+
+    auto send(std::size_t from, std::size_t to, PeerDatagram datagram) -> void
+    {
+        if (reaches(from, to))
+            underWay_.push_back({ clock_.now() + messageTime, from, to, std::move(datagram) });
+    }
 
+    // In small steps, so that messages and alarms come in their order.
     auto step(Duration step) -> void
     {
-        clock_.advance(step);
-        if (clock_.now() - toldAt_ < 400ms)
-            return;
+        for (; step > 4ms; step -= 4ms)
+            advance(4ms);
+        advance(step);
+    }
+
+private:
+    auto advance(Duration step) -> void
+    {
+        alarms_.advance(step);
+        while (!underWay_.empty() && underWay_.front().at_ <= clock_.now()) {
+            const auto message = std::move(underWay_.front());
+            underWay_.pop_front();
+            deliver(message);
+        }
+        if (clock_.now() - toldAt_ >= 400ms)
+            tellAll();
+    }
+
+public:
+    ManualClock clock_;
+    standin::ManualAlarms alarms_ { clock_ };
+    std::vector<std::unique_ptr<Limiter>> limiters_;
+    // The first so many are cut off from the others, who are together.
+    std::size_t cut_ = 0;
+
+private:
+    struct Message {
+        MonotonicTime at_;
+        std::size_t from_;
+        std::size_t to_;
+        PeerDatagram datagram_;
+    };
+
+    auto deliver(const Message& message) -> void
+    {
+        auto& receiver = *limiters_[message.to_];
+        if (const auto* ask = std::get_if<RateAsk>(&message.datagram_))
+            send(message.to_, message.from_, receiver.rates_.onAsk(*ask));
+        else if (const auto* grant = std::get_if<RateGrant>(&message.datagram_))
+            receiver.rates_.onGrant(*grant);
+    }
+
+    auto tellAll() -> void
+    {
         toldAt_ = clock_.now();
         for (std::size_t from = 0; from < limiters_.size(); ++from) {
             MemberReport report;
             report.name_ = limiters_[from]->name_;
             report.phase_ = MemberPhase::Ready;
-            report.demands_ = limiters_[from]->rates_.measureDemand();
             for (std::size_t to = 0; to < limiters_.size(); ++to) {
-                if ((from < cut_) == (to < cut_))
+                if (reaches(from, to))
                     limiters_[to]->fleet_.hear(report);
             }
         }
@@ -71,15 +128,27 @@
             limiter->fleet_.forgetSilent();
     }
 
-    ManualClock clock_;
-    std::vector<std::unique_ptr<Limiter>> limiters_;
-    // The first so many are cut off from the others, who are together.
-    std::size_t cut_ = 0;
-
-private:
+    std::deque<Message> underWay_;
     MonotonicTime toldAt_ {};
 };
 
+Limiter::Limiter(Fleet& fleet, std::size_t number)
+    : all_(fleet)
+    , number_(number)
+    , name_(fmt::format("e{}", number))
+    , fleet_(fleet.clock_, timing, name_)
+    , rates_(fleet.clock_, fleet.alarms_, fleet_, *this, tolerance)
+    , retries_(fleet.clock_, fleet_, retryBound)
+{
+    fleet_.setReady(true);
+    rates_.setLimits({ { "acme", {}, std::nullopt, 100, 100, {} }, { "small", {}, std::nullopt, 20, 20, {} } });
+}
+
+auto Limiter::sendAsk(const Keeper& keeper, const RateAsk& ask) -> void
+{
+    all_.send(number_, static_cast<std::size_t>(std::stoi(keeper.name_.substr(1))), ask);
+}
+
 // Counts what is admitted in a sliding window.
 class Window {
 public:
@@ -101,50 +170,68 @@
     std::size_t mostInWindow_ = 0;
 };
 
-// Plays requests of one workspace that arrive at random at random instances.
+struct Load {
+    double perSecond_ = 0;
+    double rate_ = 0;
+    Duration length_ {};
+    const char* workspace_ = "acme";
+    // Callers use only the first so many instances; 0 for all.
+    std::size_t instances_ = 0;
+};
+
+// What the users allow in five seconds.
+auto allowed(double rate) -> double { return (rate * 5 + rate) * 1.1 + 20; }
+
+// Plays requests of one workspace that arrive at random at random instances; its burst is a second of its rate.
 template <typename Event>
-auto play(Fleet& fleet, double perSecond, double rate, double burst, Duration length, Event event) -> Outcome
+auto play(Fleet& fleet, const Load& load, Event event) -> Outcome
 {
     std::mt19937_64 random(20261203);
-    std::exponential_distribution<double> gap(perSecond);
+    std::exponential_distribution<double> gap(load.perSecond_);
     Outcome outcome;
     Window window;
+    const DeclaredWorkspace workspace { load.workspace_, {}, std::nullopt, load.rate_, load.rate_, {} };
+    const auto count = load.instances_ == 0 ? fleet.limiters_.size() : load.instances_;
     const auto start = fleet.clock_.now();
-    while (fleet.clock_.now() - start < length) {
+    while (fleet.clock_.now() - start < load.length_) {
         fleet.step(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random))));
         event(fleet.clock_.now() - start);
-        auto& limiter = *fleet.limiters_[random() % fleet.limiters_.size()];
         ++outcome.asked_;
-        if (limiter.rates_.admit("acme", rate, burst).admitted_)
-            window.note(fleet.clock_.now());
-        else
-            ++outcome.refused_;
-        outcome.mostInWindow_ = std::max(outcome.mostInWindow_, window.count(fleet.clock_.now()));
+        fleet.limiters_[random() % count]->rates_.admit(workspace, [&](const RateVerdict& verdict) {
+            if (verdict.admitted_)
+                window.note(fleet.clock_.now());
+            else
+                ++outcome.refused_;
+            outcome.mostInWindow_ = std::max(outcome.mostInWindow_, window.count(fleet.clock_.now()));
+        });
     }
+    // Answers that are still on their way.
+    for (int i = 0; i < 50; ++i)
+        fleet.step(20ms);
     return outcome;
 }
 
-constexpr double rate = 100;
-constexpr double burst = 100;
-// What the users allow in five seconds.
-constexpr double allowed = (rate * 5 + burst) * 1.1 + 20;
+const auto nothing = [](Duration) {};
 
 }
 
 TEST_CASE("a workspace at seven times its rate gets no more than it is allowed", "[rates]")
 {
-    Fleet fleet(12);
-    const auto outcome = play(fleet, rate * 7, rate, burst, 30s, [](Duration) {});
-    CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed);
+    const std::size_t count = GENERATE(3, 12, 87);
+    const auto load = GENERATE(Load { 700, 100, 20s, "acme", 0 }, Load { 140, 20, 20s, "small", 0 });
+    CAPTURE(count, load.workspace_);
+    Fleet fleet(count);
+    const auto outcome = play(fleet, load, nothing);
+    CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed(load.rate_));
     // It gets its rate.
-    CHECK(static_cast<double>(outcome.asked_ - outcome.refused_) >= rate * 30 * 0.9);
+    CHECK(static_cast<double>(outcome.asked_ - outcome.refused_) >= load.rate_ * 20 * 0.9);
 }
 
 TEST_CASE("the bound holds while all instances restart in turn and at once", "[rates]")
 {
     Fleet fleet(12);
     std::size_t restarted = 0;
-    const auto outcome = play(fleet, rate * 7, rate, burst, 30s, [&](Duration age) {
+    const auto outcome = play(fleet, { 700, 100, 30s }, [&](Duration age) {
         // In turn once a second from the tenth second on, then all at once.
         if (age > 10s && age < 22s && restarted < static_cast<std::size_t>(age / 1s - 9))
             fleet.restart(restarted++ % 12);
@@ -155,30 +242,68 @@
         }
     });
     CHECK(restarted == 100);
-    CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed);
+    CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed(100));
 }
 
-TEST_CASE("the bound holds while a third of the instances is cut off", "[rates]")
+TEST_CASE("the bound holds while some instances are cut off", "[rates]")
 {
+    const std::size_t cut = GENERATE(1, 4, 6, 9);
+    CAPTURE(cut);
     Fleet fleet(12);
-    const auto outcome = play(fleet, rate * 7, rate, burst, 30s, [&](Duration age) { fleet.cut_ = age > 10s && age < 22s ? 4 : 0; });
-    CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed);
+    const auto outcome = play(fleet, { 700, 100, 30s }, [&](Duration age) { fleet.cut_ = age > 10s && age < 22s ? cut : 0; });
+    CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed(100));
 }
 
 TEST_CASE("a workspace inside its rate is hardly refused", "[rates]")
 {
-    Fleet fleet(12);
-    play(fleet, rate * 0.6, rate, burst, 5s, [](Duration) {});
-    const auto outcome = play(fleet, rate * 0.6, rate, burst, 30s, [](Duration) {});
+    const std::size_t count = GENERATE(3, 12, 87);
+    const std::size_t used = GENERATE(0, 3);
+    const auto load = GENERATE(Load { 60, 100, 30s, "acme", 0 }, Load { 12, 20, 30s, "small", 0 });
+    CAPTURE(count, used, load.workspace_);
+    Fleet fleet(count);
+    auto spread = load;
+    spread.instances_ = used;
+    const auto outcome = play(fleet, spread, nothing);
     CAPTURE(outcome.asked_, outcome.refused_);
     CHECK(static_cast<double>(outcome.refused_) <= static_cast<double>(outcome.asked_) * 0.01);
 }
 
+TEST_CASE("after a restart of all instances a workspace inside its rate is hardly refused", "[rates]")
+{
+    Fleet fleet(12);
+    for (std::size_t i = 0; i < 12; ++i)
+        fleet.restart(i);
+    const auto outcome = play(fleet, { 60, 100, 5s }, nothing);
+    CAPTURE(outcome.asked_, outcome.refused_);
+    CHECK(static_cast<double>(outcome.refused_) <= static_cast<double>(outcome.asked_) * 0.02);
+}
+
+TEST_CASE("every request gets one verdict, whatever happens to the messages", "[rates]")
+{
+    Fleet fleet(12);
+    std::size_t asked = 0;
+    std::size_t told = 0;
+    std::mt19937_64 random(5);
+    const DeclaredWorkspace workspace { "acme", {}, std::nullopt, 100, 100, {} };
+    for (int i = 0; i < 5'000; ++i) {
+        fleet.step(3ms);
+        if (random() % 50 == 0)
+            fleet.cut_ = random() % 12;
+        ++asked;
+        fleet.limiters_[random() % 12]->rates_.admit(workspace, [&](const RateVerdict&) { ++told; });
+    }
+    for (int i = 0; i < 50; ++i)
+        fleet.step(20ms);
+    CHECK(told == asked);
+}
+
 TEST_CASE("a workspace without a rate is never refused", "[rates]")
 {
     Fleet fleet(1);
+    int admitted = 0;
     for (int i = 0; i < 1'000; ++i)
-        CHECK(fleet.limiters_[0]->rates_.admit("acme", 0, 0).admitted_);
+        fleet.limiters_[0]->rates_.admit({}, [&](const RateVerdict& verdict) { admitted += verdict.admitted_ ? 1 : 0; });
+    CHECK(admitted == 1'000);
 }
 
 TEST_CASE("retries of a failing service stay within the fleet's bound", "[retry]")
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -154,7 +154,7 @@
 {
     PoolFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
     auto request = std::make_shared<OutgoingRequest>(http::verb::get, "/x", 11);
-    auto attempt = fixture.pool_.call(fixture.upstream_, request, [](AttemptOutcome) { FAIL("no outcome is told any more"); });
+    auto attempt = fixture.pool_.call(fixture.upstream_, request, [](const AttemptOutcome&) { FAIL("no outcome is told any more"); });
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.server_.requests().size() == 1; }));
     attempt.reset();
     CHECK(runUntil(fixture.loop_, [&] { return fixture.server_.ended() == 1; }));
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -166,6 +166,24 @@
     CHECK(chosen(instance.placer_.place(query(3))) == owner);
 }
 
+// Seen in a recorded day: while the store was away, addresses of crashed upstreams went to others, and each request of
+// their objects was sent to an upstream that answered that it is another.
+TEST_CASE("an upstream whose address another has taken gets no request for a while", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(8);
+    const auto owner = chosen(instance.placer_.place(query(3)));
+    instance.upstreams_.noteAttempt(*instance.find(owner), AttemptHealth::Elsewhere);
+    clock.advance(5s);
+    CHECK(chosen(instance.placer_.place(query(3))) != owner);
+    // A new start at that address is another matter.
+    auto restarted = entry(owner);
+    restarted.born_ = 2;
+    instance.upstreams_.put(restarted);
+    CHECK(chosen(instance.placer_.place(query(3))) == owner);
+}
+
 TEST_CASE("unsound upstreams are used when all are", "[placement]")
 {
     ManualClock clock;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -42,6 +42,12 @@
     return result;
 }
 
+// No other instance keeps tokens.
+class NoPeers final : public RatePeers {
+public:
+    auto sendAsk(const Keeper&, const RateAsk&) -> void override { }
+};
+
 struct Fixture {
     explicit Fixture(int upstreams = 6)
     {
@@ -63,9 +69,9 @@
         return result;
     }
 
-    auto start(OutgoingRequest request) -> std::shared_ptr<RequestRun>
+    auto start(const OutgoingRequest& request) -> std::shared_ptr<RequestRun>
     {
-        auto run = std::make_shared<RequestRun>(context_, std::move(request), [this](UpstreamResponse response) { answers_.push_back(std::move(response)); });
+        auto run = std::make_shared<RequestRun>(context_, request, [this](UpstreamResponse response) { answers_.push_back(std::move(response)); });
         runs_.push_back(run);
         run->start();
         return run;
@@ -99,7 +105,8 @@
     UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
     Placer placer_ { clock_, upstreams_, fleet_ };
-    RateGate rates_ { clock_, fleet_, { 5s, 0.1, 0 } };
+    NoPeers peers_;
+    RateGate rates_ { clock_, alarms_, fleet_, peers_, { 5s, 0.1, 0 } };
     RetryGate retries_ { clock_, fleet_, { 0.2, 64, 10s } };
     CrashRegister crashes_ { clock_, fleet_ };
     SplitCursor split_;
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -138,11 +138,11 @@
         const auto table = gatewaySettingTable();
         CAPTURE(section, name);
         CHECK(std::any_of(table.begin(), table.end(), [&](const auto& row) { return row.section_ == section && row.field_.name_ == name; }));
-        seen.insert(section + "." + name);
+        seen.insert(fmt::format("{}.{}", section, name));
     }
     for (const auto& row : gatewaySettingTable()) {
         if (row.field_.presence_ == Presence::Required)
-            CHECK(seen.contains(std::string(row.section_) + "." + std::string(row.field_.name_)));
+            CHECK(seen.contains(fmt::format("{}.{}", row.section_, row.field_.name_)));
     }
 }
 
