--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -23,10 +23,13 @@
 
 }
 
-Placer::Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet)
+Placer::Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion)
     : clock_(clock)
     , upstreams_(upstreams)
     , fleet_(fleet)
+    , ownRegion_(std::move(ownRegion))
+    , shares_(clock)
+    , spills_(clock)
 {
 }
 
@@ -74,42 +77,74 @@
     return clock_.now() >= upstream.restsUntil_ && upstream.failing_ < failingShare;
 }
 
-auto Placer::candidates(const PlacementQuery& query) const -> std::vector<Candidate>
+// Unsound upstreams are kept for when nothing else is left.
+auto Placer::candidates(const PlacementQuery& query) const -> Candidates
 {
-    std::vector<Candidate> found;
+    Candidates found;
     const auto object = query.object_.value_or(query.spread_);
     for (const auto& upstream : upstreams_.ofService(query.service_)) {
         if (mayUse(*upstream, query))
             found.push_back({ upstream, rendezvousWeight(object, upstream->entry_.id_), occupied(*upstream) });
     }
+    const auto unsound = std::stable_partition(found.begin(), found.end(), [this](const auto& candidate) { return isSound(*candidate.upstream_); });
+    if (unsound != found.begin())
+        found.erase(unsound, found.end());
     return found;
 }
 
-auto Placer::place(const PlacementQuery& query) const -> PlacementResult
+// Room is what is declared open, sound or not: shares must not follow each failure.
+auto Placer::roomOf(const PlacementQuery& query) const -> std::vector<RegionRoom>
 {
-    auto found = candidates(query);
-    if (found.empty())
-        return PlacementRefusal::NoUpstream;
-    // Unsound upstreams are kept for when nothing else is left.
-    const auto unsound = std::stable_partition(found.begin(), found.end(), [this](const auto& candidate) { return isSound(*candidate.upstream_); });
-    if (unsound != found.begin())
-        found.erase(unsound, found.end());
-    const auto first = std::min(owners, found.size());
-    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(first), found.end(), [](const auto& a, const auto& b) { return a.weight_ > b.weight_; });
-    found.resize(first);
-    for (std::size_t rank = 0; rank < first; ++rank) {
-        const auto& candidate = found[rank];
+    std::map<std::string, int> slots;
+    for (const auto& region : upstreams_.regions())
+        slots[region] = 0;
+    for (const auto& upstream : upstreams_.ofService(query.service_)) {
+        if (upstreams_.isOpen(*upstream))
+            slots[upstream->region_] += upstream->entry_.slots_;
+    }
+    std::vector<RegionRoom> room;
+    for (const auto& [region, count] : slots)
+        room.push_back({ region, count });
+    return room;
+}
+
+// Objects keep their place on the line of shares, so that a share that moves moves only the objects at its edge.
+auto Placer::regionOf(std::uint64_t object, const PlacementQuery& query) -> std::string
+{
+    constexpr std::uint64_t regionSeed = 0x5ea1;
+    const auto& shares = shares_.current(query.service_, ownRegion_, roomOf(query));
+    double at = static_cast<double>(stableHash(ownRegion_, object ^ regionSeed) >> 11U) / static_cast<double>(1ULL << 53U);
+    for (const auto& share : shares) {
+        if (at < share.share_)
+            return share.region_;
+        at -= share.share_;
+    }
+    return ownRegion_;
+}
+
+auto Placer::ownersOf(Candidates candidates) const -> Candidates
+{
+    const auto first = std::min(owners, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first), candidates.end(), [](const auto& a, const auto& b) { return a.weight_ > b.weight_; });
+    candidates.resize(first);
+    return candidates;
+}
+
+auto Placer::firstFree(const Candidates& owners) const -> std::optional<Placement>
+{
+    for (std::size_t rank = 0; rank < owners.size(); ++rank) {
+        const auto& candidate = owners[rank];
         const int slots = candidate.upstream_->entry_.slots_;
         // Other instances send there as well: half of the slots is more than one instance's part.
         if (candidate.upstream_->inFlight_ < (slots + 1) / 2 && candidate.occupied_ < slots)
             return Placement { candidate.upstream_, static_cast<int>(rank), rank == 0, Duration::zero(), candidate.occupied_ };
     }
-    return leastWait(found, query);
+    return std::nullopt;
 }
 
-auto Placer::leastWait(const std::vector<Candidate>& found, const PlacementQuery& query) const -> PlacementResult
+auto Placer::leastWait(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult
 {
-    const auto least = std::min_element(found.begin(), found.end(), [](const auto& a, const auto& b) {
+    const auto least = std::min_element(owners.begin(), owners.end(), [](const auto& a, const auto& b) {
         return a.occupied_ * b.upstream_->entry_.slots_ < b.occupied_ * a.upstream_->entry_.slots_;
     });
     const int slots = least->upstream_->entry_.slots_;
@@ -117,7 +152,31 @@
     const auto wait = query.usualWork_ * ahead / slots;
     if (wait > query.longestWait_)
         return PlacementRefusal::Full;
-    return Placement { least->upstream_, static_cast<int>(least - found.begin()), false, wait, least->occupied_ };
+    return Placement { least->upstream_, static_cast<int>(least - owners.begin()), false, wait, least->occupied_ };
+}
+
+// The owners in the object's region come first; those elsewhere take what spills, at a steady pace.
+auto Placer::place(const PlacementQuery& query) -> PlacementResult
+{
+    auto found = candidates(query);
+    if (found.empty())
+        return PlacementRefusal::NoUpstream;
+    spills_.noteRequest();
+    const auto region = regionOf(query.object_.value_or(query.spread_), query);
+    const auto elsewhere = std::stable_partition(found.begin(), found.end(), [&region](const auto& candidate) { return candidate.upstream_->region_ == region; });
+    const auto near = ownersOf(Candidates(found.begin(), elsewhere));
+    const auto far = ownersOf(Candidates(elsewhere, found.end()));
+    if (near.empty()) {
+        const auto free = firstFree(far);
+        return free ? PlacementResult(*free) : leastWait(far, query);
+    }
+    if (const auto free = firstFree(near))
+        return *free;
+    const auto waiting = leastWait(near, query);
+    const auto free = firstFree(far);
+    if (free && spills_.takeSpill())
+        return *free;
+    return waiting;
 }
 
 } // namespace sapphirepass
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/fleet_view.h"
+#include "gateway/region_shares.h"
 #include "gateway/upstream_set.h"
 
 #include <variant>
@@ -45,9 +46,10 @@
 
 class Placer {
 public:
-    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet);
+    // Callers of this instance are those of its region.
+    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion);
 
-    auto place(const PlacementQuery& query) const -> PlacementResult;
+    auto place(const PlacementQuery& query) -> PlacementResult;
     // Counts a request that is about to be sent to a cold upstream.
     auto noteSent(Upstream& upstream, const PlacementQuery& query) const -> void;
 
@@ -58,8 +60,16 @@
         int occupied_ = 0;
     };
 
-    auto candidates(const PlacementQuery& query) const -> std::vector<Candidate>;
-    auto leastWait(const std::vector<Candidate>& found, const PlacementQuery& query) const -> PlacementResult;
+    using Candidates = std::vector<Candidate>;
+
+    auto candidates(const PlacementQuery& query) const -> Candidates;
+    // The region that runs the requests of an object, for callers of this instance.
+    auto regionOf(std::uint64_t object, const PlacementQuery& query) -> std::string;
+    auto roomOf(const PlacementQuery& query) const -> std::vector<RegionRoom>;
+    // The first owners among candidates, by weight.
+    auto ownersOf(Candidates candidates) const -> Candidates;
+    auto firstFree(const Candidates& owners) const -> std::optional<Placement>;
+    auto leastWait(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
     auto mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto bearsCold(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto occupied(const Upstream& upstream) const -> int;
@@ -68,6 +78,9 @@
     const Clock& clock_;
     const UpstreamSet& upstreams_;
     const FleetView& fleet_;
+    std::string ownRegion_;
+    RegionShares shares_;
+    SpillGate spills_;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -28,7 +28,7 @@
     // The declaration in force; null before the first.
     std::shared_ptr<const DeclarationIndex> index_;
     UpstreamSet& upstreams_;
-    const Placer& placer_;
+    Placer& placer_;
     RateGate& rates_;
     RetryGate& retries_;
     CrashRegister& crashes_;
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -25,6 +25,8 @@
     : clock_(clock)
     , regionOfDomain_(std::move(regionOfDomain))
 {
+    for (const auto& [domain, region] : regionOfDomain_)
+        regions_.insert(region);
 }
 
 auto UpstreamSet::replaceAll(const std::vector<UpstreamEntry>& entries, Duration keepMissing) -> void
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -67,6 +67,8 @@
     // May get work at all: named, not draining, its domain not evacuated.
     auto isOpen(const Upstream& upstream) const -> bool;
     auto regionOf(const std::string& domain) const -> std::string;
+    // All declared regions.
+    auto regions() const -> const std::set<std::string>& { return regions_; }
     auto noteAttempt(Upstream& upstream, AttemptHealth health) -> void;
     auto noteLoad(Upstream& upstream, StatedLoad load) -> void;
 
@@ -76,6 +78,7 @@
 
     const Clock& clock_;
     std::map<std::string, std::string> regionOfDomain_;
+    std::set<std::string> regions_;
     std::map<std::string, UpstreamPtr> byId_;
     std::map<std::string, ServiceUpstreams> byService_;
     std::map<std::string, Duration> coldFor_;
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -23,7 +23,7 @@
     explicit Instance(ManualClock& clock, const std::string& name = "self")
         : upstreams_(clock, regionOfDomain)
         , fleet_(clock, { 2s, 20s }, name)
-        , placer_(clock, upstreams_, fleet_)
+        , placer_(clock, upstreams_, fleet_, "north")
     {
     }
 
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -104,7 +104,7 @@
     standin::ManualAlarms alarms_ { clock_ };
     UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
-    Placer placer_ { clock_, upstreams_, fleet_ };
+    Placer placer_ { clock_, upstreams_, fleet_, "north" };
     NoPeers peers_;
     RateGate rates_ { clock_, alarms_, fleet_, peers_, { 5s, 0.1, 0 } };
     RetryGate retries_ { clock_, fleet_, { 0.2, 64, 10s } };
--- /dev/null
+++ b/tests/region_shares_test.cpp
@@ -0,0 +1,103 @@
+// How traffic is split over regions of uneven room, and how slowly that moves.
+#include "gateway/region_shares.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <rapidcheck/catch.h>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto shareIn(const std::vector<RegionShare>& shares, const std::string& region) -> double
+{
+    for (const auto& share : shares) {
+        if (share.region_ == region)
+            return share.share_;
+    }
+    return 0;
+}
+
+}
+
+TEST_CASE("a region with enough room keeps its callers", "[region-shares]")
+{
+    const std::vector<RegionRoom> room { { "a", 16 }, { "b", 56 }, { "c", 64 } };
+    CHECK(shareIn(targetShares("b", room), "b") == 1);
+    CHECK(shareIn(targetShares("c", room), "c") == 1);
+    const auto small = targetShares("a", room);
+    CHECK(shareIn(small, "a") == Approx(16 / (136 / 3.0)));
+    CHECK(shareIn(small, "b") < shareIn(small, "c"));
+}
+
+TEST_CASE("shares add up to one, and no region gets more than its room", "[region-shares]")
+{
+    rc::prop("any room of up to five regions", []() {
+        const auto slots = *rc::gen::container<std::vector<int>>(*rc::gen::inRange(1, 6), rc::gen::inRange(0, 100));
+        std::vector<RegionRoom> room;
+        int total = 0;
+        for (std::size_t i = 0; i < slots.size(); ++i) {
+            room.push_back({ std::string(1, static_cast<char>('a' + i)), slots[i] });
+            total += slots[i];
+        }
+        if (total == 0)
+            return;
+        std::map<std::string, double> load;
+        for (const auto& region : room) {
+            double sum = 0;
+            for (const auto& share : targetShares(region.region_, room)) {
+                sum += share.share_;
+                load[share.region_] += share.share_;
+            }
+            RC_ASSERT(sum > 0.999);
+            RC_ASSERT(sum < 1.001);
+        }
+        // Every region asks for one part; room is scaled to as many parts.
+        for (const auto& region : room)
+            RC_ASSERT(load[region.region_] <= static_cast<double>(region.slots_) / total * static_cast<double>(room.size()) + 0.001);
+    });
+}
+
+// The users allow 0.15 of a region's requests to change the region in which they run from one window of 2 s to the next.
+TEST_CASE("shares move slowly when room changes", "[region-shares]")
+{
+    ManualClock clock;
+    RegionShares shares(clock);
+    const std::vector<RegionRoom> even { { "a", 40 }, { "b", 40 } };
+    const std::vector<RegionRoom> lost { { "a", 4 }, { "b", 40 } };
+    CHECK(shareIn(shares.current("core", "a", even), "a") == 1);
+    std::deque<double> history;
+    for (int tick = 0; tick < 300; ++tick) {
+        clock.advance(100ms);
+        history.push_back(shareIn(shares.current("core", "a", lost), "a"));
+        if (history.size() > 40)
+            CHECK(history[history.size() - 40] - history.back() <= 0.17);
+    }
+    CHECK(history.back() == Approx(4 / 22.0));
+}
+
+TEST_CASE("a burst spills slowly more, and no more than wanted", "[region-shares]")
+{
+    ManualClock clock;
+    SpillGate gate(clock);
+    // 50 requests a second; from the fifth second on all want to spill.
+    std::deque<std::pair<int, bool>> spills;
+    const auto shareOver = [&](int from, int to) {
+        double all = 0;
+        double spilled = 0;
+        for (const auto& [at, isSpill] : spills) {
+            all += at >= from && at < to ? 1 : 0;
+            spilled += at >= from && at < to && isSpill ? 1 : 0;
+        }
+        return all > 0 ? spilled / all : 0;
+    };
+    for (int at = 0; at < 20'000; at += 20) {
+        clock.advance(20ms);
+        gate.noteRequest();
+        spills.emplace_back(at, at >= 5'000 && gate.takeSpill());
+    }
+    for (int at = 0; at + 4'000 <= 20'000; at += 100)
+        CHECK(shareOver(at + 2'000, at + 4'000) - shareOver(at, at + 2'000) <= 0.15);
+    CHECK(shareOver(18'000, 20'000) > 0.1);
+}
