--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -9,9 +9,11 @@
 using namespace std::chrono_literals;
 
 namespace {
-    // Upstreams that share the requests of an object. Few, so that it stays warm on each: work on a cold upstream takes
-    // several times as long, and requests that spill further turn a full service into an overloaded one.
-    constexpr std::size_t owners = 3;
+    // Upstreams that share the requests of an object, in the region of its callers and elsewhere. Few, so that it stays
+    // warm on each: work on a cold upstream takes several times as long, and requests that spill further turn a full
+    // service into an overloaded one.
+    constexpr std::size_t nearOwners = 1;
+    constexpr std::size_t farOwners = 1;
     // A stated load says little after the time of a few requests.
     constexpr Duration loadAge = 800ms;
     // Instances that send to a cold upstream: few, so that each may send at a useful pace.
@@ -122,9 +124,9 @@
     return ownRegion_;
 }
 
-auto Placer::ownersOf(Candidates candidates) const -> Candidates
+auto Placer::ownersOf(Candidates candidates, std::size_t most) const -> Candidates
 {
-    const auto first = std::min(owners, candidates.size());
+    const auto first = std::min(most, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first), candidates.end(), [](const auto& a, const auto& b) { return a.weight_ > b.weight_; });
     candidates.resize(first);
     return candidates;
@@ -164,8 +166,8 @@
     spills_.noteRequest();
     const auto region = regionOf(query.object_.value_or(query.spread_), query);
     const auto elsewhere = std::stable_partition(found.begin(), found.end(), [&region](const auto& candidate) { return candidate.upstream_->region_ == region; });
-    const auto near = ownersOf(Candidates(found.begin(), elsewhere));
-    const auto far = ownersOf(Candidates(elsewhere, found.end()));
+    const auto near = ownersOf(Candidates(found.begin(), elsewhere), nearOwners);
+    const auto far = ownersOf(Candidates(elsewhere, found.end()), farOwners);
     if (near.empty()) {
         const auto free = firstFree(far);
         return free ? PlacementResult(*free) : leastWait(far, query);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -67,7 +67,7 @@
     auto regionOf(std::uint64_t object, const PlacementQuery& query) -> std::string;
     auto roomOf(const PlacementQuery& query) const -> std::vector<RegionRoom>;
     // The first owners among candidates, by weight.
-    auto ownersOf(Candidates candidates) const -> Candidates;
+    auto ownersOf(Candidates candidates, std::size_t most) const -> Candidates;
     auto firstFree(const Candidates& owners) const -> std::optional<Placement>;
     auto leastWait(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
     auto mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool;
