--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -3,6 +3,7 @@
 #include "gateway/hashing.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sapphirepass {
 
@@ -12,8 +13,11 @@
     // Upstreams that share the requests of an object, in the region of its callers and elsewhere. Few, so that it stays
     // warm on each: work on a cold upstream takes several times as long, and requests that spill further turn a full
     // service into an overloaded one.
-    constexpr std::size_t nearOwners = 1;
     constexpr std::size_t farOwners = 1;
+    // An object gets another owner when its requests would take more than this part of the slots of those it has.
+    constexpr double ownerUse = 0.4;
+    // Warm work, in parts of the route's latency target: targets are set so that warm work meets them.
+    constexpr double warmPart = 0.5;
     // A stated load says little after the time of a few requests.
     constexpr Duration loadAge = 800ms;
     // Instances that send to a cold upstream: few, so that each may send at a useful pace.
@@ -31,6 +35,7 @@
     , fleet_(fleet)
     , ownRegion_(std::move(ownRegion))
     , shares_(clock)
+    , demand_(clock)
     , spills_(clock)
 {
 }
@@ -105,6 +110,7 @@
             slots[upstream->region_] += upstream->entry_.slots_;
     }
     std::vector<RegionRoom> room;
+    room.reserve(slots.size());
     for (const auto& [region, count] : slots)
         room.push_back({ region, count });
     return room;
@@ -132,14 +138,29 @@
     return candidates;
 }
 
-auto Placer::firstFree(const Candidates& owners) const -> std::optional<Placement>
+// Answers a few objects that most callers ask for: one owner each would be full while others idle.
+auto Placer::ownersNeeded(const PlacementQuery& query, const Candidates& near) -> std::size_t
 {
-    for (std::size_t rank = 0; rank < owners.size(); ++rank) {
+    if (!query.object_)
+        return 2;
+    const double perSecond = demand_.note(*query.object_);
+    const auto peers = static_cast<double>(fleet_.readyMembers(ownRegion_).size() + 1);
+    const double work = std::chrono::duration<double>(query.latencyTarget_).count() * warmPart;
+    const double slots = near.empty() ? 1 : near.front().upstream_->entry_.slots_;
+    const double needed = perSecond * peers * work / (slots * ownerUse);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(needed)));
+}
+
+// Several owners are used alike, so that none fills first: each request starts at one of them.
+auto Placer::firstFree(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>
+{
+    for (std::size_t i = 0; i < owners.size(); ++i) {
+        const auto rank = (i + spread) % owners.size();
         const auto& candidate = owners[rank];
         const int slots = candidate.upstream_->entry_.slots_;
         // Other instances send there as well: half of the slots is more than one instance's part.
         if (candidate.upstream_->inFlight_ < (slots + 1) / 2 && candidate.occupied_ < slots)
-            return Placement { candidate.upstream_, static_cast<int>(rank), rank == 0, Duration::zero(), candidate.occupied_ };
+            return Placement { candidate.upstream_, static_cast<int>(rank), Duration::zero(), candidate.occupied_, owners.size() };
     }
     return std::nullopt;
 }
@@ -154,7 +175,7 @@
     const auto wait = query.usualWork_ * ahead / slots;
     if (wait > query.longestWait_)
         return PlacementRefusal::Full;
-    return Placement { least->upstream_, static_cast<int>(least - owners.begin()), false, wait, least->occupied_ };
+    return Placement { least->upstream_, static_cast<int>(least - owners.begin()), wait, least->occupied_, owners.size() };
 }
 
 // The owners in the object's region come first; those elsewhere take what spills, at a steady pace.
@@ -166,16 +187,17 @@
     spills_.noteRequest();
     const auto region = regionOf(query.object_.value_or(query.spread_), query);
     const auto elsewhere = std::stable_partition(found.begin(), found.end(), [&region](const auto& candidate) { return candidate.upstream_->region_ == region; });
-    const auto near = ownersOf(Candidates(found.begin(), elsewhere), nearOwners);
-    const auto far = ownersOf(Candidates(elsewhere, found.end()), farOwners);
+    const Candidates nearby(found.begin(), elsewhere);
+    const auto near = ownersOf(nearby, ownersNeeded(query, nearby));
+    const auto far = ownersOf(Candidates(elsewhere, found.end()), std::max(farOwners, near.empty() ? ownersNeeded(query, found) : 1));
     if (near.empty()) {
-        const auto free = firstFree(far);
+        const auto free = firstFree(far, query.spread_);
         return free ? PlacementResult(*free) : leastWait(far, query);
     }
-    if (const auto free = firstFree(near))
+    if (const auto free = firstFree(near, query.spread_))
         return *free;
-    const auto waiting = leastWait(near, query);
-    const auto free = firstFree(far);
+    auto waiting = leastWait(near, query);
+    const auto free = firstFree(far, query.spread_);
     if (free && spills_.takeSpill())
         return *free;
     return waiting;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/fleet_view.h"
+#include "gateway/object_demand.h"
 #include "gateway/region_shares.h"
 #include "gateway/upstream_set.h"
 
@@ -22,6 +23,8 @@
     double coldPerSecond_ = 0;
     Duration coldFor_ {};
     Duration usualWork_ {};
+    // Time that the route's callers want an answer in.
+    Duration latencyTarget_ {};
     // Longest wait for a slot after which the request is still worth sending.
     Duration longestWait_ {};
 };
@@ -30,9 +33,10 @@
     UpstreamPtr upstream_;
     // Position among the owners of the object; 0 is the first.
     int rank_ = 0;
-    bool warm_ = false;
     Duration expectedWait_ {};
     int occupied_ = 0;
+    // Upstreams that share the object now.
+    std::size_t owners_ = 1;
 };
 
 enum class PlacementRefusal {
@@ -68,7 +72,9 @@
     auto roomOf(const PlacementQuery& query) const -> std::vector<RegionRoom>;
     // The first owners among candidates, by weight.
     auto ownersOf(Candidates candidates, std::size_t most) const -> Candidates;
-    auto firstFree(const Candidates& owners) const -> std::optional<Placement>;
+    // How many upstreams an object needs, by how often it is asked for.
+    auto ownersNeeded(const PlacementQuery& query, const Candidates& near) -> std::size_t;
+    auto firstFree(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto leastWait(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
     auto mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto bearsCold(const Upstream& upstream, const PlacementQuery& query) const -> bool;
@@ -80,6 +86,7 @@
     const FleetView& fleet_;
     std::string ownRegion_;
     RegionShares shares_;
+    ObjectDemand demand_;
     SpillGate spills_;
 };
 
--- a/src/gateway/rate_gate.cpp
+++ b/src/gateway/rate_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace sapphirepass {
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -3,6 +3,7 @@
 #include "gateway/hashing.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace sapphirepass {
 
@@ -151,6 +152,7 @@
         query_.object_ = stableHash(*marks_.object_, stableHash(route_->name_));
     query_.coldPerSecond_ = service_ == nullptr ? 0 : service_->coldPerSecond_;
     query_.coldFor_ = service_ == nullptr ? Duration::zero() : service_->coldFor_;
+    query_.latencyTarget_ = route_->latencyTarget_;
     query_.usualWork_ = context_.workTimes_.usual(route_->name_, route_->latencyTarget_ * assumedTargets);
     forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.names_, workspace_ == nullptr ? std::string() : workspace_->name_));
     context_.retries_.noteRequest(serviceName_);
@@ -168,7 +170,7 @@
 
 auto RequestRun::send(const Placement& placement) -> void
 {
-    sent_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.warm_ };
+    sent_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.owners_ };
     auto request = std::make_shared<OutgoingRequest>(*forwarded_);
     addressAttempt(*request, context_.names_, placement.upstream_->entry_, left());
     context_.placer_.noteSent(*placement.upstream_, query_);
@@ -336,9 +338,12 @@
         fields["route"] = route_->name_;
     if (workspace_ != nullptr)
         fields["workspace"] = workspace_->name_;
+    if (query_.object_)
+        fields["object"] = fmt::format("{:016x}", *query_.object_);
     if (sent_.upstream_) {
         fields["upstream"] = sent_.upstream_->entry_.id_;
         fields["rank"] = sent_.rank_;
+        fields["owners"] = sent_.owners_;
         fields["occupied"] = sent_.occupied_;
         fields["load_age_ms"] = milliseconds(context_.clock_.now() - sent_.upstream_->loadAt_);
         fields["sends"] = sends_;
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -55,7 +55,7 @@
         MonotonicTime at_ {};
         int rank_ = 0;
         int occupied_ = 0;
-        bool warm_ = false;
+        std::size_t owners_ = 0;
     };
 
     auto checkRequest() -> bool;
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -126,6 +126,42 @@
     CHECK(std::holds_alternative<PlacementRefusal>(instance.placer_.place(query(7))));
 }
 
+// Seen in a recorded day: a few objects drew most requests; their one owner refused while the others idled.
+TEST_CASE("an object that most callers ask for gets more owners, and loses them again", "[placement]")
+{
+    ManualClock clock;
+    Instance instance(clock);
+    instance.put(20);
+    const auto hearPeers = [&instance] {
+        for (int i = 0; i < 3; ++i) {
+            MemberReport peer;
+            peer.name_ = fmt::format("peer-{}", i);
+            peer.region_ = "north";
+            peer.phase_ = MemberPhase::Ready;
+            instance.fleet_.hear(peer);
+        }
+    };
+    auto asked = query(7);
+    asked.latencyTarget_ = 250ms;
+    // 40 requests a second here, as many at each of three peers: 160 x 0.125 s of work are 20 slots.
+    std::set<std::string> used;
+    const auto ask = [&](Duration gap, int count) {
+        used.clear();
+        for (int i = 0; i < count; ++i) {
+            clock.advance(gap);
+            hearPeers();
+            asked.spread_ = static_cast<std::uint64_t>(i) * 7919;
+            used.insert(chosen(instance.placer_.place(asked)));
+        }
+    };
+    ask(25ms, 800);
+    CHECK(used.size() >= 10);
+    clock.advance(30s);
+    // Once a second: one owner is enough.
+    ask(1s, 20);
+    CHECK(used.size() == 1);
+}
+
 TEST_CASE("a stated load passes an owner over while it is fresh", "[placement]")
 {
     ManualClock clock;
