Placing: room is left to workspaces that may run nowhere else; hot objects get owners

Change: the part of the rates that is homed in a region is taken off its room before shares are dealt.

--- a/src/gateway/declaration_index.cpp
+++ b/src/gateway/declaration_index.cpp
@@ -25,6 +25,18 @@
         for (const auto& key : workspace.keys_)
             keys_[key] = &workspace;
     }
+    measureHomes();
+}
+
+auto DeclarationIndex::measureHomes() -> void
+{
+    double total = 0;
+    for (const auto& workspace : declaration_.workspaces_)
+        total += workspace.ratePerSecond_;
+    for (const auto& workspace : declaration_.workspaces_) {
+        for (const auto& region : workspace.homes_)
+            homedParts_[region] += total > 0 ? workspace.ratePerSecond_ / total / static_cast<double>(workspace.homes_.size()) : 0;
+    }
 }
 
 auto DeclarationIndex::hasHost(std::string_view host) const -> bool
--- a/src/gateway/declaration_index.h
+++ b/src/gateway/declaration_index.h
@@ -3,6 +3,7 @@
 
 #include "gateway/declaration_type.h"
 
+#include <map>
 #include <string_view>
 #include <unordered_map>
 
@@ -19,14 +20,19 @@
     auto service(const std::string& name) const -> const DeclaredService*;
     // The workspace that holds the key, or null.
     auto workspaceOf(const std::string& key) const -> const DeclaredWorkspace*;
+    // Part of all requests that workspaces may run only in a region, by region, going by their rates.
+    auto homedParts() const -> const std::map<std::string, double>& { return homedParts_; }
     auto needsKeys() const -> bool { return !declaration_.workspaces_.empty(); }
 
 private:
+    auto measureHomes() -> void;
+
     Declaration declaration_;
     // Routes of a host, longest prefix first.
     std::unordered_map<std::string, std::vector<const DeclaredRoute*>> routes_;
     std::unordered_map<std::string, const DeclaredService*> services_;
     std::unordered_map<std::string, const DeclaredWorkspace*> keys_;
+    std::map<std::string, double> homedParts_;
 };
 
 // Host names compare without case and without the port.
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -15,7 +15,9 @@
     // service into an overloaded one.
     constexpr std::size_t farOwners = 1;
     // An object gets another owner when its requests would take more than this part of the slots of those it has.
-    constexpr double ownerUse = 0.4;
+    constexpr double ownerUse = 0.8;
+    // Part of all slots that is in use on a busy day.
+    constexpr double usualUse = 0.8;
     // Warm work, in parts of the route's latency target: targets are set so that warm work meets them.
     constexpr double warmPart = 0.5;
     // A stated load says little after the time of a few requests.
@@ -29,6 +31,14 @@
 
 }
 
+namespace {
+    auto partIn(const std::map<std::string, double>& parts, const std::string& region) -> double
+    {
+        const auto found = parts.find(region);
+        return found == parts.end() ? 0 : found->second;
+    }
+}
+
 Placer::Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion)
     : clock_(clock)
     , upstreams_(upstreams)
@@ -99,7 +109,8 @@
     return found;
 }
 
-// Room is what is declared open, sound or not: shares must not follow each failure.
+// Room is what is declared open, sound or not: shares must not follow each failure. What workspaces that may run
+// nowhere else will take of it is left to them.
 auto Placer::roomOf(const PlacementQuery& query) const -> std::vector<RegionRoom>
 {
     std::map<std::string, int> slots;
@@ -109,10 +120,15 @@
         if (upstreams_.isOpen(*upstream))
             slots[upstream->region_] += upstream->entry_.slots_;
     }
+    double total = 0;
+    for (const auto& [region, count] : slots)
+        total += count;
     std::vector<RegionRoom> room;
     room.reserve(slots.size());
-    for (const auto& [region, count] : slots)
-        room.push_back({ region, count });
+    for (const auto& [region, count] : slots) {
+        const auto homed = query.homedParts_ == nullptr ? 0 : partIn(*query.homedParts_, region);
+        room.push_back({ region, std::max(0.0, count - total * homed * usualUse) });
+    }
     return room;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -18,6 +18,8 @@
     std::uint64_t spread_ = 0;
     // Regions that may run the request; empty for all.
     const std::vector<std::string>* homes_ = nullptr;
+    // Part of all requests that may run only in a region, by region; null for none.
+    const std::map<std::string, double>* homedParts_ = nullptr;
     // Upstreams that the request has been sent to.
     std::vector<std::string> tried_;
     double coldPerSecond_ = 0;
--- a/src/gateway/region_shares.h
+++ b/src/gateway/region_shares.h
@@ -10,10 +10,10 @@
 
 namespace sapphirepass {
 
-// Open slots of one service in one region.
+// Slots of one service in one region that requests from anywhere may use.
 struct RegionRoom {
     std::string region_;
-    int slots_ = 0;
+    double slots_ = 0;
 
     auto operator<=>(const RegionRoom&) const = default;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -147,6 +147,7 @@
     homes_ = commonHomes(route_->homes_, workspace_ == nullptr ? std::vector<std::string>() : workspace_->homes_);
     query_.service_ = serviceName_;
     query_.homes_ = &homes_;
+    query_.homedParts_ = &index_->homedParts();
     query_.spread_ = stableHash(marks_.attempt_);
     if (route_->affinity_ && marks_.object_)
         query_.object_ = stableHash(*marks_.object_, stableHash(route_->name_));
