--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -116,7 +116,10 @@
     auto next = objects.upper_bound(after);
     for (; next != objects.end() && items.size() < page_; ++next)
         items.push_back(next->second);
-    reply(connection, 200, { { "items", items }, { "more", next != objects.end() }, { "current_rev", revision_ } });
+    const bool more = next != objects.end();
+    reply(connection, 200, { { "items", items }, { "more", more }, { "current_rev", revision_ } });
+    if (more && pageAction_)
+        pageAction_(kind);
 }
 
 // Whether the watch could be answered now.
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -33,6 +33,8 @@
     auto calls() const -> std::size_t { return calls_; }
     auto objects(const std::string& kind) const -> std::size_t;
     auto setPage(std::size_t page) -> void { page_ = page; }
+    // Called after each page of a list that has more to come.
+    auto onPage(std::function<void(const std::string& kind)> action) -> void { pageAction_ = std::move(action); }
 
 private:
     struct Connection;
@@ -57,6 +59,7 @@
     std::int64_t revision_ = 100;
     std::int64_t oldest_ = 0;
     std::size_t page_ = 50;
+    std::function<void(const std::string&)> pageAction_;
     std::size_t calls_ = 0;
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
     std::vector<Change> history_;
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -123,6 +123,21 @@
     CHECK(fixture.beliefs_.lost_ == 0);
 }
 
+// Seen on a grown day: a server left while the later pages of a list were read, and got requests for seconds more.
+TEST_CASE("a change between two pages of a list is not lost", "[store-source]")
+{
+    SourceFixture fixture;
+    fixture.store_.setPage(2);
+    bool isDone = false;
+    fixture.store_.onPage([&](const std::string& kind) {
+        if (kind == "servers" && !std::exchange(isDone, true))
+            fixture.store_.remove("servers", "i-0");
+    });
+    fixture.start();
+    CHECK(isDone);
+    CHECK(runUntil(fixture.loop_, [&] { return !fixture.beliefs_.upstreams_.contains("i-0"); }));
+}
+
 TEST_CASE("an outage is told once, and what changed meanwhile after it", "[store-source]")
 {
     SourceFixture fixture;
