--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -27,6 +27,7 @@
     constexpr Duration leastRetryAfter = 150ms;
 
     auto view(boost::beast::string_view text) -> std::string_view { return { text.data(), text.size() }; }
+    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
     auto milliseconds(Duration duration) -> std::int64_t { return duration / 1ms; }
 
     // Regions in both lists; an empty list stands for all regions.
@@ -241,7 +242,9 @@
     context_.crashes_.noteAnswered(fingerprint_);
     if (status / 100 == 2 && isWholeSuccess(response)) {
         context_.upstreams_.noteAttempt(*sent_.upstream_, AttemptHealth::Answered);
-        context_.workTimes_.note(route_->name_, context_.clock_.now() - sent_.at_);
+        const auto work = context_.clock_.now() - sent_.at_;
+        context_.workTimes_.note(route_->name_, work);
+        context_.metrics_.observe({ "gateway_upstream_seconds", {} }, seconds(work));
         return finish(forwardedResponse(std::move(response)), "answered");
     }
     onFailure(std::move(response));
@@ -329,16 +332,23 @@
 
 auto RequestRun::tellEnd(unsigned status, std::string_view reason) -> void
 {
-    ++context_.counts_.byOutcome_[std::string(reason)];
+    const auto took = context_.clock_.now() - arrivedAt_;
+    const auto outcome = fmt::format("outcome=\"{}\"", reason);
+    context_.metrics_.increment({ "gateway_requests_total", outcome });
+    context_.metrics_.observe({ "gateway_request_seconds", outcome }, seconds(took));
     const bool success = status / 100 == 2;
     if (success && !context_.log_.keepsSuccess(marks_.attempt_))
         return;
-    LogFields fields { { "request", marks_.attempt_ }, { "status", status }, { "reason", reason }, { "took_ms", milliseconds(context_.clock_.now() - arrivedAt_) } };
+    LogFields fields { { "request", marks_.attempt_ }, { "status", status }, { "reason", reason }, { "took_ms", milliseconds(took) } };
     fields["version"] = index_ ? index_->declaration().version_ : 0;
     if (route_ != nullptr)
         fields["route"] = route_->name_;
     if (workspace_ != nullptr)
         fields["workspace"] = workspace_->name_;
+    if (forwarded_) {
+        fields["usual_ms"] = milliseconds(query_.usualWork_);
+        fields["longest_wait_ms"] = milliseconds(query_.longestWait_);
+    }
     if (query_.object_)
         fields["object"] = fmt::format("{:016x}", *query_.object_);
     if (sent_.upstream_) {
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -1,6 +1,7 @@
 // The life of one request: checks, placing, attempts, and its one final answer.
 #pragma once
 
+#include "base/metrics.h"
 #include "gateway/alarm.h"
 #include "gateway/answer.h"
 #include "gateway/decision_log.h"
@@ -15,11 +16,6 @@
 
 namespace sapphirepass {
 
-// Counts of requests by how they ended.
-struct RequestCounts {
-    std::map<std::string, std::uint64_t> byOutcome_;
-};
-
 // What requests share on one instance. All of it lives longer than any request.
 struct RequestContext {
     const Clock& clock_;
@@ -36,7 +32,7 @@
     WorkTimes& workTimes_;
     UpstreamCaller& caller_;
     DecisionLog& log_;
-    RequestCounts& counts_;
+    Metrics& metrics_;
 };
 
 class RequestRun : public std::enable_shared_from_this<RequestRun> {
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -37,6 +37,7 @@
         return {};
     }
 
+    auto asMetric(std::uint64_t value) -> std::int64_t { return static_cast<std::int64_t>(value); }
     auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 }
 
@@ -90,7 +91,7 @@
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , pool_(loop, clock, adapter_.headers_)
-    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, counts_ }
+    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, metrics_ }
     , frontHandler_(*this)
     , ownHandler_(*this)
     , front_(loop, frontHandler_, clock)
@@ -128,7 +129,7 @@
     return context_.index_ ? context_.index_->declaration().limits_ : CallerLimits {};
 }
 
-auto Gateway::answerOwn(const HttpRequest& request) const -> HttpResponse
+auto Gateway::answerOwn(const HttpRequest& request) -> HttpResponse
 {
     const std::string_view target { request.target().data(), request.target().size() };
     const auto path = target.substr(0, target.find('?'));
@@ -170,24 +171,23 @@
     return response;
 }
 
-auto Gateway::answerMetrics() const -> HttpResponse
+auto Gateway::answerMetrics() -> HttpResponse
 {
-    std::string text;
-    for (const auto& [outcome, count] : counts_.byOutcome_)
-        text += fmt::format("gateway_requests_total{{outcome=\"{}\"}} {}\n", outcome, count);
-    text += fmt::format("gateway_requests_in_flight {}\n", inFlight_);
-    text += fmt::format("gateway_connections_open {}\n", front_.openCount());
-    text += fmt::format("gateway_upstream_connections_opened_total {}\n", pool_.counts().opened_);
-    text += fmt::format("gateway_upstream_connections_reused_total {}\n", pool_.counts().reused_);
-    text += fmt::format("gateway_store_calls_total {}\n", adapter_.source_->calls());
-    text += fmt::format("gateway_declaration_version {}\n", context_.index_ ? context_.index_->declaration().version_ : 0);
-    text += fmt::format("gateway_upstreams_known {}\n", upstreams_.size());
-    text += fmt::format("gateway_peers_ready {}\n", fleet_.anyReadyMembers().size());
-    text += fmt::format("gateway_log_lines_dropped_total {}\n", log_.dropped());
+    metrics_.set({ "gateway_requests_in_flight", {} }, asMetric(inFlight_));
+    metrics_.set({ "gateway_connections_open", {} }, asMetric(front_.openCount()));
+    metrics_.set({ "gateway_upstream_connections_opened_total", {} }, asMetric(pool_.counts().opened_));
+    metrics_.set({ "gateway_upstream_connections_reused_total", {} }, asMetric(pool_.counts().reused_));
+    metrics_.set({ "gateway_store_calls_total", {} }, asMetric(adapter_.source_->calls()));
+    metrics_.set({ "gateway_declaration_version", {} }, asMetric(context_.index_ ? context_.index_->declaration().version_ : 0));
+    metrics_.set({ "gateway_upstreams_known", {} }, asMetric(upstreams_.size()));
+    metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.anyReadyMembers().size()));
+    metrics_.set({ "gateway_log_lines_dropped_total", {} }, asMetric(log_.dropped()));
+    for (const auto& [feed, name] : { std::pair(Feed::Declaration, "declaration"), std::pair(Feed::Upstreams, "upstreams"), std::pair(Feed::Evacuations, "evacuations") })
+        metrics_.set({ "gateway_feed_lost_milliseconds", fmt::format("feed=\"{}\"", name) }, beliefs_.lostFor(feed) / 1ms);
     HttpResponse response;
     response.result(200);
     response.set(http::field::content_type, "text/plain; version=0.0.4");
-    response.body() = std::move(text);
+    response.body() = metrics_.render();
     return response;
 }
 
@@ -308,10 +308,7 @@
 
 auto Gateway::noteStatus() -> void
 {
-    LogFields outcomes = LogFields::object();
-    for (const auto& [outcome, count] : counts_.byOutcome_)
-        outcomes[outcome] = count;
-    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", inFlight_ }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "outcomes", outcomes } });
+    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", inFlight_ }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "feed_lost_ms", beliefs_.lostFor(Feed::Upstreams) / 1ms }, { "peers_ready", fleet_.anyReadyMembers().size() } });
 }
 
 auto Gateway::beginStop() -> void
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -69,10 +69,10 @@
     class Run;
 
     auto callerLimits() const -> CallerLimits;
-    auto answerOwn(const HttpRequest& request) const -> HttpResponse;
+    auto answerOwn(const HttpRequest& request) -> HttpResponse;
     auto answerDirectory(std::string_view query) const -> HttpResponse;
     auto answerReadiness() const -> HttpResponse;
-    auto answerMetrics() const -> HttpResponse;
+    auto answerMetrics() -> HttpResponse;
     auto tick() -> void;
     auto scheduleTick() -> void;
     auto sendHeartbeat() -> void;
@@ -104,7 +104,7 @@
     SplitCursor split_;
     WorkTimes workTimes_;
     UpstreamPool pool_;
-    RequestCounts counts_;
+    Metrics metrics_;
     RequestContext context_;
     FrontHandler frontHandler_;
     OwnHandler ownHandler_;
--- a/tests/catalogue_test.cpp
+++ b/tests/catalogue_test.cpp
@@ -1,6 +1,7 @@
 // The pages in docs/ list what the code has.
 #include "base/event_log.h"
 #include "language/reference_rows.h"
+#include "settings/gateway_settings.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -58,3 +59,16 @@
         ++tableLines;
     CHECK(tableLines == rows + 4);
 }
+
+TEST_CASE("docs/operators/gateway-settings.md lists every setting", "[docs]")
+{
+    const auto page = readPage("docs/operators/gateway-settings.md");
+    for (const auto& row : gatewaySettingTable()) {
+        const auto* needed = row.field_.presence_ == Presence::Required ? "required" : "optional";
+        const auto line = fmt::format("| {} | {} | {} | {} |\n", row.section_, row.field_.name_, needed, row.field_.expected_);
+        CAPTURE(line);
+        CHECK(page.find(line) != std::string::npos);
+    }
+    const auto lines = static_cast<std::size_t>(std::count(page.begin(), page.end(), '\n'));
+    CHECK(lines == gatewaySettingTable().size() + 8);
+}
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -113,8 +113,8 @@
     WorkTimes workTimes_;
     standin::ScriptedCaller caller_;
     standin::KeptLog log_;
-    RequestCounts counts_;
-    RequestContext context_ { clock_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, log_, counts_ };
+    Metrics metrics_;
+    RequestContext context_ { clock_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestRun>> runs_;
 };
