Fault soak: gateways as processes, harmed by signals and loopback proxies

Change: stand-ins for store and upstreams behind proxies that delay, cut one way, hold back and reset; signals KILL, STOP, TERM, HUP; servers replaced, declarations and keys changed. Judged by callers and upstreams: at most one run, true refusals, own answers, workspace and key, planned stops, calm afterwards.

--- /dev/null
+++ b/soak/gateway_process.cpp
@@ -0,0 +1,63 @@
+#include "soak/gateway_process.h"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace sapphirepass::soak {
+
+GatewayProcess::GatewayProcess(GatewayPlan plan)
+    : plan_(std::move(plan))
+{
+    std::ofstream settings(fmt::format("{}/{}.ini", plan_.folder_, plan_.name_));
+    settings << fmt::format("[instance]\nname = {}\nregion = north\ndomain = north-a\nfront = {}\ndirectory = {}\nready = {}\ncontrol = {}\npeer = {}\n[store]\naddress = {}\n[rates]\nover = 0.1\nslack = 20\n[retries]\nslack = 64\n[domains]\nnorth-a = north\n", plan_.name_, formatSocketAddress(plan_.front_), formatSocketAddress(plan_.directory_), formatSocketAddress(plan_.ready_), formatSocketAddress(plan_.control_), formatSocketAddress(plan_.peer_), formatSocketAddress(plan_.store_));
+}
+
+GatewayProcess::~GatewayProcess()
+{
+    if (pid_ <= 0)
+        return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+}
+
+auto GatewayProcess::start() -> void
+{
+    const auto settings = fmt::format("{}/{}.ini", plan_.folder_, plan_.name_);
+    const auto log = fmt::format("{}/{}.log", plan_.folder_, plan_.name_);
+    std::string config = "--config=" + settings;
+    std::string subcommand = "gateway";
+    std::string binary = plan_.binary_;
+    const std::array<char*, 4> arguments { binary.data(), subcommand.data(), config.data(), nullptr };
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int failure = ::posix_spawn(&pid_, binary.c_str(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        throw std::runtime_error(fmt::format("cannot start {}", plan_.binary_));
+}
+
+auto GatewayProcess::signal(int number) -> void
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+auto GatewayProcess::ended() -> std::optional<int>
+{
+    int status = 0;
+    if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_)
+        return std::nullopt;
+    pid_ = 0;
+    return status;
+}
+
+} // namespace sapphirepass::soak
--- /dev/null
+++ b/soak/gateway_process.h
@@ -0,0 +1,43 @@
+// One gateway as a process of its own. Only processes that it started are ever signalled.
+#pragma once
+
+#include "base/socket_address.h"
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+
+namespace sapphirepass::soak {
+
+struct GatewayPlan {
+    std::string binary_;
+    std::string folder_;
+    std::string name_;
+    SocketAddress front_;
+    SocketAddress directory_;
+    SocketAddress ready_;
+    SocketAddress control_;
+    SocketAddress peer_;
+    SocketAddress store_;
+};
+
+class GatewayProcess {
+public:
+    explicit GatewayProcess(GatewayPlan plan);
+    ~GatewayProcess();
+    GatewayProcess(const GatewayProcess&) = delete;
+    auto operator=(const GatewayProcess&) -> GatewayProcess& = delete;
+
+    auto start() -> void;
+    auto signal(int number) -> void;
+    // The exit status once the process has ended, told once.
+    auto ended() -> std::optional<int>;
+    auto isRunning() const -> bool { return pid_ > 0; }
+    auto plan() const -> const GatewayPlan& { return plan_; }
+
+private:
+    GatewayPlan plan_;
+    pid_t pid_ = 0;
+};
+
+} // namespace sapphirepass::soak
--- /dev/null
+++ b/soak/world.cpp
@@ -0,0 +1,200 @@
+#include "soak/world.h"
+
+#include <fmt/format.h>
+
+namespace sapphirepass::soak {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+    // A planned stop ends within the grace time.
+    constexpr auto graceTime = 6s;
+    // Callers give up after the routes' time and a while.
+    constexpr auto callerTime = 4s;
+
+    auto now() -> std::chrono::steady_clock::time_point { return std::chrono::steady_clock::now(); }
+
+    auto headerOf(const std::string& message, const std::string& name) -> std::string
+    {
+        const auto at = message.find("\r\n" + name + ": ");
+        if (at == std::string::npos || at > message.find("\r\n\r\n"))
+            return {};
+        const auto from = at + name.size() + 4;
+        return message.substr(from, message.find("\r\n", from) - from);
+    }
+
+    auto bodyOf(const std::string& attempt) -> std::string { return fmt::format("made for {} {}", attempt, std::string(200, 'x')); }
+
+    auto routeOf(const std::string& prefix, const std::string& kind) -> json
+    {
+        return { { "name", prefix }, { "host", "a.example" }, { "path_prefix", fmt::format("/{}/", prefix) }, { "kind", kind }, { "timeout_s", 1.5 }, { "target_latency_s", 0.3 }, { "service", "s" }, { "max_attempts", 2 }, { "session_affinity", true } };
+    }
+
+    auto tenant(const std::string& name, const std::vector<std::string>& keys) -> json
+    {
+        return { { "name", name }, { "api_keys", keys } };
+    }
+}
+
+World::World(asio::io_context& loop, std::string binary, std::string folder, std::uint64_t seed)
+    : loop_(loop)
+    , store_(loop)
+    , binary_(std::move(binary))
+    , folder_(std::move(folder))
+    , random_(seed)
+{
+    declare();
+}
+
+auto World::declare() -> void
+{
+    const auto beta = isRevoked_ ? std::vector<std::string>() : std::vector<std::string> { "key-beta" };
+    store_.put("config", "main", { { "version", fmt::format("{:08x}", ++version_) }, { "routes", { routeOf("order", "non_idempotent"), routeOf("read", "idempotent") } }, { "services", { { { "name", "s" }, { "max_conns", 100 }, { "cold_start_s", 1 }, { "cold_per_s", 50 } } } }, { "tenants", { tenant("acme", { "key-acme" }), tenant("beta", beta) } } });
+}
+
+auto World::addGateway(std::size_t number) -> void
+{
+    auto slot = std::make_unique<GatewaySlot>();
+    slot->storeProxy_ = std::make_unique<FaultProxy>(loop_, store_.address());
+    GatewayPlan plan { binary_, folder_, fmt::format("e{}", number), {}, {}, {}, {}, {}, slot->storeProxy_->address() };
+    for (auto* address : { &plan.front_, &plan.directory_, &plan.ready_, &plan.control_, &plan.peer_ })
+        *address = standin::freeAddress(loop_);
+    slot->process_ = std::make_unique<GatewayProcess>(std::move(plan));
+    slot->process_->start();
+    gateways_.push_back(std::move(slot));
+}
+
+auto World::addServer() -> void
+{
+    auto server = std::make_shared<Server>();
+    server->id_ = fmt::format("u{}", ++lastServer_);
+    const auto* raw = server.get();
+    server->upstream_ = std::make_unique<standin::LoopServer>(loop_, [this, raw](int, const std::string& request) { return runOne(*raw, request); });
+    server->proxy_ = std::make_unique<FaultProxy>(loop_, server->upstream_->address());
+    store_.put("servers", server->id_, { { "address", formatSocketAddress(server->proxy_->address()) }, { "born", lastServer_ }, { "info", { { "service", "s" }, { "zone", "north-a" }, { "slots", 8 } } }, { "status", { { "state", "ready" }, { "seq", 1 }, { "cold_left_s", 0 } } } });
+    servers_.push_back(std::move(server));
+}
+
+auto World::retireServer(std::size_t index) -> void
+{
+    store_.remove("servers", servers_[index]->id_);
+    retired_.push_back(servers_[index]);
+    servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+auto World::runOne(const Server& server, const std::string& request) -> standin::ScriptedBytes
+{
+    const auto attempt = headerOf(request, "Attempt-Id");
+    if (headerOf(request, "Expected-Instance") != server.id_)
+        return { "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n" };
+    const auto found = attempts_.find(attempt);
+    if (found == attempts_.end()) {
+        violations_.add("an upstream ran an attempt that nobody sent");
+        return { "HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n" };
+    }
+    auto& record = found->second;
+    if (!record.mayRepeat_ && record.runs_ > 0)
+        violations_.add(fmt::format("attempt {} ran twice", attempt));
+    if (record.status_ == 503 || record.status_ == 429)
+        violations_.add(fmt::format("attempt {} ran after its refusal", attempt));
+    if (headerOf(request, "Tenant") != record.workspace_)
+        violations_.add(fmt::format("attempt {} ran for another workspace", attempt));
+    if (request.find("key-") != std::string::npos)
+        violations_.add("an upstream was shown a key");
+    ++record.runs_;
+    const auto body = bodyOf(attempt);
+    return { fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: made\r\nKeep-Alive: timeout=4\r\nContent-Length: {}\r\n\r\n{}", attempt, body.size(), body), standin::AfterBytes::Keep, std::chrono::milliseconds(10 + random(40)) };
+}
+
+auto World::checkAll() -> void
+{
+    for (const auto& [attempt, record] : attempts_) {
+        const bool refused = record.status_ == 503 || record.status_ == 429 || record.status_ == 421 || record.status_ == 408;
+        if (refused && record.runs_ > 0)
+            violations_.add(fmt::format("attempt {} ran and was answered {}", attempt, record.status_));
+        if (record.status_ == 200 && record.runs_ == 0)
+            violations_.add(fmt::format("attempt {} was answered without a run", attempt));
+    }
+}
+
+Caller::Caller(asio::io_context& loop, World& world, std::size_t number)
+    : loop_(loop)
+    , world_(world)
+    , number_(number)
+{
+}
+
+auto Caller::step() -> void
+{
+    if (client_ && !attempt_.empty())
+        readAnswer();
+    if (client_ && client_->isEnded()) {
+        noteCut();
+        client_.reset();
+        attempt_.clear();
+    }
+    if (client_ && !attempt_.empty() && now() - sentAt_ > callerTime) {
+        client_.reset();
+        attempt_.clear();
+    }
+    if (isClosing_)
+        return;
+    if (!client_)
+        connect();
+    if (client_ && attempt_.empty())
+        sendNext();
+}
+
+auto Caller::connect() -> void
+{
+    gateway_ = world_.random(world_.gateways_.size());
+    try {
+        client_ = std::make_unique<standin::LoopClient>(loop_, world_.gateways_[gateway_]->process_->plan().front_);
+        seen_ = 0;
+    } catch (const boost::system::system_error&) {
+        // Nobody listens there now: another is tried at the next step.
+        client_.reset();
+    }
+}
+
+auto Caller::sendNext() -> void
+{
+    attempt_ = fmt::format("t{}-{}", number_, ++world_.lastAttempt_);
+    const bool once = world_.random(2) == 0;
+    const bool beta = world_.random(4) == 0;
+    world_.attempts_[attempt_] = { !once, beta ? "beta" : "acme", 0, 0 };
+    const auto body = once ? "Content-Length: 5\r\n\r\nhello" : "\r\n";
+    client_->send(fmt::format("{} /{}/x{} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {}\r\nCookie: Affinity-Key={}\r\nAuthorization: Token {}\r\n{}", once ? "POST" : "GET", once ? "order" : "read", world_.lastAttempt_, attempt_, world_.random(20), beta ? "key-beta" : "key-acme", body));
+    sentAt_ = now();
+}
+
+auto Caller::readAnswer() -> void
+{
+    const auto text = client_->received().substr(seen_);
+    const auto end = text.find("\r\n\r\n");
+    if (end == std::string::npos)
+        return;
+    const auto length = headerOf(text, "Content-Length");
+    const auto size = length.empty() ? 0 : std::stoul(length);
+    if (text.size() < end + 4 + size)
+        return;
+    auto& record = world_.attempts_[attempt_];
+    record.status_ = std::stoi(text.substr(9, 3));
+    if (record.status_ == 200 && (text.substr(end + 4, size) != bodyOf(attempt_) || headerOf(text, "Attempt-Id") != attempt_))
+        world_.violations_.add(fmt::format("attempt {} got an answer that is not its own", attempt_));
+    seen_ += end + 4 + size;
+    attempt_.clear();
+}
+
+// A planned stop cuts no request that was sent before the process could be gone.
+auto Caller::noteCut() -> void
+{
+    const auto& slot = *world_.gateways_[gateway_];
+    const bool harmed = now() - slot.harmedAt_ < graceTime;
+    const bool stopping = now() - slot.stoppingAt_ < graceTime && sentAt_ > slot.stoppingAt_ - 4s && sentAt_ < slot.stoppingAt_ + 1s;
+    if (!attempt_.empty() && stopping && !harmed && now() - sentAt_ > 200ms)
+        world_.violations_.add(fmt::format("attempt {} was cut by a planned stop", attempt_));
+}
+
+} // namespace sapphirepass::soak
--- /dev/null
+++ b/soak/world.h
@@ -0,0 +1,103 @@
+// The soak's surroundings of the gateways: store, upstreams and callers on one loop, and what they have seen.
+#pragma once
+
+#include "soak/fault_proxy.h"
+#include "soak/gateway_process.h"
+#include "standin/platform_store.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace sapphirepass::soak {
+
+// What callers and upstreams have seen of one attempt.
+struct AttemptRecord {
+    bool mayRepeat_ = false;
+    std::string workspace_;
+    int runs_ = 0;
+    // 0 while there is no answer.
+    int status_ = 0;
+};
+
+class Violations {
+public:
+    auto add(const std::string& text) -> void { texts_.insert(text); }
+    auto texts() const -> const std::set<std::string>& { return texts_; }
+
+private:
+    std::set<std::string> texts_;
+};
+
+struct Server {
+    std::string id_;
+    std::unique_ptr<standin::LoopServer> upstream_;
+    std::unique_ptr<FaultProxy> proxy_;
+};
+
+struct GatewaySlot {
+    std::unique_ptr<FaultProxy> storeProxy_;
+    std::unique_ptr<GatewayProcess> process_;
+    std::chrono::steady_clock::time_point stoppingAt_ {};
+    std::chrono::steady_clock::time_point harmedAt_ {};
+    std::chrono::steady_clock::time_point restartAt_ {};
+    bool isExpectedToEnd_ = false;
+};
+
+// Sends one request after the other on a kept connection, to another gateway once it ends.
+class Caller {
+public:
+    Caller(asio::io_context& loop, class World& world, std::size_t number);
+
+    auto step() -> void;
+    auto finishOnly() -> void { isClosing_ = true; }
+    auto isIdle() const -> bool { return attempt_.empty(); }
+
+private:
+    auto connect() -> void;
+    auto sendNext() -> void;
+    auto readAnswer() -> void;
+    auto noteCut() -> void;
+
+    asio::io_context& loop_;
+    World& world_;
+    std::size_t number_;
+    std::unique_ptr<standin::LoopClient> client_;
+    std::size_t gateway_ = 0;
+    std::string attempt_;
+    std::size_t seen_ = 0;
+    std::chrono::steady_clock::time_point sentAt_ {};
+    bool isClosing_ = false;
+};
+
+class World {
+public:
+    World(asio::io_context& loop, std::string binary, std::string folder, std::uint64_t seed);
+
+    auto addGateway(std::size_t number) -> void;
+    auto addServer() -> void;
+    // The server says that it leaves, and ends a moment later.
+    auto retireServer(std::size_t index) -> void;
+    auto declare() -> void;
+    auto random(std::size_t below) -> std::size_t { return random_() % below; }
+    auto runOne(const Server& server, const std::string& request) -> standin::ScriptedBytes;
+    auto checkAll() -> void;
+
+    asio::io_context& loop_;
+    standin::PlatformStore store_;
+    std::string binary_;
+    std::string folder_;
+    std::mt19937_64 random_;
+    std::map<std::string, AttemptRecord> attempts_;
+    Violations violations_;
+    std::vector<std::unique_ptr<GatewaySlot>> gateways_;
+    std::vector<std::shared_ptr<Server>> servers_;
+    // Servers that have left keep their connections until the end.
+    std::vector<std::shared_ptr<Server>> retired_;
+    std::uint64_t lastAttempt_ = 0;
+    int version_ = 0;
+    int lastServer_ = 0;
+    bool isRevoked_ = false;
+};
+
+} // namespace sapphirepass::soak
--- a/standin/loop_peer.cpp
+++ b/standin/loop_peer.cpp
@@ -44,6 +44,11 @@
 }
 
 LoopServer::~LoopServer()
+{
+    stop();
+}
+
+auto LoopServer::stop() -> void
 {
     NetError ignored;
     acceptor_.close(ignored);
@@ -90,6 +95,17 @@
     requests_.push_back(connection->bytes_.substr(0, size));
     connection->bytes_.erase(0, size);
     const auto scripted = script_(static_cast<int>(requests_.size()) - 1, requests_.back());
+    if (scripted.delay_ == 0ms)
+        return send(connection, scripted);
+    const auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor(), scripted.delay_);
+    timer->async_wait([this, timer, connection, scripted](NetError error) {
+        if (!error && connection->socket_.is_open())
+            send(connection, scripted);
+    });
+}
+
+auto LoopServer::send(const std::shared_ptr<Connection>& connection, const ScriptedBytes& scripted) -> void
+{
     NetError ignored;
     if (!scripted.bytes_.empty())
         asio::write(connection->socket_, asio::buffer(scripted.bytes_), ignored);
--- a/standin/loop_peer.h
+++ b/standin/loop_peer.h
@@ -18,6 +18,8 @@
 struct ScriptedBytes {
     std::string bytes_;
     AfterBytes after_ = AfterBytes::Keep;
+    // Time of the work before the bytes.
+    std::chrono::milliseconds delay_ {};
 };
 
 // Reads whole requests (with a length) and answers each as the script says. An empty answer is silence.
@@ -31,6 +33,8 @@
     auto operator=(const LoopServer&) -> LoopServer& = delete;
 
     auto address() const -> const SocketAddress& { return address_; }
+    // Ends all connections; later ones are refused.
+    auto stop() -> void;
     auto requests() const -> const std::vector<std::string>& { return requests_; }
     auto connections() const -> std::size_t { return connections_; }
     // Connections that the other side has ended.
@@ -44,6 +48,7 @@
     auto acceptNext() -> void;
     auto read(const std::shared_ptr<Connection>& connection) -> void;
     auto answer(const std::shared_ptr<Connection>& connection) -> void;
+    auto send(const std::shared_ptr<Connection>& connection, const ScriptedBytes& scripted) -> void;
 
     Tcp::acceptor acceptor_;
     Script script_;
