Rates: what a keeper cannot grant is refused at once; soak on loopback hosts of its own

Cause: a keeper that grants a token or two at each ask let all other waiting requests wait for the next round trip, without end: at ten times the rate a new test saw no denial in 5 s, only a growing queue. Found by the test for later and later returns. Change: a grant below what was asked is taken as all there is. Callers of a workspace that stays over its rate are told to come back after as long as it has been over, 2 s at most. Log lines tell rate, burst and where the token came from. Each gateway now has a loopback host of its own; the program ignores SIGHUP until it handles it.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <iostream>
+#include <unistd.h>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the faults");
 ABSL_FLAG(double, seconds, 20, "how long faults are injected");
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -1,6 +1,7 @@
 #include "soak/world.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace sapphirepass::soak {
 
@@ -31,6 +32,13 @@
         return { { "name", prefix }, { "host", "a.example" }, { "path_prefix", fmt::format("/{}/", prefix) }, { "kind", kind }, { "timeout_s", 1.5 }, { "target_latency_s", 0.3 }, { "service", "s" }, { "max_attempts", 2 }, { "session_affinity", true } };
     }
 
+    // Each gateway has a loopback host of its own, so that no outgoing connection takes its ports while it is down.
+    auto ownHost(std::size_t gateway) -> std::string
+    {
+        const auto process = static_cast<unsigned>(::getpid());
+        return fmt::format("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, 1 + gateway);
+    }
+
     auto tenant(const std::string& name, const std::vector<std::string>& keys) -> json
     {
         return { { "name", name }, { "api_keys", keys } };
@@ -59,7 +67,7 @@
     slot->storeProxy_ = std::make_unique<FaultProxy>(loop_, store_.address());
     GatewayPlan plan { binary_, folder_, fmt::format("e{}", number), {}, {}, {}, {}, {}, slot->storeProxy_->address() };
     for (auto* address : { &plan.front_, &plan.directory_, &plan.ready_, &plan.control_, &plan.peer_ })
-        *address = standin::freeAddress(loop_);
+        *address = standin::freeAddress(loop_, ownHost(number));
     slot->process_ = std::make_unique<GatewayProcess>(std::move(plan));
     slot->process_->start();
     gateways_.push_back(std::move(slot));
--- a/src/gateway/rate_gate.cpp
+++ b/src/gateway/rate_gate.cpp
@@ -32,6 +32,9 @@
     // Time constant of the measured arrivals.
     constexpr double arrivalMemory = 1.0;
     constexpr Duration leastRetryAfter = 100ms;
+    // A workspace without a denial for this time is no longer over its rate.
+    constexpr Duration overPause = 1s;
+    constexpr Duration longestRetryAfter = 2s;
 
     auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
     auto duration(double seconds) -> Duration { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)); }
@@ -130,7 +133,7 @@
     if (takeLocal(state))
         return done({ true, "local", {} });
     if (clock_.now() < state.deniedUntil_)
-        return done({ false, "denied", std::max(leastRetryAfter, state.deniedUntil_ - clock_.now()) });
+        return done({ false, "denied", returnTime(state, state.deniedUntil_ - clock_.now()) });
     state.waiting_.push_back(std::move(done));
     if (state.ask_ == 0)
         ask(workspace.name_, state);
@@ -146,9 +149,10 @@
 {
     const auto keeper = fleet_.keeperOf(workspace);
     if (!keeper || !fleet_.isInTouch())
-        return settle(state, leastRetryAfter);
+        return settle(state, false, leastRetryAfter);
     state.ask_ = ++lastAsk_;
-    const RateAsk message { state.ask_, workspace, static_cast<std::uint16_t>(wanted(state)) };
+    state.wanted_ = wanted(state);
+    const RateAsk message { state.ask_, workspace, static_cast<std::uint16_t>(state.wanted_) };
     if (keeper->name_ == fleet_.self())
         return onGrant(onAsk(message));
     state.asked_ = 1;
@@ -162,11 +166,11 @@
     const auto keeper = fleet_.keeperOf(workspace);
     if (!keeper || keeper->name_ == fleet_.self() || state.asked_ >= mostAsks) {
         state.ask_ = 0;
-        return settle(state, leastRetryAfter);
+        return settle(state, false, leastRetryAfter);
     }
     ++state.asked_;
     // Under the same number: the keeper grants it once, and the second answer is dropped.
-    peers_.sendAsk(*keeper, { state.ask_, workspace, static_cast<std::uint16_t>(wanted(state)) });
+    peers_.sendAsk(*keeper, { state.ask_, workspace, static_cast<std::uint16_t>(state.wanted_) });
     state.askLimit_ = alarms_.after(askLimit, [this, workspace] { askAgain(workspace); });
 }
 
@@ -181,30 +185,39 @@
     state.askLimit_.reset();
     state.granted_ = grant.granted_;
     state.grantedUntil_ = clock_.now() + grantLife;
-    settle(state, std::max<Duration>(leastRetryAfter, grant.retryAfter_));
-    // More came while the ask was on its way than it asked for.
-    if (!state.waiting_.empty() && grant.granted_ > 0)
-        ask(grant.workspace_, state);
-    else if (grant.granted_ == 0)
+    // Less than was asked for is all that there is: who waits beyond that would wait for nothing.
+    const bool isAll = grant.granted_ >= state.wanted_;
+    settle(state, isAll, std::max<Duration>(leastRetryAfter, grant.retryAfter_));
+    if (!isAll)
         state.deniedUntil_ = clock_.now() + denialTime;
+    else if (!state.waiting_.empty())
+        ask(grant.workspace_, state);
 }
 
-// Gives out what was granted; after an ask that brought nothing, refuses those that wait.
-auto RateGate::settle(State& state, Duration retryAfter) -> void
+auto RateGate::settle(State& state, bool isMoreToCome, Duration retryAfter) -> void
 {
-    const bool isDenied = state.granted_ < 1;
     auto waiting = std::exchange(state.waiting_, {});
     while (!waiting.empty() && takeGranted(state)) {
         const auto done = std::move(waiting.front());
         waiting.pop_front();
         done({ true, "granted", {} });
     }
-    if (!isDenied) {
+    if (isMoreToCome) {
         state.waiting_.insert(state.waiting_.begin(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
         return;
     }
     for (const auto& done : waiting)
-        done({ false, "denied", retryAfter });
+        done({ false, "denied", returnTime(state, retryAfter) });
+}
+
+// What has lasted for a while is likely to last as long again: callers who come back sooner are refused twice.
+auto RateGate::returnTime(State& state, Duration soonest) -> Duration
+{
+    const auto now = clock_.now();
+    if (state.overAt_ == MonotonicTime {} || now - state.overAt_ > overPause)
+        state.overSince_ = now;
+    state.overAt_ = now;
+    return std::clamp(std::max(soonest, now - state.overSince_), leastRetryAfter, longestRetryAfter);
 }
 
 auto RateGate::takeCommon(State& state, int wanted) -> int
--- a/src/gateway/rate_gate.h
+++ b/src/gateway/rate_gate.h
@@ -83,11 +83,15 @@
         double granted_ = 0;
         MonotonicTime grantedUntil_ {};
         MonotonicTime deniedUntil_ {};
+        // Since when it has been over its rate without a pause; and the last denial.
+        MonotonicTime overSince_ {};
+        MonotonicTime overAt_ {};
         double arrivalsPerSecond_ = 0;
         MonotonicTime arrivedAt_ {};
         std::deque<Done> waiting_;
         std::uint64_t ask_ = 0;
         int asked_ = 0;
+        int wanted_ = 0;
         std::unique_ptr<Alarm> askLimit_;
     };
 
@@ -102,7 +106,10 @@
     auto askAgain(const std::string& workspace) -> void;
     auto takeCommon(State& state, int wanted) -> int;
     auto pastGrant(const RateAsk& ask) -> std::optional<RateGrant>;
-    auto settle(State& state, Duration retryAfter) -> void;
+    // Gives out granted tokens to those that wait, and refuses the rest if there are no more to be had.
+    auto settle(State& state, bool isMoreToCome, Duration retryAfter) -> void;
+    // Notes a denial; returns when its caller should come back.
+    auto returnTime(State& state, Duration soonest) -> Duration;
     auto wanted(const State& state) const -> int;
 
     const Clock& clock_;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -135,6 +135,7 @@
 {
     if (isDone_)
         return;
+    rate_ = verdict;
     if (!verdict.admitted_)
         return finishOwn(429, "over-rate", Executed::No, std::max<Duration>(leastRetryAfter, verdict.retryAfter_));
     prepare();
@@ -343,8 +344,12 @@
     fields["version"] = index_ ? index_->declaration().version_ : 0;
     if (route_ != nullptr)
         fields["route"] = route_->name_;
-    if (workspace_ != nullptr)
+    if (workspace_ != nullptr) {
         fields["workspace"] = workspace_->name_;
+        fields["rate_per_s"] = workspace_->ratePerSecond_;
+        fields["burst"] = workspace_->burst_;
+        fields["token"] = rate_.source_;
+    }
     if (forwarded_) {
         fields["usual_ms"] = milliseconds(query_.usualWork_);
         fields["longest_wait_ms"] = milliseconds(query_.longestWait_);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -95,6 +95,7 @@
     MonotonicTime arrivedAt_;
     MonotonicTime endsAt_ {};
     std::uint64_t fingerprint_ = 0;
+    RateVerdict rate_;
     int sends_ = 0;
     int failedConnects_ = 0;
     bool mayHaveRun_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
+#include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
@@ -196,6 +197,8 @@
 
 auto main(int argc, char** argv) -> int
 {
+    // Until a daemon handles it, a request to read settings again must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     showOwnFlags();
     absl::SetProgramUsageMessage(sapphirepass::usage.data());
     return sapphirepass::dispatch(absl::ParseCommandLine(argc, argv));
--- a/standin/loop_peer.cpp
+++ b/standin/loop_peer.cpp
@@ -128,7 +128,7 @@
 LoopClient::LoopClient(asio::io_context& loop, const SocketAddress& server)
     : socket_(loop)
 {
-    socket_.connect({ loopback, server.port_ });
+    socket_.connect({ asio::ip::make_address_v4(server.host_), server.port_ });
     read();
 }
 
@@ -171,10 +171,10 @@
     return true;
 }
 
-auto freeAddress(asio::io_context& loop) -> SocketAddress
+auto freeAddress(asio::io_context& loop, const std::string& host) -> SocketAddress
 {
-    const Tcp::acceptor probe(loop, Tcp::endpoint(loopback, 0));
-    return { "127.0.0.1", probe.local_endpoint().port() };
+    const Tcp::acceptor probe(loop, Tcp::endpoint(asio::ip::make_address_v4(host), 0));
+    return { host, probe.local_endpoint().port() };
 }
 
 } // namespace sapphirepass::standin
--- a/tests/gateway_limits_test.cpp
+++ b/tests/gateway_limits_test.cpp
@@ -309,6 +309,46 @@
     CHECK(static_cast<double>(outcome.refused_) <= static_cast<double>(outcome.asked_) * 0.01);
 }
 
+// A keeper that grants one token at each ask must not let the others wait without end.
+TEST_CASE("requests beyond what a keeper has are refused at once, not held", "[rates]")
+{
+    const std::size_t count = GENERATE(1, 3, 12);
+    CAPTURE(count);
+    Fleet fleet(count);
+    const DeclaredWorkspace workspace { "acme", {}, std::nullopt, 100, 100, {} };
+    std::size_t asked = 0;
+    std::size_t told = 0;
+    for (int i = 0; i < 5'000; ++i) {
+        fleet.step(1ms);
+        ++asked;
+        fleet.limiters_[0]->rates_.admit(workspace, [&](const RateVerdict&) { ++told; });
+        // One round trip of requests may wait, and one more that was asked for.
+        CHECK(asked - told <= 80);
+    }
+}
+
+TEST_CASE("callers of a workspace that stays over its rate are told to come back later and later", "[rates]")
+{
+    Fleet fleet(3);
+    Duration first {};
+    Duration last {};
+    const DeclaredWorkspace workspace { "acme", {}, std::nullopt, 100, 100, {} };
+    for (int i = 0; i < 5'000; ++i) {
+        fleet.step(1ms);
+        fleet.limiters_[0]->rates_.admit(workspace, [&](const RateVerdict& verdict) {
+            if (verdict.admitted_)
+                return;
+            first = first == Duration::zero() ? verdict.retryAfter_ : first;
+            last = verdict.retryAfter_;
+        });
+    }
+    CHECK(first > 0ms);
+    CHECK(first <= 200ms);
+    CHECK(last == 2s);
+    fleet.step(3s);
+    fleet.limiters_[0]->rates_.admit(workspace, [](const RateVerdict& verdict) { CHECK(verdict.admitted_); });
+}
+
 TEST_CASE("a workspace without a rate is never refused", "[rates]")
 {
     Fleet fleet(1);
