--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -21,6 +21,8 @@
     constexpr int mostFailedConnects = 4;
     // Work that would start after this part of the time left ends too late for most requests.
     constexpr double waitPart = 0.4;
+    // An answer that takes this many times the usual work says something about its upstream.
+    constexpr int patience = 2;
     // Until a declaration or an upstream is known: about the time of a restart's first reads.
     constexpr Duration startupRetry = 500ms;
     // A refusal by load asks for a return after about the time of the work ahead.
@@ -302,8 +304,7 @@
     if (isDone_)
         return;
     const bool ran = mayHaveRun_ || attempt_ != nullptr;
-    if (attempt_)
-        context_.upstreams_.noteAttempt(*sent_.upstream_, AttemptHealth::Failed);
+    noteUnanswered();
     finishOwn(ran ? 504 : 503, "timeout", ran ? Executed::Unknown : Executed::No);
 }
 
@@ -312,11 +313,22 @@
     if (isDone_)
         return;
     isDone_ = true;
+    noteUnanswered();
     releaseAttempt();
     deadline_.reset();
     tellEnd(0, "caller-left");
 }
 
+// One that has answered nobody since then is silent, not slow.
+auto RequestRun::noteUnanswered() -> void
+{
+    const auto waited = context_.clock_.now() - sent_.at_;
+    if (!attempt_ || waited < query_.usualWork_ * patience)
+        return;
+    const bool isSilent = sent_.upstream_->loadAt_ < sent_.at_;
+    context_.upstreams_.noteAttempt(*sent_.upstream_, isSilent ? AttemptHealth::Lost : AttemptHealth::Failed);
+}
+
 auto RequestRun::finishOwn(unsigned status, std::string_view reason, Executed executed, std::optional<Duration> retryAfter) -> void
 {
     finish(ownAnswer(status, reason, executed, retryAfter), reason);
--- a/src/gateway/request_run.h
+++ b/src/gateway/request_run.h
@@ -79,6 +79,8 @@
     auto tellEnd(unsigned status, std::string_view reason) -> void;
     auto left() const -> Duration { return endsAt_ - context_.clock_.now(); }
     auto releaseAttempt() -> void;
+    // Judges an upstream whose answer is no longer waited for.
+    auto noteUnanswered() -> void;
 
     RequestContext& context_;
     OutgoingRequest request_;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -393,6 +393,35 @@
     CHECK(fixture.caller_.calls().front().upstream_->inFlight_ == 0);
 }
 
+// Seen on a standard day: a server that had lost power got requests until its connections timed out.
+TEST_CASE("an upstream that answers nobody is left alone once a caller or the time gave up", "[request]")
+{
+    Fixture fixture;
+    const auto run = fixture.start(fixture.request("/order/1"));
+    const auto upstream = fixture.caller_.calls().front().upstream_;
+    const bool leaves = GENERATE(false, true);
+    const bool answersOthers = GENERATE(false, true);
+    CAPTURE(leaves, answersOthers);
+    fixture.alarms_.advance(800ms);
+    if (answersOthers)
+        fixture.upstreams_.noteLoad(*upstream, { 1, 0, 4 });
+    if (leaves)
+        run->cancel();
+    else
+        fixture.alarms_.advance(500ms);
+    CHECK((upstream->restsUntil_ > fixture.clock_.now()) == !answersOthers);
+    CHECK(upstream->failing_ > 0);
+}
+
+TEST_CASE("a caller that leaves soon says nothing of the upstream", "[request]")
+{
+    Fixture fixture;
+    const auto run = fixture.start(fixture.request("/order/1"));
+    fixture.alarms_.advance(50ms);
+    run->cancel();
+    CHECK(fixture.caller_.calls().front().upstream_->failing_ == 0);
+}
+
 TEST_CASE("a manifest change does not touch requests under way", "[request]")
 {
     Fixture fixture;
