--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -11,6 +11,9 @@
 // Calendar time in UTC; only for people to read, never for decisions.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+inline auto inSeconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+inline auto fromSeconds(double seconds) -> Duration { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)); }
+
 class Clock {
 public:
     virtual ~Clock() = default;
--- a/src/gateway/answer.cpp
+++ b/src/gateway/answer.cpp
@@ -13,7 +13,7 @@
     response.result(status);
     response.set(http::field::content_type, "application/problem+json");
     if (retryAfter)
-        response.set(http::field::retry_after, fmt::format("{:.2f}", std::chrono::duration<double>(*retryAfter).count()));
+        response.set(http::field::retry_after, fmt::format("{:.2f}", inSeconds(*retryAfter)));
     const nlohmann::ordered_json problem { { "title", title }, { "status", status }, { "executed", executed == Executed::No ? "no" : "unknown" } };
     response.body() = problem.dump();
     return response;
--- a/src/gateway/object_demand.cpp
+++ b/src/gateway/object_demand.cpp
@@ -9,8 +9,6 @@
     constexpr double memorySeconds = 3;
     // Objects that are remembered; beyond it, those of more than a few time constants ago are forgotten.
     constexpr std::size_t mostObjects = 8'192;
-
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 }
 
 auto ObjectDemand::note(std::uint64_t object) -> double
@@ -19,7 +17,7 @@
     if (entries_.size() >= mostObjects)
         forgetOld();
     auto& entry = entries_[object];
-    const double fading = std::exp(-seconds(now - entry.at_) / memorySeconds);
+    const double fading = std::exp(-inSeconds(now - entry.at_) / memorySeconds);
     entry.count_ = entry.count_ * fading + 1;
     entry.at_ = now;
     return entry.count_ / memorySeconds;
@@ -28,7 +26,7 @@
 auto ObjectDemand::forgetOld() -> void
 {
     const auto now = clock_.now();
-    std::erase_if(entries_, [now](const auto& item) { return seconds(now - item.second.at_) > memorySeconds; });
+    std::erase_if(entries_, [now](const auto& item) { return inSeconds(now - item.second.at_) > memorySeconds; });
     // All of them are in demand: start anew rather than grow.
     if (entries_.size() >= mostObjects)
         entries_.clear();
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -28,7 +28,6 @@
     constexpr double coldPart = 0.8;
     // An upstream that fails or sheds more than this share of its attempts is used last.
     constexpr double failingShare = 0.5;
-
 }
 
 namespace {
@@ -78,7 +77,7 @@
     if (now >= upstream.coldUntil_ || query.coldPerSecond_ <= 0 || !senders)
         return;
     const double pace = query.coldPerSecond_ * coldPart / static_cast<double>(*senders);
-    upstream.nextColdSend_ = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / pace));
+    upstream.nextColdSend_ = now + fromSeconds(1 / pace);
 }
 
 // The stated load counts requests of all instances, the own ones those sent since.
@@ -161,7 +160,7 @@
         return 2;
     const double perSecond = demand_.note(*query.object_);
     const auto peers = static_cast<double>(fleet_.readyMembers(ownRegion_).size() + 1);
-    const double work = std::chrono::duration<double>(query.latencyTarget_).count() * warmPart;
+    const double work = inSeconds(query.latencyTarget_) * warmPart;
     const double slots = near.empty() ? 1 : near.front().upstream_->entry_.slots_;
     const double needed = perSecond * peers * work / (slots * ownerUse);
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(needed)));
--- a/src/gateway/rate_gate.cpp
+++ b/src/gateway/rate_gate.cpp
@@ -35,9 +35,6 @@
     // A workspace without a denial for this time is no longer over its rate.
     constexpr Duration overPause = 1s;
     constexpr Duration longestRetryAfter = 2s;
-
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
-    auto duration(double seconds) -> Duration { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)); }
 }
 
 auto TokenBucket::refill(MonotonicTime now, double perSecond, double capacity, double initial) -> void
@@ -45,7 +42,7 @@
     if (filledAt_ == MonotonicTime {})
         tokens_ = initial;
     else
-        tokens_ += seconds(now - filledAt_) * perSecond;
+        tokens_ += inSeconds(now - filledAt_) * perSecond;
     tokens_ = std::min(capacity, tokens_);
     filledAt_ = now;
 }
@@ -77,7 +74,7 @@
 // In a window, buckets give their capacity and what refills: together no more than the window allows.
 auto RateGate::fleetCapacity(const Limit& limit) const -> double
 {
-    const double tolerated = (limit.ratePerSecond_ * seconds(tolerance_.window_) + limit.burst_) * tolerance_.over_ + tolerance_.slack_;
+    const double tolerated = (limit.ratePerSecond_ * inSeconds(tolerance_.window_) + limit.burst_) * tolerance_.over_ + tolerance_.slack_;
     return (limit.burst_ + tolerated) * capacityPart;
 }
 
@@ -116,7 +113,7 @@
 auto RateGate::noteArrival(State& state) -> void
 {
     const auto now = clock_.now();
-    const double elapsed = state.arrivedAt_ == MonotonicTime {} ? arrivalMemory : seconds(now - state.arrivedAt_);
+    const double elapsed = state.arrivedAt_ == MonotonicTime {} ? arrivalMemory : inSeconds(now - state.arrivedAt_);
     state.arrivalsPerSecond_ = state.arrivalsPerSecond_ * std::exp(-elapsed / arrivalMemory) + 1 / arrivalMemory;
     state.arrivedAt_ = now;
 }
@@ -255,7 +252,7 @@
     grant.granted_ = static_cast<std::uint16_t>(takeCommon(state, std::min<int>(ask.wanted_, mostWanted)));
     const double missing = std::max(0.0, 1 - state.common_.tokens());
     if (grant.granted_ == 0 && state.limit_.ratePerSecond_ > 0)
-        grant.retryAfter_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::min<Duration>(2s, duration(missing / state.limit_.ratePerSecond_)));
+        grant.retryAfter_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::min<Duration>(2s, fromSeconds(missing / state.limit_.ratePerSecond_)));
     pastGrants_.push_back({ clock_.now(), grant });
     return grant;
 }
--- a/src/gateway/region_shares.cpp
+++ b/src/gateway/region_shares.cpp
@@ -19,7 +19,6 @@
     // Time constant of the measured share of spills.
     constexpr double spillMemory = 2.0;
 
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 
     auto shareOf(const std::vector<RegionShare>& shares, const std::string& region) -> double
     {
@@ -82,7 +81,7 @@
     if (state.shares_.empty())
         state.shares_ = target;
     else if (!target.empty())
-        state.shares_ = moveTowards(state.shares_, target, seconds(now - state.movedAt_) * movePerSecond);
+        state.shares_ = moveTowards(state.shares_, target, inSeconds(now - state.movedAt_) * movePerSecond);
     state.movedAt_ = now;
     return state.shares_;
 }
@@ -90,7 +89,7 @@
 auto SpillGate::fade() -> void
 {
     const auto now = clock_.now();
-    const double elapsed = at_ == MonotonicTime {} ? 0 : seconds(now - at_);
+    const double elapsed = at_ == MonotonicTime {} ? 0 : inSeconds(now - at_);
     const double fading = std::exp(-elapsed / spillMemory);
     requests_ *= fading;
     spills_ *= fading;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -29,7 +29,6 @@
     constexpr Duration leastRetryAfter = 150ms;
 
     auto view(boost::beast::string_view text) -> std::string_view { return { text.data(), text.size() }; }
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
     auto milliseconds(Duration duration) -> std::int64_t { return duration / 1ms; }
 
     // Regions in both lists; an empty list stands for all regions.
@@ -246,7 +245,7 @@
         context_.upstreams_.noteAttempt(*sent_.upstream_, AttemptHealth::Answered);
         const auto work = context_.clock_.now() - sent_.at_;
         context_.workTimes_.note(route_->name_, work);
-        context_.metrics_.observe({ "gateway_upstream_seconds", {} }, seconds(work));
+        context_.metrics_.observe({ "gateway_upstream_seconds", {} }, inSeconds(work));
         return finish(forwardedResponse(std::move(response)), "answered");
     }
     onFailure(std::move(response));
@@ -347,7 +346,7 @@
     const auto took = context_.clock_.now() - arrivedAt_;
     const auto outcome = fmt::format("outcome=\"{}\"", reason);
     context_.metrics_.increment({ "gateway_requests_total", outcome });
-    context_.metrics_.observe({ "gateway_request_seconds", outcome }, seconds(took));
+    context_.metrics_.observe({ "gateway_request_seconds", outcome }, inSeconds(took));
     const bool success = status / 100 == 2;
     if (success && !context_.log_.keepsSuccess(marks_.attempt_))
         return;
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -17,8 +17,6 @@
     constexpr Duration failureMemory = 1500ms;
     // Weight of the newest attempt in the share of failures.
     constexpr double failureWeight = 0.25;
-
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 }
 
 UpstreamSet::UpstreamSet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
@@ -120,7 +118,7 @@
 auto UpstreamSet::noteAttempt(Upstream& upstream, AttemptHealth health) -> void
 {
     const auto now = clock_.now();
-    const double faded = upstream.failing_ * std::exp(-seconds(now - upstream.failingAt_) / seconds(failureMemory));
+    const double faded = upstream.failing_ * std::exp(-inSeconds(now - upstream.failingAt_) / inSeconds(failureMemory));
     const double newest = health == AttemptHealth::Answered ? 0 : 1;
     upstream.failing_ = faded * (1 - failureWeight) + newest * failureWeight;
     upstream.failingAt_ = now;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -38,7 +38,6 @@
     }
 
     auto asMetric(std::uint64_t value) -> std::int64_t { return static_cast<std::int64_t>(value); }
-    auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
 }
 
 // A request of a caller as the gateway counts it.
@@ -167,7 +166,7 @@
     HttpResponse response;
     response.result(200);
     response.set(http::field::content_type, "application/json");
-    response.body() = nlohmann::json { { "addresses", addresses }, { "ttl_s", seconds(settings_.directoryTtl_) } }.dump();
+    response.body() = nlohmann::json { { "addresses", addresses }, { "ttl_s", inSeconds(settings_.directoryTtl_) } }.dump();
     return response;
 }
 
@@ -335,7 +334,7 @@
 auto Gateway::end() -> void
 {
     isEnded_ = true;
-    log_.write(EventId::GatewayStopped, { { "in_flight", inFlight_ }, { "ran_s", seconds(clock_.now() - startedAt_) } });
+    log_.write(EventId::GatewayStopped, { { "in_flight", inFlight_ }, { "ran_s", inSeconds(clock_.now() - startedAt_) } });
     log_.flush();
     adapter_.source_->stop();
     loop_.stop();
--- a/src/loop/line_log.cpp
+++ b/src/loop/line_log.cpp
@@ -44,7 +44,7 @@
 auto LineLog::write(EventId id, LogFields fields) -> void
 {
     const auto now = clock_.now();
-    const double elapsed = std::chrono::duration<double>(now - filledAt_).count();
+    const double elapsed = inSeconds(now - filledAt_);
     filledAt_ = now;
     allowance_ = std::min(bounds_.bytesPerSecond_ * burstSeconds, allowance_ + elapsed * bounds_.bytesPerSecond_);
     if (!append(id, fields)) {
