--- a/src/gateway/region_shares.cpp
+++ b/src/gateway/region_shares.cpp
@@ -19,7 +19,6 @@
     // Time constant of the measured share of spills.
     constexpr double spillMemory = 2.0;
 
-
     auto shareOf(const std::vector<RegionShare>& shares, const std::string& region) -> double
     {
         const auto found = std::find_if(shares.begin(), shares.end(), [&region](const auto& share) { return share.region_ == region; });
