--- a/tests/region_shares_test.cpp
+++ b/tests/region_shares_test.cpp
@@ -64,13 +64,13 @@
 {
     ManualClock clock;
     RegionShares shares(clock);
-    const std::vector<RegionRoom> even { { "a", 40 }, { "b", 40 } };
-    const std::vector<RegionRoom> lost { { "a", 4 }, { "b", 40 } };
-    CHECK(shareIn(shares.current("core", "a", [&even] { return even; }), "a") == 1);
+    std::vector<RegionRoom> even { { "a", 40 }, { "b", 40 } };
+    std::vector<RegionRoom> lost { { "a", 4 }, { "b", 40 } };
+    CHECK(shareIn(shares.current("core", "a", [&even] { return std::vector(even); }), "a") == 1);
     std::deque<double> history;
     for (int tick = 0; tick < 300; ++tick) {
         clock.advance(100ms);
-        history.push_back(shareIn(shares.current("core", "a", [&lost] { return lost; }), "a"));
+        history.push_back(shareIn(shares.current("core", "a", [&lost] { return std::vector(lost); }), "a"));
         if (history.size() > 40)
             CHECK(history[history.size() - 40] - history.back() <= 0.17);
     }
