An instance whose watch was swallowed learns from heartbeats that it has missed a change

Cause: a watch whose request or answer is lost on a connection that stays open held an instance at its old declaration until the watch's own limit (21.5 s); keep-alive probes see a living peer. Shown by a test with two gateways on one store that reads one watch and never answers it: the instance stayed at version 2 until the test gave up after 20 s. Change: heartbeats tell the newest change of each feed that was taken in. Before: the test fails.

--- a/src/gateway/belief_source.h
+++ b/src/gateway/belief_source.h
@@ -4,6 +4,8 @@
 #include "gateway/declaration_type.h"
 #include "gateway/upstream_type.h"
 
+#include <array>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
@@ -16,6 +18,18 @@
     Upstreams,
     Evacuations };
 
+inline constexpr std::array<Feed, 3> allFeeds { Feed::Declaration, Feed::Upstreams, Feed::Evacuations };
+
+// How far a feed has come, in the platform's own count of changes.
+struct FeedPosition {
+    // The newest change of this feed that was taken in.
+    std::uint64_t newestChange_ = 0;
+    // Every change up to here would have been seen.
+    std::uint64_t seenUpTo_ = 0;
+
+    auto operator<=>(const FeedPosition&) const = default;
+};
+
 // An instance of the gateway as the platform lists it; it may be gone.
 struct ListedInstance {
     std::string name_;
@@ -48,6 +62,9 @@
     virtual auto stop() -> void = 0;
     // Calls to the platform so far.
     virtual auto calls() const -> std::uint64_t = 0;
+    virtual auto position(Feed feed) const -> FeedPosition = 0;
+    // Asks the platform anew on another connection: others have heard of a change that did not come here.
+    virtual auto renew(Feed feed) -> void = 0;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/beliefs.cpp
+++ b/src/gateway/beliefs.cpp
@@ -134,6 +134,11 @@
     log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
 }
 
+auto Beliefs::feedBehind(Feed feed, const FeedPosition& own, std::uint64_t newestElsewhere) -> void
+{
+    log_.write(EventId::SourceBehind, { { "feed", feedName(feed) }, { "seen_up_to", own.seenUpTo_ }, { "newest_elsewhere", newestElsewhere } });
+}
+
 auto Beliefs::lostFor(Feed feed) const -> Duration
 {
     const auto found = feeds_.find(feed);
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -32,6 +32,9 @@
             report.crashes_.push_back({ crash.getFingerprint(), crash.getUpstreams() });
         for (const auto address : reader.getKnown())
             report.known_.push_back(readAddress(address));
+        const auto newest = reader.getNewestChanges();
+        for (unsigned i = 0; i < newest.size() && i < report.newestChanges_.size(); ++i)
+            report.newestChanges_.at(i) = newest[i];
         return report;
     }
 
@@ -58,6 +61,9 @@
         auto known = heartbeat.initKnown(static_cast<unsigned>(report.known_.size()));
         for (unsigned i = 0; i < known.size(); ++i)
             writeAddress(known[i], report.known_[i]);
+        auto newest = heartbeat.initNewestChanges(static_cast<unsigned>(report.newestChanges_.size()));
+        for (unsigned i = 0; i < newest.size(); ++i)
+            newest.set(i, report.newestChanges_.at(i));
     }
 
     auto write(wire::PeerDatagram::Builder builder, const RateAsk& ask) -> void
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -121,6 +121,16 @@
     return std::min(most, spenders());
 }
 
+auto FleetView::newestChangeHeard(std::size_t feed) const -> std::uint64_t
+{
+    std::uint64_t newest = 0;
+    for (const auto& [name, member] : members_) {
+        if (isFresh(member))
+            newest = std::max(newest, member.report_.newestChanges_.at(feed));
+    }
+    return newest;
+}
+
 auto FleetView::crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t
 {
     std::uint32_t upstreams = 0;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/socket_address.h"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -38,6 +39,8 @@
     std::vector<CrashCount> crashes_;
     // Peer addresses of instances that the sender has heard of late.
     std::vector<SocketAddress> known_;
+    // The newest change of each feed that the sender has taken in.
+    std::array<std::uint64_t, 3> newestChanges_ {};
 
     auto operator<=>(const MemberReport&) const = default;
 };
@@ -83,6 +86,8 @@
     auto keeperOf(std::string_view workspace) const -> std::optional<Keeper>;
     // Whether this instance is among the few that send to a cold upstream, and how many these are.
     auto coldSenders(std::string_view upstream, std::size_t most) const -> std::optional<std::size_t>;
+    // The newest change of a feed, by its number, that any instance has told of late.
+    auto newestChangeHeard(std::size_t feed) const -> std::uint64_t;
     auto crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t;
 
 private:
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -85,6 +85,7 @@
     , upstreams_(clock, settings_.domains_)
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
     , beliefs_(clock, upstreams_, fleet_, log_)
+    , feedLag_(clock)
     , placer_(clock, upstreams_, fleet_, settings_.region_)
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
@@ -210,6 +211,7 @@
         fleet_.forgetSilent();
         sendHeartbeat();
         noteFleet();
+        renewFeeds();
     }
     for (auto* listener : { &front_, &directory_, &ready_, &control_ })
         listener->sweep();
@@ -240,7 +242,10 @@
     auto phase = isReady() ? MemberPhase::Ready : MemberPhase::Starting;
     if (isStopping_)
         phase = MemberPhase::Stopping;
-    return { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, phase, {}, {} };
+    MemberReport report { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, phase, {}, {}, {} };
+    for (const auto feed : allFeeds)
+        report.newestChanges_.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed).newestChange_;
+    return report;
 }
 
 auto Gateway::sendHeartbeat() -> void
@@ -296,6 +301,19 @@
     rates_.setLimits(beliefs_.index()->declaration().workspaces_);
 }
 
+// A watch whose answer was lost on a connection that stays open would else keep its feed behind until its time limit.
+auto Gateway::renewFeeds() -> void
+{
+    for (const auto feed : allFeeds) {
+        const auto own = adapter_.source_->position(feed);
+        const auto newest = fleet_.newestChangeHeard(static_cast<std::size_t>(feed));
+        if (!feedLag_.isDue(feed, own, newest))
+            continue;
+        beliefs_.feedBehind(feed, own, newest);
+        adapter_.source_->renew(feed);
+    }
+}
+
 auto Gateway::noteFleet() -> void
 {
     const auto ready = fleet_.anyReadyMembers().size();
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/beliefs.h"
+#include "gateway/feed_lag.h"
 #include "gateway/request_run.h"
 #include "loop/caller_listener.h"
 #include "loop/datagram_socket.h"
@@ -82,6 +83,7 @@
     auto sendAsk(const Keeper& keeper, const RateAsk& ask) -> void override;
     auto onDeclaration() -> void;
     auto seedPeers() const -> std::vector<SocketAddress>;
+    auto renewFeeds() -> void;
     auto noteFleet() -> void;
     auto noteStatus() -> void;
     auto continueStop() -> void;
@@ -97,6 +99,7 @@
     UpstreamSet upstreams_;
     FleetView fleet_;
     Beliefs beliefs_;
+    FeedLag feedLag_;
     Placer placer_;
     RateGate rates_;
     RetryGate retries_;
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -67,7 +67,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -335,6 +335,9 @@
   inline bool hasKnown() const;
   inline  ::capnp::List< ::sapphirepass::wire::PeerAddress,  ::capnp::Kind::STRUCT>::Reader getKnown() const;
 
+  inline bool hasNewestChanges() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNewestChanges() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -418,6 +421,14 @@
   inline void adoptKnown(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::PeerAddress,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::PeerAddress,  ::capnp::Kind::STRUCT>> disownKnown();
 
+  inline bool hasNewestChanges();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getNewestChanges();
+  inline void setNewestChanges( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setNewestChanges(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initNewestChanges(unsigned int size);
+  inline void adoptNewestChanges(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNewestChanges();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1096,6 +1107,44 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasNewestChanges() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasNewestChanges() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getNewestChanges() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getNewestChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setNewestChanges( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setNewestChanges(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initNewestChanges(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptNewestChanges(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownNewestChanges() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -105,6 +105,10 @@
 {
     connection->kind_ = kind;
     if (const auto from = valueIn(query, "watch"); !from.empty()) {
+        if (const auto left = swallowed_.find(kind); left != swallowed_.end() && left->second > 0) {
+            --left->second;
+            return;
+        }
         connection->watchFrom_ = std::stoll(from);
         if (!answerWatch(connection))
             watching_.push_back(connection);
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -30,6 +30,9 @@
     // Forgets what has changed so far, and cuts the watches that wait.
     auto forgetHistory() -> void;
     auto cutWatches() -> void;
+    // The next so many watches of a kind are read and never answered; their connections stay open.
+    auto swallowWatches(const std::string& kind, std::size_t count) -> void { swallowed_[kind] = count; }
+    auto isSwallowed(const std::string& kind) const -> bool { return swallowed_.contains(kind) && swallowed_.at(kind) == 0; }
     auto calls() const -> std::size_t { return calls_; }
     auto objects(const std::string& kind) const -> std::size_t;
     auto setPage(std::size_t page) -> void { page_ = page; }
@@ -61,6 +64,7 @@
     std::size_t page_ = 50;
     std::function<void(const std::string&)> pageAction_;
     std::size_t calls_ = 0;
+    std::map<std::string, std::size_t> swallowed_;
     std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
     std::vector<Change> history_;
     std::vector<std::shared_ptr<Connection>> watching_;
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -1,5 +1,6 @@
 // What an instance knows of the others, and heartbeats as bytes.
 #include "gateway/datagram_codec.h"
+#include "gateway/feed_lag.h"
 #include "gateway/fleet_view.h"
 
 #include <catch2/catch.hpp>
@@ -53,6 +54,59 @@
     }
 }
 
+TEST_CASE("a feed is behind when one change that others have told stays away", "[feed-lag]")
+{
+    ManualClock clock;
+    FeedLag lag(clock);
+    const auto isDue = [&](std::uint64_t seenUpTo, std::uint64_t elsewhere) { return lag.isDue(Feed::Declaration, { seenUpTo, seenUpTo }, elsewhere); };
+    SECTION("not before the change had time to come")
+    {
+        CHECK_FALSE(isDue(10, 12));
+        clock.advance(900ms);
+        CHECK_FALSE(isDue(10, 12));
+        clock.advance(200ms);
+        CHECK(isDue(10, 12));
+        CHECK_FALSE(isDue(10, 12));
+    }
+    SECTION("not under a stream of changes that do come, each a little later")
+    {
+        for (std::uint64_t change = 10; change < 60; ++change) {
+            CHECK_FALSE(isDue(change, change + 2));
+            clock.advance(400ms);
+        }
+    }
+    SECTION("a change that never was causes fewer and fewer calls")
+    {
+        int calls = 0;
+        for (int second = 0; second < 600; ++second) {
+            calls += isDue(10, 1'000'000) ? 1 : 0;
+            clock.advance(1s);
+        }
+        CHECK(calls > 5);
+        CHECK(calls < 45);
+    }
+    SECTION("the other feeds are counted for themselves")
+    {
+        CHECK_FALSE(isDue(10, 12));
+        clock.advance(2s);
+        CHECK_FALSE(lag.isDue(Feed::Upstreams, { 10, 10 }, 12));
+        CHECK(isDue(10, 12));
+    }
+}
+
+TEST_CASE("what instances that fell silent have told of changes is forgotten", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    auto heard = report("a");
+    heard.newestChanges_ = { 7, 9, 0 };
+    fleet.hear(heard);
+    CHECK(fleet.newestChangeHeard(0) == 7);
+    CHECK(fleet.newestChangeHeard(1) == 9);
+    clock.advance(3s);
+    CHECK(fleet.newestChangeHeard(1) == 0);
+}
+
 TEST_CASE("all instances in touch name the same keeper of a workspace", "[fleet-view]")
 {
     ManualClock clock;
@@ -106,6 +160,7 @@
     sent.domain_ = "north-a";
     sent.crashes_ = { { 9, 2 } };
     sent.known_ = { { "127.0.0.1", 8009 } };
+    sent.newestChanges_ = { 5, 0, 1'000'000'000'000 };
     const auto datagram = GENERATE_COPY(PeerDatagram(sent), PeerDatagram(RateAsk { 5, "acme", 3 }), PeerDatagram(RateGrant { 5, "acme", 0, 250ms }));
     const auto received = decodeDatagram(encodeDatagram(datagram));
     REQUIRE(isOk(received));
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -274,6 +274,45 @@
     CHECK(client.count("Connection: close") == 1);
 }
 
+namespace {
+
+// A second gateway beside that of the fixture.
+struct SecondGateway {
+    explicit SecondGateway(GatewayFixture& fixture)
+        : settings_(fixture.settings_)
+    {
+        settings_.name_ = "e2";
+        for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
+            *address = freeAddress(fixture.loop_);
+        GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), 300ms) };
+        gateway_ = std::make_unique<Gateway>(fixture.loop_, fixture.clock_, settings_, std::move(adapter));
+        REQUIRE(gateway_->start().empty());
+    }
+
+    GatewaySettings settings_;
+    std::unique_ptr<Gateway> gateway_;
+};
+
+}
+
+// The swallowed watch would end by itself after 21.5 s; runUntil gives up earlier.
+TEST_CASE("an instance whose watch is swallowed learns from the others that it has missed a change", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("config", "main", manifest(1));
+    fixture.start();
+    SecondGateway second(fixture);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady() && second.gateway_->isReady(); }));
+    fixture.store_.swallowWatches("config", 1);
+    fixture.store_.put("config", "main", manifest(2));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.isSwallowed("config"); }));
+    fixture.store_.put("config", "main", manifest(3));
+    const auto isAtThree = [&](const GatewaySettings& settings) {
+        return fixture.ask(settings.control_, "/metrics").find("gateway_declaration_version 3") != std::string::npos;
+    };
+    CHECK(runUntil(fixture.loop_, [&] { return isAtThree(fixture.settings_) && isAtThree(second.settings_); }));
+}
+
 TEST_CASE("two gateways find each other through the store and name each other", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
