Upstreams that become cold while the store is away are found by health requests and spared

No instance could know; each such upstream went on getting 10 to 13 requests a second, 8.8 allowed. Ruled out: senders that disagree (the upstreams were not known as cold at all); same-id restarts. Change: while at least half of the instances hear no news of upstreams, each upstream is asked for its health every 200 ms by one instance, which tells the others in a heartbeat. An upstream that becomes cold while in use gets nothing for a second.

--- a/src/gateway/beliefs.cpp
+++ b/src/gateway/beliefs.cpp
@@ -134,6 +134,12 @@
     log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
 }
 
+auto Beliefs::noteFleetOutage() -> void
+{
+    if (fleet_.isSourceLost())
+        feeds_[Feed::Upstreams].doubtUntil_ = clock_.now() + returnTime;
+}
+
 auto Beliefs::feedBehind(Feed feed, const FeedPosition& own, std::uint64_t newestElsewhere) -> void
 {
     log_.write(EventId::SourceBehind, { { "feed", feedName(feed) }, { "seen_up_to", own.seenUpTo_ }, { "newest_elsewhere", newestElsewhere } });
--- a/src/gateway/beliefs.h
+++ b/src/gateway/beliefs.h
@@ -30,6 +30,8 @@
     // Whether requests can be decided: everything has been heard at least once.
     auto isComplete() const -> bool { return index_ && hasUpstreams_ && hasEvacuations_ && hasInstances_; }
     auto lostFor(Feed feed) const -> Duration;
+    // Remembers an outage that the other instances notice, also where this one's watch is still open. Called now and then.
+    auto noteFleetOutage() -> void;
     // Others have told a change that did not come here; the platform is asked anew.
     auto feedBehind(Feed feed, const FeedPosition& own, std::uint64_t newestElsewhere) -> void;
     auto onDeclaration(std::function<void()> action) -> void { declarationAction_ = std::move(action); }
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -27,7 +27,14 @@
 
     auto readReport(wire::Heartbeat::Reader reader) -> MemberReport
     {
-        MemberReport report { reader.getName().cStr(), reader.getIncarnation(), readAddress(reader.getFront()), readAddress(reader.getPeer()), reader.getRegion().cStr(), reader.getDomain().cStr(), static_cast<MemberPhase>(reader.getPhase()), {}, {} };
+        MemberReport report;
+        report.name_ = reader.getName().cStr();
+        report.incarnation_ = reader.getIncarnation();
+        report.front_ = readAddress(reader.getFront());
+        report.peer_ = readAddress(reader.getPeer());
+        report.region_ = reader.getRegion().cStr();
+        report.domain_ = reader.getDomain().cStr();
+        report.phase_ = static_cast<MemberPhase>(reader.getPhase());
         for (const auto crash : reader.getCrashes())
             report.crashes_.push_back({ crash.getFingerprint(), crash.getUpstreams() });
         for (const auto address : reader.getKnown())
@@ -35,6 +42,9 @@
         const auto newest = reader.getNewestChanges();
         for (unsigned i = 0; i < newest.size() && i < report.newestChanges_.size(); ++i)
             report.newestChanges_.at(i) = newest[i];
+        report.isSourceLost_ = reader.getSourceLost();
+        for (const auto cold : reader.getColds())
+            report.colds_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
         return report;
     }
 
@@ -64,6 +74,12 @@
         auto newest = heartbeat.initNewestChanges(static_cast<unsigned>(report.newestChanges_.size()));
         for (unsigned i = 0; i < newest.size(); ++i)
             newest.set(i, report.newestChanges_.at(i));
+        heartbeat.setSourceLost(report.isSourceLost_);
+        auto colds = heartbeat.initColds(static_cast<unsigned>(report.colds_.size()));
+        for (unsigned i = 0; i < colds.size(); ++i) {
+            colds[i].setUpstream(report.colds_[i].upstream_);
+            colds[i].setLeftMs(static_cast<std::uint32_t>(report.colds_[i].left_.count()));
+        }
     }
 
     auto write(wire::PeerDatagram::Builder builder, const RateAsk& ask) -> void
--- a/src/gateway/declaration_type.h
+++ b/src/gateway/declaration_type.h
@@ -49,6 +49,8 @@
     // How long an upstream stays cold after its start, and what it bears meanwhile.
     Duration coldFor_ {};
     double coldPerSecond_ = 0;
+    // Where an upstream tells its health; empty if it does not.
+    std::string healthPath_;
 
     auto operator<=>(const DeclaredService&) const = default;
 };
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -90,9 +90,22 @@
     return static_cast<std::size_t>(fresh) * 2 >= members_.size();
 }
 
-auto FleetView::keeperOf(std::string_view workspace) const -> std::optional<Keeper>
+auto FleetView::isSourceLost() const -> bool
 {
-    const auto object = stableHash(workspace);
+    std::size_t heard = 1;
+    std::size_t lost = isSourceLost_ ? 1 : 0;
+    for (const auto& [name, member] : members_) {
+        if (!isFresh(member))
+            continue;
+        ++heard;
+        lost += member.report_.isSourceLost_ ? 1 : 0;
+    }
+    return lost * 2 >= heard;
+}
+
+auto FleetView::keeperOf(std::string_view thing) const -> std::optional<Keeper>
+{
+    const auto object = stableHash(thing);
     std::optional<Keeper> keeper;
     std::uint64_t most = 0;
     const auto consider = [&](const std::string& name, const SocketAddress& peer) {
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -27,6 +27,14 @@
     auto operator<=>(const CrashCount&) const = default;
 };
 
+// An upstream that an instance has found cold while discovery is away.
+struct ColdNotice {
+    std::string upstream_;
+    std::chrono::milliseconds left_ {};
+
+    auto operator<=>(const ColdNotice&) const = default;
+};
+
 struct MemberReport {
     std::string name_;
     // Differs between two starts of one instance.
@@ -41,6 +49,9 @@
     std::vector<SocketAddress> known_;
     // The newest change of each feed that the sender has taken in.
     std::array<std::uint64_t, 3> newestChanges_ {};
+    // The sender does not hear of upstreams from the platform.
+    bool isSourceLost_ = false;
+    std::vector<ColdNotice> colds_;
 
     auto operator<=>(const MemberReport&) const = default;
 };
@@ -69,6 +80,10 @@
     auto expect(const std::string& name, const SocketAddress& peer) -> void;
     // Whether this instance is ready itself.
     auto setReady(bool ready) -> void { isReady_ = ready; }
+    // Whether this instance does not hear of upstreams from the platform.
+    auto setSourceLost(bool lost) -> void { isSourceLost_ = lost; }
+    // At least half of the instances that are heard, this one included, do not hear of upstreams from the platform.
+    auto isSourceLost() const -> bool;
     auto forgetSilent() -> void;
 
     // Ready instances that were heard of late, all regions or one.
@@ -81,9 +96,9 @@
     auto spenders() const -> std::size_t { return members_.size() + 1; }
     // Hears at least half of the others: not on the smaller side of a partition.
     auto isInTouch() const -> bool;
-    // The instance that keeps the common tokens of a workspace: all instances in touch name the same one.
-    // Its own name stands for this instance; nothing if none is ready.
-    auto keeperOf(std::string_view workspace) const -> std::optional<Keeper>;
+    // The instance that keeps the common tokens of a workspace, or looks after an upstream: all instances in touch name
+    // the same one. Its own name stands for this instance; nothing if none is ready.
+    auto keeperOf(std::string_view thing) const -> std::optional<Keeper>;
     // Whether this instance is among the few that send to a cold upstream, and how many these are.
     auto coldSenders(std::string_view upstream, std::size_t most) const -> std::optional<std::size_t>;
     // The newest change of a feed, by its number, that any instance has told of late.
@@ -103,6 +118,7 @@
     std::string self_;
     std::map<std::string, Member> members_;
     bool isReady_ = false;
+    bool isSourceLost_ = false;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -24,6 +24,8 @@
     std::string notRun_;
     // "running,waiting,slots" of an upstream.
     std::string load_;
+    // Milliseconds that an upstream stays cold, in its answers to health requests.
+    std::string coldLeft_;
 
     auto operator<=>(const HeaderNames&) const = default;
 };
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -15,6 +15,8 @@
     constexpr Duration elsewhereRest = 10s;
     // Time in which a share of failures falls to a third without new ones: a few requests at usual rates.
     constexpr Duration failureMemory = 1500ms;
+    // What a cold upstream bears is counted over a second: one that was in use gets nothing for that long.
+    constexpr Duration coldPause = 1s;
     // Weight of the newest attempt in the share of failures.
     constexpr double failureWeight = 0.25;
 }
@@ -58,8 +60,10 @@
         slot->entry_ = entry;
         slot->region_ = regionOf(entry.domain_);
     }
-    if (entry.coldLeft_ > Duration::zero())
-        slot->coldUntil_ = std::max(slot->coldUntil_, now + entry.coldLeft_);
+    if (!sameStart && entry.coldLeft_ > Duration::zero())
+        slot->coldUntil_ = now + entry.coldLeft_;
+    else
+        becomeCold(*slot, entry.coldLeft_);
     rebuildServices();
 }
 
@@ -136,6 +140,28 @@
         upstream.coldUntil_ = std::max(upstream.coldUntil_, upstream.restsUntil_ + coldFor->second);
 }
 
+auto UpstreamSet::coldCount() const -> std::size_t
+{
+    const auto now = clock_.now();
+    return static_cast<std::size_t>(std::count_if(byId_.begin(), byId_.end(), [now](const auto& item) { return item.second->coldUntil_ > now; }));
+}
+
+auto UpstreamSet::noteCold(const std::string& id, Duration left) -> void
+{
+    if (const auto found = byId_.find(id); found != byId_.end())
+        becomeCold(*found->second, left);
+}
+
+auto UpstreamSet::becomeCold(Upstream& upstream, Duration left) -> void
+{
+    const auto now = clock_.now();
+    if (left <= Duration::zero())
+        return;
+    if (upstream.coldUntil_ <= now)
+        upstream.nextColdSend_ = now + coldPause;
+    upstream.coldUntil_ = std::max(upstream.coldUntil_, now + left);
+}
+
 auto UpstreamSet::noteLoad(Upstream& upstream, StatedLoad load) -> void
 {
     upstream.load_ = load;
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -63,6 +63,8 @@
     auto setColdTime(const std::string& service, Duration coldFor) -> void { coldFor_[service] = coldFor; }
 
     auto ofService(const std::string& service) const -> const ServiceUpstreams&;
+    auto byId() const -> const std::map<std::string, UpstreamPtr>& { return byId_; }
+    auto coldCount() const -> std::size_t;
     auto size() const -> std::size_t { return byId_.size(); }
     // May get work at all: named, not draining, its domain not evacuated.
     auto isOpen(const Upstream& upstream) const -> bool;
@@ -70,10 +72,13 @@
     // All declared regions.
     auto regions() const -> const std::set<std::string>& { return regions_; }
     auto noteAttempt(Upstream& upstream, AttemptHealth health) -> void;
+    // Its cold time never ends sooner than was heard before.
+    auto noteCold(const std::string& id, Duration left) -> void;
     auto noteLoad(Upstream& upstream, StatedLoad load) -> void;
 
 private:
     auto rebuildServices() -> void;
+    auto becomeCold(Upstream& upstream, Duration left) -> void;
     auto retire(Upstream& upstream) -> void { upstream.retired_ = true; }
 
     const Clock& clock_;
--- /dev/null
+++ b/src/loop/cold_prober.h
@@ -0,0 +1,39 @@
+// Asks upstreams for their health while discovery is away. See gateway/cold_watch.h.
+#pragma once
+
+#include "gateway/cold_watch.h"
+#include "gateway/declaration_index.h"
+#include "gateway/header_names.h"
+#include "loop/call_channel.h"
+
+namespace sapphirepass {
+
+class ColdProber {
+public:
+    // The action is called when an upstream was found cold.
+    ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdWatch& watch, std::function<void(const std::string& upstream, Duration left)> onCold);
+
+    // Sends what is due. Called now and then.
+    auto tick(const DeclarationIndex& index) -> void;
+    auto stop() -> void;
+    auto count() const -> std::uint64_t { return count_; }
+
+private:
+    struct Probe {
+        std::shared_ptr<CallChannel> channel_;
+        SocketAddress address_;
+        bool isWaiting_ = false;
+    };
+
+    auto ask(const Upstream& upstream, const std::string& path) -> void;
+    auto onAnswer(const std::string& id, const CallResult& result) -> void;
+
+    asio::io_context& loop_;
+    const HeaderNames& headers_;
+    ColdWatch& watch_;
+    std::function<void(const std::string&, Duration)> onCold_;
+    std::map<std::string, Probe> probes_;
+    std::uint64_t count_ = 0;
+};
+
+} // namespace sapphirepass
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -86,11 +86,13 @@
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
     , beliefs_(clock, upstreams_, fleet_, log_)
     , feedLag_(clock)
+    , coldWatch_(clock, upstreams_, fleet_)
     , placer_(clock, upstreams_, fleet_, settings_.region_)
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , pool_(loop, clock, adapter_.headers_)
+    , coldProber_(loop, adapter_.headers_, coldWatch_, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, metrics_ }
     , frontHandler_(*this)
     , ownHandler_(*this)
@@ -178,8 +180,10 @@
     metrics_.set({ "gateway_upstream_connections_opened_total", {} }, asMetric(pool_.counts().opened_));
     metrics_.set({ "gateway_upstream_connections_reused_total", {} }, asMetric(pool_.counts().reused_));
     metrics_.set({ "gateway_store_calls_total", {} }, asMetric(adapter_.source_->calls()));
+    metrics_.set({ "gateway_upstream_health_requests_total", {} }, asMetric(coldProber_.count()));
     metrics_.set({ "gateway_declaration_version", {} }, asMetric(context_.index_ ? context_.index_->declaration().version_ : 0));
     metrics_.set({ "gateway_upstreams_known", {} }, asMetric(upstreams_.size()));
+    metrics_.set({ "gateway_upstreams_cold", {} }, asMetric(upstreams_.coldCount()));
     metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.anyReadyMembers().size()));
     metrics_.set({ "gateway_log_lines_dropped_total", {} }, asMetric(log_.dropped()));
     for (const auto& [feed, name] : { std::pair(Feed::Declaration, "declaration"), std::pair(Feed::Upstreams, "upstreams"), std::pair(Feed::Evacuations, "evacuations") })
@@ -207,8 +211,12 @@
 {
     ++ticks_;
     upstreams_.dropMissing();
+    fleet_.setSourceLost(beliefs_.lostFor(Feed::Upstreams) > Duration::zero());
+    if (context_.index_)
+        coldProber_.tick(*context_.index_);
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.forgetSilent();
+        beliefs_.noteFleetOutage();
         sendHeartbeat();
         noteFleet();
         renewFeeds();
@@ -239,12 +247,20 @@
 
 auto Gateway::ownReport() const -> MemberReport
 {
-    auto phase = isReady() ? MemberPhase::Ready : MemberPhase::Starting;
+    MemberReport report;
+    report.name_ = settings_.name_;
+    report.incarnation_ = incarnation_;
+    report.front_ = settings_.front_;
+    report.peer_ = settings_.peer_;
+    report.region_ = settings_.region_;
+    report.domain_ = settings_.domain_;
+    report.phase_ = isReady() ? MemberPhase::Ready : MemberPhase::Starting;
     if (isStopping_)
-        phase = MemberPhase::Stopping;
-    MemberReport report { settings_.name_, incarnation_, settings_.front_, settings_.peer_, settings_.region_, settings_.domain_, phase, {}, {}, {} };
+        report.phase_ = MemberPhase::Stopping;
     for (const auto feed : allFeeds)
         report.newestChanges_.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed).newestChange_;
+    report.isSourceLost_ = beliefs_.lostFor(Feed::Upstreams) > Duration::zero();
+    report.colds_ = coldWatch_.found();
     return report;
 }
 
@@ -285,6 +301,7 @@
 auto Gateway::onReport(const MemberReport& report) -> void
 {
     fleet_.hear(report);
+    coldWatch_.hear(report.colds_);
     const auto known = fleet_.peerAddresses();
     std::vector<SocketAddress> strangers;
     for (const auto& address : report.known_) {
@@ -305,6 +322,9 @@
 auto Gateway::renewFeeds() -> void
 {
     for (const auto feed : allFeeds) {
+        // It is asked again anyway.
+        if (beliefs_.lostFor(feed) > Duration::zero())
+            continue;
         const auto own = adapter_.source_->position(feed);
         const auto newest = fleet_.newestChangeHeard(static_cast<std::size_t>(feed));
         if (!feedLag_.isDue(feed, own, newest))
@@ -314,6 +334,12 @@
     }
 }
 
+auto Gateway::onFoundCold(const std::string& upstream, Duration left) -> void
+{
+    log_.write(EventId::UpstreamFoundCold, { { "upstream", upstream }, { "cold_ms", left / 1ms } });
+    sendHeartbeat();
+}
+
 auto Gateway::noteFleet() -> void
 {
     const auto ready = fleet_.anyReadyMembers().size();
@@ -355,6 +381,7 @@
     log_.write(EventId::GatewayStopped, { { "in_flight", inFlight_ }, { "ran_s", inSeconds(clock_.now() - startedAt_) } });
     log_.flush();
     adapter_.source_->stop();
+    coldProber_.stop();
     loop_.stop();
 }
 
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/feed_lag.h"
 #include "gateway/request_run.h"
 #include "loop/caller_listener.h"
+#include "loop/cold_prober.h"
 #include "loop/datagram_socket.h"
 #include "loop/line_log.h"
 #include "loop/loop_alarm.h"
@@ -84,6 +85,7 @@
     auto onDeclaration() -> void;
     auto seedPeers() const -> std::vector<SocketAddress>;
     auto renewFeeds() -> void;
+    auto onFoundCold(const std::string& upstream, Duration left) -> void;
     auto noteFleet() -> void;
     auto noteStatus() -> void;
     auto continueStop() -> void;
@@ -100,6 +102,7 @@
     FleetView fleet_;
     Beliefs beliefs_;
     FeedLag feedLag_;
+    ColdWatch coldWatch_;
     Placer placer_;
     RateGate rates_;
     RetryGate retries_;
@@ -107,6 +110,7 @@
     SplitCursor split_;
     WorkTimes workTimes_;
     UpstreamPool pool_;
+    ColdProber coldProber_;
     Metrics metrics_;
     RequestContext context_;
     FrontHandler frontHandler_;
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -14,6 +14,11 @@
   upstreams @1 :UInt32;
 }
 
+struct Cold {
+  upstream @0 :Text;
+  leftMs @1 :UInt32;
+}
+
 struct Heartbeat {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -26,6 +31,8 @@
   known @8 :List(PeerAddress);
   # One for each feed, in the order of Feed in src/gateway/belief_source.h.
   newestChanges @9 :List(UInt64);
+  sourceLost @10 :Bool;
+  colds @11 :List(Cold);
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(d48eca613d84d69b);
 CAPNP_DECLARE_SCHEMA(9b098ece84c22746);
+CAPNP_DECLARE_SCHEMA(b1b066e62197077c);
 CAPNP_DECLARE_SCHEMA(aa7ec1c83d57622d);
 CAPNP_DECLARE_SCHEMA(fa08a84e24f86d01);
 CAPNP_DECLARE_SCHEMA(cc9baa8e38a35541);
@@ -59,6 +60,21 @@
   };
 };
 
+struct Cold {
+  Cold() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1b066e62197077c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -67,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -293,6 +309,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Cold::Reader {
+public:
+  typedef Cold Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::uint32_t getLeftMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Cold::Builder {
+public:
+  typedef Cold Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::uint32_t getLeftMs();
+  inline void setLeftMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Cold::Pipeline {
+public:
+  typedef Cold Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -338,6 +440,11 @@
   inline bool hasNewestChanges() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getNewestChanges() const;
 
+  inline bool getSourceLost() const;
+
+  inline bool hasColds() const;
+  inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Reader getColds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -429,6 +536,16 @@
   inline void adoptNewestChanges(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownNewestChanges();
 
+  inline bool getSourceLost();
+  inline void setSourceLost(bool value);
+
+  inline bool hasColds();
+  inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Builder getColds();
+  inline void setColds( ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Builder initColds(unsigned int size);
+  inline void adoptColds(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>> disownColds();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -831,6 +948,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Cold::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Cold::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Cold::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Cold::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Cold::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Cold::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Cold::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Cold::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Cold::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Cold::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Cold::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1145,6 +1310,54 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::getSourceLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getSourceLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSourceLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::hasColds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasColds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getColds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getColds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setColds( ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initColds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptColds(
+    ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownColds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/gateway_beliefs_test.cpp
+++ b/tests/gateway_beliefs_test.cpp
@@ -78,6 +78,22 @@
     CHECK(fixture.known() == 1);
 }
 
+TEST_CASE("an entry that lapses in an outage that only the others notice is kept", "[beliefs]")
+{
+    Fixture fixture;
+    fixture.beliefs_.upstreamsListed({ entry("a"), entry("b") });
+    const auto lostAt = GENERATE(as<std::set<std::string>> {}, std::set<std::string> { "x", "y" }, std::set<std::string> { "x" });
+    for (const auto* name : { "x", "y", "z" }) {
+        MemberReport report;
+        report.name_ = name;
+        report.isSourceLost_ = lostAt.contains(name);
+        fixture.fleet_.hear(report);
+    }
+    fixture.beliefs_.noteFleetOutage();
+    fixture.beliefs_.upstreamGone("a");
+    CHECK(fixture.known() == (lostAt.size() == 2 ? 2 : 1));
+}
+
 TEST_CASE("an entry that lapsed in an outage is kept until living upstreams would be back", "[beliefs]")
 {
     Fixture fixture;
--- /dev/null
+++ b/tests/gateway_cold_watch_test.cpp
@@ -0,0 +1,190 @@
+// Upstreams that become cold while discovery is away.
+#include "gateway/cold_watch.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <fmt/format.h>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+// What one instance knows.
+struct Instance {
+    Instance(const Clock& clock, const std::string& name)
+        : upstreams_(clock, { { "north-a", "north" } })
+        , fleet_(clock, { 2s, 20s }, name)
+        , watch_(clock, upstreams_, fleet_)
+    {
+        fleet_.setReady(true);
+    }
+
+    auto upstream() const -> Upstream& { return *upstreams_.byId().at("u"); }
+
+    UpstreamSet upstreams_;
+    FleetView fleet_;
+    ColdWatch watch_;
+};
+
+auto entry(const std::string& id) -> UpstreamEntry
+{
+    UpstreamEntry result;
+    result.id_ = id;
+    result.service_ = "s";
+    result.domain_ = "north-a";
+    return result;
+}
+
+// Several instances on one clock that hear each other every 400 ms.
+struct Fleet {
+    explicit Fleet(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            instances_.push_back(std::make_unique<Instance>(clock_, fmt::format("e{}", i)));
+            instances_.back()->upstreams_.put(entry("u"));
+        }
+        beat();
+    }
+
+    auto beat() -> void
+    {
+        for (const auto& sender : instances_) {
+            MemberReport report;
+            report.name_ = sender->fleet_.self();
+            report.phase_ = MemberPhase::Ready;
+            report.isSourceLost_ = lost_.contains(report.name_);
+            report.colds_ = sender->watch_.found();
+            sender->fleet_.setSourceLost(report.isSourceLost_);
+            for (const auto& hearer : instances_) {
+                hearer->fleet_.hear(report);
+                hearer->watch_.hear(report.colds_);
+            }
+        }
+    }
+
+    ManualClock clock_;
+    std::vector<std::unique_ptr<Instance>> instances_;
+    std::set<std::string> lost_;
+};
+
+}
+
+TEST_CASE("upstreams are asked for their health only in an outage, each by one instance", "[cold-watch]")
+{
+    Fleet fleet(5);
+    const auto askers = [&] {
+        int count = 0;
+        for (const auto& instance : fleet.instances_)
+            count += instance->watch_.takeDue().empty() ? 0 : 1;
+        return count;
+    };
+    CHECK(askers() == 0);
+    fleet.lost_ = { "e0" };
+    fleet.beat();
+    CHECK(askers() == 0);
+    fleet.lost_ = { "e0", "e1", "e2" };
+    fleet.beat();
+    CHECK(askers() == 1);
+    CHECK(askers() == 0);
+    fleet.clock_.advance(200ms);
+    CHECK(askers() == 1);
+    SECTION("not while it is known as cold")
+    {
+        for (const auto& instance : fleet.instances_)
+            instance->watch_.hear({ { "u", 3000ms } });
+        fleet.clock_.advance(1s);
+        fleet.beat();
+        CHECK(askers() == 0);
+        fleet.clock_.advance(2100ms);
+        fleet.beat();
+        CHECK(askers() == 1);
+    }
+    SECTION("not after the outage")
+    {
+        fleet.lost_.clear();
+        fleet.beat();
+        fleet.clock_.advance(1s);
+        CHECK(askers() == 0);
+    }
+}
+
+TEST_CASE("an upstream that becomes cold in an outage gets no more in a second than it bears", "[cold-watch]")
+{
+    // The users' bound on a cold upstream that bears 2.5 a second.
+    constexpr double bound = 2.5 * 1.5 + 5;
+    constexpr auto coldTime = 3000ms;
+    Fleet fleet(11);
+    for (int i = 0; i < 8; ++i)
+        fleet.lost_.insert(fmt::format("e{}", i));
+    fleet.beat();
+    const auto coldAt = fleet.clock_.now() + 2130ms;
+    std::deque<MonotonicTime> sent;
+    std::size_t most = 0;
+    // An answer waits for a slot.
+    constexpr int answerSteps = 25;
+    std::map<int, Instance*> answers;
+    const std::size_t perSecond = GENERATE(6, 10, 13);
+    for (int step = 0; step < 500; ++step) {
+        const auto now = fleet.clock_.now();
+        if (step % 40 == 0)
+            fleet.beat();
+        for (const auto& instance : fleet.instances_) {
+            if (step % 20 == 0 && !instance->watch_.takeDue().empty() && now >= coldAt)
+                answers[step + answerSteps] = instance.get();
+        }
+        if (const auto answer = answers.find(step); answer != answers.end()) {
+            answer->second->watch_.noteAnswer("u", coldAt + coldTime - now);
+            fleet.beat();
+        }
+        const auto& sender = *fleet.instances_[static_cast<std::size_t>(step) % 11];
+        const bool knowsCold = sender.upstream().coldUntil_ > now;
+        if (step % (100 / static_cast<int>(perSecond)) == 0 && !knowsCold && now >= coldAt && now < coldAt + coldTime)
+            sent.push_back(now);
+        while (!sent.empty() && sent.front() + 1s <= now)
+            sent.pop_front();
+        most = std::max(most, sent.size());
+        fleet.clock_.advance(10ms);
+    }
+    CAPTURE(perSecond, most);
+    CHECK(most >= 1);
+    CHECK(static_cast<double>(most) <= bound);
+}
+
+TEST_CASE("an upstream that becomes cold while it is in use gets nothing for a second", "[cold-watch]")
+{
+    Fleet fleet(1);
+    auto& instance = *fleet.instances_.front();
+    const auto now = fleet.clock_.now();
+    const bool byEntry = GENERATE(true, false);
+    auto cold = entry("u");
+    cold.coldLeft_ = 3s;
+    if (byEntry)
+        instance.upstreams_.put(cold);
+    else
+        instance.watch_.noteAnswer("u", 3s);
+    CHECK(instance.upstream().nextColdSend_ == now + 1s);
+    SECTION("which later news does not prolong")
+    {
+        fleet.clock_.advance(500ms);
+        instance.upstreams_.put(cold);
+        CHECK(instance.upstream().nextColdSend_ == now + 1s);
+    }
+    SECTION("one that has just started may be sent to at once")
+    {
+        cold.id_ = "v";
+        instance.upstreams_.put(cold);
+        CHECK(instance.upstreams_.byId().at("v")->nextColdSend_ <= now);
+    }
+}
+
+TEST_CASE("what a peer tells of a cold upstream is bounded and never shortens", "[cold-watch]")
+{
+    Fleet fleet(2);
+    auto& instance = *fleet.instances_.front();
+    const auto start = fleet.clock_.now();
+    instance.watch_.hear({ { "u", 3'600'000ms }, { "unknown", 500ms } });
+    CHECK(instance.upstream().coldUntil_ == start + 60s);
+    instance.watch_.hear({ { "u", 10ms } });
+    CHECK(instance.upstream().coldUntil_ == start + 60s);
+}
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load" };
+const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms" };
 
 auto route(const std::string& name, const std::string& prefix, RepeatRule repeat) -> DeclaredRoute
 {
@@ -37,7 +37,7 @@
     result.routes_ = { route("read", "/read/", RepeatRule::Idempotent), route("order", "/order/", RepeatRule::Once), route("open", "/open/", RepeatRule::Idempotent), route("home", "/home/", RepeatRule::Idempotent), route("deep", "/read/deep/", RepeatRule::Once) };
     result.routes_[2].anonymous_ = true;
     result.routes_[3].homes_ = { "south" };
-    result.services_ = { { "core", 100, 3s, 9.2 } };
+    result.services_ = { { "core", 100, 3s, 9.2, "" } };
     result.workspaces_ = { { "acme", { "secret" }, std::nullopt, 0, 0, {} }, { "slow", { "rare" }, std::nullopt, 0.001, 0, {} } };
     return result;
 }
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -254,6 +254,41 @@
     CHECK(fixture.gateway_->isReady());
 }
 
+TEST_CASE("while the store is away an upstream is asked whether it is cold, and spared if it is", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string& request) -> ScriptedBytes {
+        if (request.starts_with("GET /health"))
+            return { "HTTP/1.1 200 OK\r\nCold-Ms: 60000\r\nContent-Length: 0\r\n\r\n" };
+        return { orderAnswer };
+    });
+    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
+    auto declared = manifest(1);
+    declared["services"][0]["health_path"] = "/health";
+    fixture.store_.put("config", "main", declared);
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
+    CHECK(fixture.ask(fixture.settings_.control_, "/metrics").find("gateway_upstream_health_requests_total 0") != std::string::npos);
+    fixture.store_.setMood(StoreMood::Busy);
+    fixture.store_.cutWatches();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.ask(fixture.settings_.control_, "/metrics").find("gateway_upstream_health_requests_total 1") != std::string::npos; }));
+    const auto& asked = fixture.server_.requests();
+    REQUIRE(runUntil(fixture.loop_, [&] { return asked.size() == 1; }));
+    CHECK(asked.front().find("Expected-Instance: i-1") != std::string::npos);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.ask(fixture.settings_.control_, "/metrics").find("gateway_upstreams_cold 1") != std::string::npos; }));
+    // It was in use until now: it gets nothing for a second, then what it bears.
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&] { return client.count("HTTP/1.1") == 1; }));
+    CHECK(client.received().starts_with("HTTP/1.1 503"));
+    CHECK(client.count("Retry-After") == 1);
+    const auto served = [&] {
+        LoopClient later(fixture.loop_, fixture.settings_.front_);
+        later.send(order);
+        return runUntil(fixture.loop_, [&] { return later.count("HTTP/1.1") == 1; }) && later.count("done") == 1;
+    };
+    CHECK(runUntil(fixture.loop_, served));
+}
+
 TEST_CASE("a gateway that is told to stop finishes what is in flight", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
