In large regions two instances ask the store and the others follow these

Weighed: rarer watches (changes come too late), gossip of objects in datagrams (too large), a relay in the store's own dialect. Chosen: an instance answers lists and watches on its control address from what its own feeds hear (ObjectMirror), so a follower is the same feed with another address. Who asks the store is decided by rendezvous over the ready instances of a region (RelayChoice), from nine on. A relay that has lost the store turns its followers away at once; they try the other one, then the store. A follower that hears in heartbeats of a change that stays away asks the store itself. Also: an instance that cannot enter itself in the platform's list says so (event 227 was in the catalogue and never written).

--- a/src/gateway/belief_source.h
+++ b/src/gateway/belief_source.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "gateway/declaration_type.h"
-#include "gateway/upstream_type.h"
+#include "gateway/running_request.h"
+#include "gateway/upstream_caller.h"
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -52,17 +54,29 @@
     virtual auto instancesListed(const std::vector<ListedInstance>& instances) -> void = 0;
     virtual auto feedLost(Feed feed, std::string_view why) -> void = 0;
     virtual auto feedRegained(Feed feed) -> void = 0;
+    // Where the feed is asked for from now on: another instance, or the platform itself if empty.
+    virtual auto feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void = 0;
+    virtual auto instanceNotListed(std::string_view why) -> void = 0;
+};
+
+// Instances that may be asked for news instead of the platform, the best first; none if the platform is to be asked.
+class NewsPeers {
+public:
+    virtual ~NewsPeers() = default;
+    virtual auto peers() const -> std::vector<SocketAddress> = 0;
 };
 
 class BeliefSource {
 public:
     virtual ~BeliefSource() = default;
     // Tells the sink from then on, and enters this instance in the platform's list.
-    virtual auto start(BeliefSink& sink, const ListedInstance& self) -> void = 0;
+    virtual auto start(BeliefSink& sink, const ListedInstance& self, const NewsPeers& peers) -> void = 0;
     virtual auto stop() -> void = 0;
     // Calls to the platform so far.
     virtual auto calls() const -> std::uint64_t = 0;
     virtual auto position(Feed feed) const -> FeedPosition = 0;
+    // Answers another instance that follows the platform's news here. Null if it was answered at once.
+    virtual auto answerPeer(const OutgoingRequest& request, std::function<void(UpstreamResponse)> answer) -> std::shared_ptr<RunningRequest> = 0;
     // Asks the platform anew on another connection: others have heard of a change that did not come here.
     virtual auto renew(Feed feed) -> void = 0;
 };
--- a/src/gateway/beliefs.cpp
+++ b/src/gateway/beliefs.cpp
@@ -134,6 +134,16 @@
     log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
 }
 
+auto Beliefs::feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void
+{
+    log_.write(EventId::SourceChosen, { { "feed", feedName(feed) }, { "follows", peer ? formatSocketAddress(*peer) : "platform" } });
+}
+
+auto Beliefs::instanceNotListed(std::string_view why) -> void
+{
+    log_.write(EventId::InstanceNotListed, { { "why", why } });
+}
+
 auto Beliefs::noteFleetOutage() -> void
 {
     if (fleet_.isSourceLost())
--- a/src/gateway/beliefs.h
+++ b/src/gateway/beliefs.h
@@ -25,6 +25,8 @@
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override;
     auto feedLost(Feed feed, std::string_view why) -> void override;
     auto feedRegained(Feed feed) -> void override;
+    auto feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void override;
+    auto instanceNotListed(std::string_view why) -> void override;
 
     auto index() const -> const std::shared_ptr<const DeclarationIndex>& { return index_; }
     // Whether requests can be decided: everything has been heard at least once.
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -32,6 +32,7 @@
         report.incarnation_ = reader.getIncarnation();
         report.front_ = readAddress(reader.getFront());
         report.peer_ = readAddress(reader.getPeer());
+        report.control_ = readAddress(reader.getControl());
         report.region_ = reader.getRegion().cStr();
         report.domain_ = reader.getDomain().cStr();
         report.phase_ = static_cast<MemberPhase>(reader.getPhase());
@@ -60,6 +61,7 @@
         heartbeat.setIncarnation(report.incarnation_);
         writeAddress(heartbeat.initFront(), report.front_);
         writeAddress(heartbeat.initPeer(), report.peer_);
+        writeAddress(heartbeat.initControl(), report.control_);
         heartbeat.setRegion(report.region_);
         heartbeat.setDomain(report.domain_);
         heartbeat.setPhase(static_cast<std::uint16_t>(report.phase_));
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -41,6 +41,8 @@
     std::uint64_t incarnation_ = 0;
     SocketAddress front_;
     SocketAddress peer_;
+    // Where other instances may follow the platform's news.
+    SocketAddress control_;
     std::string region_;
     std::string domain_;
     MemberPhase phase_ = MemberPhase::Starting;
@@ -79,6 +81,7 @@
     // An instance that the platform lists but that may be gone.
     auto expect(const std::string& name, const SocketAddress& peer) -> void;
     // Whether this instance is ready itself.
+    auto isReady() const -> bool { return isReady_; }
     auto setReady(bool ready) -> void { isReady_ = ready; }
     // Whether this instance does not hear of upstreams from the platform.
     auto setSourceLost(bool lost) -> void { isSourceLost_ = lost; }
--- /dev/null
+++ b/src/gateway/relay_choice.cpp
@@ -0,0 +1,44 @@
+#include "gateway/relay_choice.h"
+
+#include "gateway/hashing.h"
+
+#include <algorithm>
+
+namespace sapphirepass {
+
+namespace {
+    // Instances of a region that ask the platform: one may stop or be cut off.
+    constexpr std::size_t watchersPerRegion = 2;
+    // Regions with fewer ready instances do not relay: a follower hears later than a watcher and depends on it.
+    constexpr std::size_t fewestToRelay = 9;
+}
+
+RelayChoice::RelayChoice(const FleetView& fleet, std::string region)
+    : fleet_(fleet)
+    , region_(std::move(region))
+{
+}
+
+// All instances of a region name the same watchers; each follower begins with one of them by its own name.
+auto RelayChoice::peers() const -> std::vector<SocketAddress>
+{
+    const auto ready = fleet_.readyMembers(region_);
+    if (!fleet_.isReady() || ready.size() + 1 < fewestToRelay)
+        return {};
+    const auto object = stableHash("news");
+    const auto own = rendezvousWeight(object, fleet_.self());
+    std::vector<std::pair<std::uint64_t, SocketAddress>> ranked;
+    for (const auto* member : ready)
+        ranked.emplace_back(rendezvousWeight(object, member->name_), member->control_);
+    std::partial_sort(ranked.begin(), ranked.begin() + watchersPerRegion, ranked.end(), std::greater<>());
+    ranked.resize(watchersPerRegion);
+    if (own > ranked.back().first)
+        return {};
+    std::vector<SocketAddress> peers;
+    for (const auto& [weight, address] : ranked)
+        peers.push_back(address);
+    std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(own % watchersPerRegion), peers.end());
+    return peers;
+}
+
+} // namespace sapphirepass
--- /dev/null
+++ b/src/gateway/relay_choice.h
@@ -0,0 +1,22 @@
+// Decides whether this instance asks the platform for news itself or follows a nearby instance that does.
+#pragma once
+
+#include "gateway/belief_source.h"
+#include "gateway/fleet_view.h"
+
+namespace sapphirepass {
+
+// Answers large fleets: every watch of the platform is priced and counts toward its rates, so a few instances of each
+// region watch and the others follow these.
+class RelayChoice final : public NewsPeers {
+public:
+    RelayChoice(const FleetView& fleet, std::string region);
+
+    auto peers() const -> std::vector<SocketAddress> override;
+
+private:
+    const FleetView& fleet_;
+    std::string region_;
+};
+
+} // namespace sapphirepass
--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -20,6 +20,14 @@
 {
 }
 
+auto CallChannel::setServer(const SocketAddress& server) -> void
+{
+    if (server == server_)
+        return;
+    stop();
+    server_ = server;
+}
+
 auto CallChannel::call(HttpRequest request, Duration limit, Done done) -> void
 {
     request_ = std::move(request);
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -34,8 +34,11 @@
 
     CallChannel(asio::io_context& loop, SocketAddress server);
 
+    // Calls go to another server from now on; the connection to the one before ends.
+    auto setServer(const SocketAddress& server) -> void;
     // One call at a time.
     auto call(HttpRequest request, Duration limit, Done done) -> void;
+    // Drops the call under way, unanswered.
     auto stop() -> void;
 
 private:
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/declaration_type.h"
+#include "gateway/running_request.h"
 #include "loop/net_type.h"
 
 #include <functional>
@@ -10,13 +11,6 @@
 
 namespace sapphirepass {
 
-// A request that is being answered; its cancel means that nobody waits for the answer any more.
-class RunningRequest {
-public:
-    virtual ~RunningRequest() = default;
-    virtual auto cancel() -> void = 0;
-};
-
 class CallerHandler {
 public:
     using Answer = std::function<void(HttpResponse)>;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -22,6 +22,7 @@
     constexpr Duration acceptAfterStop = 1'500ms;
     // Kept before the end of the grace time for the process to end by itself.
     constexpr Duration graceMargin = 300ms;
+    constexpr const char* metricsPath = "/metrics";
     // Addresses in one answer of the directory.
     constexpr std::size_t mostAddresses = 64;
 
@@ -74,6 +75,14 @@
     return nullptr;
 }
 
+auto Gateway::ControlHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
+{
+    if (request.target() != metricsPath)
+        return gateway_.adapter_.source_->answerPeer(request, std::move(answer));
+    answer(gateway_.answerMetrics());
+    return nullptr;
+}
+
 Gateway::Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter)
     : loop_(loop)
     , clock_(clock)
@@ -86,6 +95,7 @@
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
     , beliefs_(clock, upstreams_, fleet_, log_)
     , feedLag_(clock)
+    , relayChoice_(fleet_, settings_.region_)
     , coldWatch_(clock, upstreams_, fleet_)
     , placer_(clock, upstreams_, fleet_, settings_.region_)
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
@@ -96,10 +106,11 @@
     , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, metrics_ }
     , frontHandler_(*this)
     , ownHandler_(*this)
+    , controlHandler_(*this)
     , front_(loop, frontHandler_, clock)
     , directory_(loop, ownHandler_, clock)
     , ready_(loop, ownHandler_, clock)
-    , control_(loop, ownHandler_, clock)
+    , control_(loop, controlHandler_, clock)
     , datagrams_(loop, [this](std::string_view bytes, const SocketAddress& from) { onDatagram(bytes, from); })
     , timer_(loop)
     , startedAt_(clock.now())
@@ -120,7 +131,7 @@
     if (const auto error = datagrams_.open(settings_.peer_); !error.empty())
         return fmt::format("{}: {}", formatSocketAddress(settings_.peer_), error);
     log_.write(EventId::GatewayStarted, { { "front", formatSocketAddress(settings_.front_) }, { "region", settings_.region_ }, { "domain", settings_.domain_ }, { "incarnation", incarnation_ } });
-    adapter_.source_->start(beliefs_, { settings_.name_, settings_.peer_ });
+    adapter_.source_->start(beliefs_, { settings_.name_, settings_.peer_ }, relayChoice_);
     sendHeartbeat();
     scheduleTick();
     return {};
@@ -139,8 +150,6 @@
         return answerDirectory(path.size() < target.size() ? target.substr(path.size() + 1) : std::string_view());
     if (path == adapter_.paths_.readiness_)
         return answerReadiness();
-    if (path == "/metrics")
-        return answerMetrics();
     return ownAnswer(404, "no such page", Executed::No);
 }
 
@@ -252,6 +261,7 @@
     report.incarnation_ = incarnation_;
     report.front_ = settings_.front_;
     report.peer_ = settings_.peer_;
+    report.control_ = settings_.control_;
     report.region_ = settings_.region_;
     report.domain_ = settings_.domain_;
     report.phase_ = isReady() ? MemberPhase::Ready : MemberPhase::Starting;
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -3,6 +3,7 @@
 
 #include "gateway/beliefs.h"
 #include "gateway/feed_lag.h"
+#include "gateway/relay_choice.h"
 #include "gateway/request_run.h"
 #include "loop/caller_listener.h"
 #include "loop/cold_prober.h"
@@ -65,6 +66,20 @@
         auto limits() const -> CallerLimits override { return {}; }
         auto isClosing() const -> bool override { return false; }
 
+    private:
+        Gateway& gateway_;
+    };
+    // Operators and other instances; callers do not reach it.
+    class ControlHandler final : public CallerHandler {
+    public:
+        explicit ControlHandler(Gateway& gateway)
+            : gateway_(gateway)
+        {
+        }
+        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
+        auto limits() const -> CallerLimits override { return {}; }
+        auto isClosing() const -> bool override { return false; }
+
     private:
         Gateway& gateway_;
     };
@@ -102,6 +117,7 @@
     FleetView fleet_;
     Beliefs beliefs_;
     FeedLag feedLag_;
+    RelayChoice relayChoice_;
     ColdWatch coldWatch_;
     Placer placer_;
     RateGate rates_;
@@ -115,6 +131,7 @@
     RequestContext context_;
     FrontHandler frontHandler_;
     OwnHandler ownHandler_;
+    ControlHandler controlHandler_;
     CallerListener front_;
     CallerListener directory_;
     CallerListener ready_;
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -33,6 +33,7 @@
   newestChanges @9 :List(UInt64);
   sourceLost @10 :Bool;
   colds @11 :List(Cold);
+  control @12 :PeerAddress;
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -445,6 +445,9 @@
   inline bool hasColds() const;
   inline  ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>::Reader getColds() const;
 
+  inline bool hasControl() const;
+  inline  ::sapphirepass::wire::PeerAddress::Reader getControl() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -546,6 +549,13 @@
   inline void adoptColds(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Cold,  ::capnp::Kind::STRUCT>> disownColds();
 
+  inline bool hasControl();
+  inline  ::sapphirepass::wire::PeerAddress::Builder getControl();
+  inline void setControl( ::sapphirepass::wire::PeerAddress::Reader value);
+  inline  ::sapphirepass::wire::PeerAddress::Builder initControl();
+  inline void adoptControl(::capnp::Orphan< ::sapphirepass::wire::PeerAddress>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::PeerAddress> disownControl();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -566,6 +576,7 @@
 
   inline  ::sapphirepass::wire::PeerAddress::Pipeline getFront();
   inline  ::sapphirepass::wire::PeerAddress::Pipeline getPeer();
+  inline  ::sapphirepass::wire::PeerAddress::Pipeline getControl();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1358,6 +1369,45 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasControl() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasControl() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::PeerAddress::Reader Heartbeat::Reader::getControl() const {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::PeerAddress>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::PeerAddress::Builder Heartbeat::Builder::getControl() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::PeerAddress>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::sapphirepass::wire::PeerAddress::Pipeline Heartbeat::Pipeline::getControl() {
+  return  ::sapphirepass::wire::PeerAddress::Pipeline(_typeless.getPointerField(9));
+}
+#endif  // !CAPNP_LITE
+inline void Heartbeat::Builder::setControl( ::sapphirepass::wire::PeerAddress::Reader value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::PeerAddress>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::PeerAddress::Builder Heartbeat::Builder::initControl() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::PeerAddress>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::adoptControl(
+    ::capnp::Orphan< ::sapphirepass::wire::PeerAddress>&& value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::PeerAddress>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::PeerAddress> Heartbeat::Builder::disownControl() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::PeerAddress>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/standin/kept_beliefs.h
@@ -0,0 +1,70 @@
+// What a test keeps of the news that a source tells, and the objects that it puts into the store.
+#pragma once
+
+#include "gateway/belief_source.h"
+
+#include <fmt/format.h>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace sapphirepass::standin {
+
+// Keeps what the source tells.
+class KeptBeliefs final : public BeliefSink {
+public:
+    auto declarationSeen(Declaration declaration) -> void override { versions_.push_back(declaration.version_); }
+    auto declarationUnreadable(std::string_view) -> void override { ++unreadable_; }
+    auto upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void override
+    {
+        ++lists_;
+        upstreams_.clear();
+        for (const auto& entry : entries)
+            upstreams_.insert(entry.id_);
+    }
+    auto upstreamSeen(const UpstreamEntry& entry) -> void override { upstreams_.insert(entry.id_); }
+    auto upstreamGone(const std::string& id) -> void override { upstreams_.erase(id); }
+    auto entryUnreadable(const std::string&, std::string_view) -> void override { ++unreadable_; }
+    auto domainsEvacuated(std::set<std::string> domains) -> void override
+    {
+        evacuated_ = std::move(domains);
+        hasEvacuations_ = true;
+    }
+    auto instancesListed(const std::vector<ListedInstance>& instances) -> void override { instances_ = instances; }
+    auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
+    auto feedRegained(Feed) -> void override { ++regained_; }
+    auto feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void override { follows_[feed] = std::move(peer); }
+    auto instanceNotListed(std::string_view) -> void override { }
+
+    std::vector<std::uint64_t> versions_;
+    std::set<std::string> upstreams_;
+    std::set<std::string> evacuated_;
+    std::vector<ListedInstance> instances_;
+    std::map<Feed, std::optional<SocketAddress>> follows_;
+    int lists_ = 0;
+    int unreadable_ = 0;
+    int lost_ = 0;
+    int regained_ = 0;
+
+    auto isComplete() const -> bool { return lists_ > 0 && !versions_.empty() && !instances_.empty() && hasEvacuations_; }
+    bool hasEvacuations_ = false;
+};
+
+// Peers as a test names them.
+class NamedPeers final : public NewsPeers {
+public:
+    auto peers() const -> std::vector<SocketAddress> override { return peers_; }
+
+    std::vector<SocketAddress> peers_;
+};
+
+inline auto declared(int version) -> nlohmann::json
+{
+    return { { "version", fmt::format("{:08x}", version) }, { "routes", { { { "name", "r" }, { "host", "a.example" }, { "path_prefix", "/x/" }, { "kind", "non_idempotent" }, { "timeout_s", 2 }, { "target_latency_s", 0.3 }, { "service", "s" }, { "max_attempts", 2 } } } }, { "services", { { { "name", "s" }, { "max_conns", 10 }, { "cold_start_s", 3 }, { "cold_per_s", 9 } } } }, { "tenants", { { { "name", "acme" }, { "api_keys", { "secret" } } } } } };
+}
+
+inline auto listed(const SocketAddress& address, const std::string& state = "ready") -> nlohmann::json
+{
+    return { { "address", formatSocketAddress(address) }, { "born", 1 }, { "info", { { "service", "s" }, { "zone", "north-a" }, { "slots", 4 } } }, { "status", { { "state", state }, { "seq", 1 }, { "cold_left_s", 0 } } } };
+}
+
+} // namespace sapphirepass::standin
--- /dev/null
+++ b/tests/news_relay_test.cpp
@@ -0,0 +1,178 @@
+// Instances that follow the platform's news at another instance, over loopback.
+#include "loop/caller_listener.h"
+#include "platform/store_source.h"
+#include "platform/wire_names.h"
+#include "standin/kept_beliefs.h"
+#include "standin/platform_store.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirepass;
+using namespace sapphirepass::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Serves what an instance tells to its followers.
+class PeerPages final : public CallerHandler {
+public:
+    explicit PeerPages(platform::StoreSource& source)
+        : source_(source)
+    {
+    }
+    auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override
+    {
+        ++asked_;
+        return source_.answerPeer(request, std::move(answer));
+    }
+    auto limits() const -> CallerLimits override { return {}; }
+    auto isClosing() const -> bool override { return false; }
+
+    int asked_ = 0;
+
+private:
+    platform::StoreSource& source_;
+};
+
+// A watcher at the store, and a follower at the watcher that reaches the store at an address of its own.
+struct RelayFixture {
+    RelayFixture()
+    {
+        for (auto* store : { &store_, &farStore_ }) {
+            store->put("config", "main", declared(1));
+            for (const auto* id : { "i-0", "i-1", "i-2" })
+                store->put("servers", id, listed({ "127.0.0.1", 7001 }));
+        }
+        address_ = freeAddress(loop_);
+        REQUIRE(listener_->listen(address_).empty());
+        watcher_.start(watcherBeliefs_, { "e1", { "127.0.0.1", 7000 } }, nobody_);
+        REQUIRE(runUntil(loop_, [this] { return watcherBeliefs_.isComplete(); }));
+        peers_.peers_ = { address_ };
+        follower_.start(followerBeliefs_, { "e2", { "127.0.0.1", 7002 } }, peers_);
+        REQUIRE(runUntil(loop_, [this] { return followerBeliefs_.isComplete(); }));
+    }
+
+    asio::io_context loop_;
+    SystemClock clock_;
+    PlatformStore store_ { loop_ };
+    // The follower's way to the store; only what a test puts there comes that way.
+    PlatformStore farStore_ { loop_ };
+    NamedPeers nobody_;
+    NamedPeers peers_;
+    KeptBeliefs watcherBeliefs_;
+    KeptBeliefs followerBeliefs_;
+    platform::StoreSource watcher_ { loop_, store_.address(), 300ms };
+    platform::StoreSource follower_ { loop_, farStore_.address(), 300ms };
+    PeerPages pages_ { watcher_ };
+    std::unique_ptr<CallerListener> listener_ = std::make_unique<CallerListener>(loop_, pages_, clock_);
+    SocketAddress address_;
+};
+
+}
+
+TEST_CASE("a follower hears every change from its watcher and does not ask the store", "[news-relay]")
+{
+    RelayFixture fixture;
+    const auto calls = fixture.follower_.calls();
+    CHECK(fixture.followerBeliefs_.follows_.at(Feed::Upstreams) == fixture.address_);
+    fixture.store_.put("config", "main", declared(2));
+    fixture.store_.remove("servers", "i-1");
+    fixture.store_.put("servers", "i-9", listed({ "127.0.0.1", 7009 }));
+    fixture.store_.put("evacuations", "north-a", {});
+    REQUIRE(runUntil(fixture.loop_, [&] {
+        const auto& beliefs = fixture.followerBeliefs_;
+        return beliefs.versions_.back() == 2 && beliefs.evacuated_.contains("north-a") && beliefs.upstreams_ == std::set<std::string> { "i-0", "i-2", "i-9" };
+    }));
+    fixture.store_.remove("evacuations", "north-a");
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.evacuated_.empty(); }));
+    CHECK(fixture.follower_.calls() == calls);
+    CHECK(fixture.followerBeliefs_.lost_ == 0);
+    CHECK(fixture.follower_.position(Feed::Declaration) == fixture.watcher_.position(Feed::Declaration));
+}
+
+TEST_CASE("a follower whose watcher loses the store asks the store itself", "[news-relay]")
+{
+    RelayFixture fixture;
+    fixture.farStore_.put("config", "main", declared(5));
+    fixture.store_.setMood(StoreMood::Busy);
+    fixture.store_.cutWatches();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.versions_.back() == 5; }));
+    CHECK(fixture.followerBeliefs_.follows_.at(Feed::Declaration) == std::nullopt);
+}
+
+TEST_CASE("a follower whose watcher ends loses no change", "[news-relay]")
+{
+    RelayFixture fixture;
+    const bool isCut = GENERATE(true, false);
+    CAPTURE(isCut);
+    fixture.farStore_.put("config", "main", declared(5));
+    fixture.farStore_.remove("servers", "i-2");
+    if (isCut)
+        fixture.listener_.reset();
+    fixture.peers_.peers_.clear();
+    if (!isCut)
+        fixture.store_.put("servers", "i-3", listed({ "127.0.0.1", 7003 }));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.versions_.back() == 5 && !fixture.followerBeliefs_.upstreams_.contains("i-2"); }));
+}
+
+TEST_CASE("a follower that hears of a newer change elsewhere asks the store, and returns to its watcher", "[news-relay]")
+{
+    RelayFixture fixture;
+    fixture.farStore_.put("config", "main", declared(5));
+    fixture.follower_.renew(Feed::Declaration);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.versions_.back() == 5; }));
+    CHECK(fixture.followerBeliefs_.follows_.at(Feed::Declaration) == std::nullopt);
+    for (int version = 6; version < 10; ++version) {
+        fixture.farStore_.put("config", "main", declared(version));
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.versions_.back() == static_cast<std::uint64_t>(version) || fixture.followerBeliefs_.follows_.at(Feed::Declaration); }));
+    }
+    CHECK(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.follows_.at(Feed::Declaration) == fixture.address_; }));
+}
+
+TEST_CASE("a follower that comes back after long is told to list again", "[news-relay]")
+{
+    asio::io_context loop;
+    platform::ObjectMirror mirror(loop);
+    std::vector<HttpResponse> answers;
+    const auto ask = [&](const std::string& query) { return mirror.answer(query, [&](HttpResponse response) { answers.push_back(std::move(response)); }); };
+    ask("");
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.back().result_int() == 503);
+    mirror.replace({ { "a", "{}" } }, 100);
+    mirror.setLive(true);
+    for (std::int64_t revision = 101; revision < 300; ++revision)
+        mirror.apply({ { "a", "{\"n\":1}", false } }, revision);
+    ask("watch=100&wait_ms=1000");
+    CHECK(answers.back().result_int() == 410);
+    ask("watch=298&wait_ms=1000");
+    CHECK(answers.back().body() == R"({"events":[{"deleted":false,"object":{"n":1}}],"current_rev":299})");
+    ask("");
+    CHECK(answers.back().body() == R"({"items":[{"n":1}],"more":false,"current_rev":299})");
+    SECTION("one that waits is answered empty after its time")
+    {
+        ask("watch=299&wait_ms=5");
+        REQUIRE(runUntil(loop, [&] { return answers.size() == 5; }));
+        CHECK(answers.back().body() == R"({"events":[],"current_rev":299})");
+    }
+    SECTION("one that leaves is forgotten, one that stays is turned away when the store is lost")
+    {
+        const auto leaving = ask("watch=299&wait_ms=20000");
+        const auto staying = ask("watch=299&wait_ms=20000");
+        leaving->cancel();
+        mirror.setLive(false);
+        REQUIRE(answers.size() == 5);
+        CHECK(answers.back().result_int() == 503);
+    }
+    SECTION("what a new list shows as gone or changed is told as changes")
+    {
+        mirror.replace({ { "b", "{\"n\":2}" } }, 400);
+        ask("watch=299&wait_ms=1000");
+        CHECK(answers.back().body() == R"({"events":[{"deleted":true,"object":{"n":1}},{"deleted":false,"object":{"n":2}}],"current_rev":400})");
+    }
+    SECTION("a query without sense is no watch")
+    {
+        ask("watch=abc");
+        CHECK(answers.back().result_int() == 200);
+        CHECK(answers.back().body().starts_with("{\"items\""));
+    }
+}
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -2,6 +2,7 @@
 #include "loop/gateway.h"
 #include "platform/store_source.h"
 #include "platform/wire_names.h"
+#include "standin/kept_beliefs.h"
 #include "standin/platform_store.h"
 
 #include <catch2/catch.hpp>
@@ -14,52 +15,12 @@
 
 namespace {
 
-// Keeps what the source tells.
-class KeptBeliefs final : public BeliefSink {
-public:
-    auto declarationSeen(Declaration declaration) -> void override { versions_.push_back(declaration.version_); }
-    auto declarationUnreadable(std::string_view) -> void override { ++unreadable_; }
-    auto upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void override
-    {
-        ++lists_;
-        upstreams_.clear();
-        for (const auto& entry : entries)
-            upstreams_.insert(entry.id_);
-    }
-    auto upstreamSeen(const UpstreamEntry& entry) -> void override { upstreams_.insert(entry.id_); }
-    auto upstreamGone(const std::string& id) -> void override { upstreams_.erase(id); }
-    auto entryUnreadable(const std::string&, std::string_view) -> void override { ++unreadable_; }
-    auto domainsEvacuated(std::set<std::string> domains) -> void override { evacuated_ = std::move(domains); }
-    auto instancesListed(const std::vector<ListedInstance>& instances) -> void override { instances_ = instances; }
-    auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
-    auto feedRegained(Feed) -> void override { ++regained_; }
-
-    std::vector<std::uint64_t> versions_;
-    std::set<std::string> upstreams_;
-    std::set<std::string> evacuated_;
-    std::vector<ListedInstance> instances_;
-    int lists_ = 0;
-    int unreadable_ = 0;
-    int lost_ = 0;
-    int regained_ = 0;
-};
-
-auto manifest(int version) -> json
-{
-    return { { "version", fmt::format("{:08x}", version) }, { "routes", { { { "name", "r" }, { "host", "a.example" }, { "path_prefix", "/x/" }, { "kind", "non_idempotent" }, { "timeout_s", 2 }, { "target_latency_s", 0.3 }, { "service", "s" }, { "max_attempts", 2 } } } }, { "services", { { { "name", "s" }, { "max_conns", 10 }, { "cold_start_s", 3 }, { "cold_per_s", 9 } } } }, { "tenants", { { { "name", "acme" }, { "api_keys", { "secret" } } } } } };
-}
-
-auto server(const SocketAddress& address, const std::string& state = "ready") -> json
-{
-    return { { "address", formatSocketAddress(address) }, { "born", 1 }, { "info", { { "service", "s" }, { "zone", "north-a" }, { "slots", 4 } } }, { "status", { { "state", state }, { "seq", 1 }, { "cold_left_s", 0 } } } };
-}
-
 struct SourceFixture {
     SourceFixture()
     {
-        store_.put("config", "main", manifest(1));
+        store_.put("config", "main", declared(1));
         for (int i = 0; i < 5; ++i)
-            store_.put("servers", fmt::format("i-{}", i), server({ "127.0.0.1", 9000 }));
+            store_.put("servers", fmt::format("i-{}", i), listed({ "127.0.0.1", 9000 }));
     }
     ~SourceFixture() { source_.stop(); }
     SourceFixture(const SourceFixture&) = delete;
@@ -67,13 +28,14 @@
 
     auto start() -> void
     {
-        source_.start(beliefs_, { "e1", { "127.0.0.1", 7000 } });
+        source_.start(beliefs_, { "e1", { "127.0.0.1", 7000 } }, peers_);
         REQUIRE(runUntil(loop_, [this] { return beliefs_.lists_ == 1 && !beliefs_.versions_.empty() && !beliefs_.instances_.empty(); }));
     }
 
     asio::io_context loop_;
     PlatformStore store_ { loop_ };
     KeptBeliefs beliefs_;
+    NamedPeers peers_;
     platform::StoreSource source_ { loop_, store_.address(), 300ms };
 };
 
@@ -97,8 +59,8 @@
 {
     SourceFixture fixture;
     fixture.start();
-    fixture.store_.put("config", "main", manifest(2));
-    fixture.store_.put("servers", "i-9", server({ "127.0.0.1", 9000 }));
+    fixture.store_.put("config", "main", declared(2));
+    fixture.store_.put("servers", "i-9", listed({ "127.0.0.1", 9000 }));
     fixture.store_.remove("servers", "i-0");
     fixture.store_.put("evacuations", "north-a", json::object());
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.versions_.size() == 2 && fixture.beliefs_.upstreams_.contains("i-9") && !fixture.beliefs_.upstreams_.contains("i-0") && fixture.beliefs_.evacuated_.size() == 1; }));
@@ -147,7 +109,7 @@
     fixture.store_.setMood(mood);
     fixture.store_.cutWatches();
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.lost_ >= 3; }));
-    fixture.store_.put("config", "main", manifest(4));
+    fixture.store_.put("config", "main", declared(4));
     fixture.store_.remove("servers", "i-0");
     fixture.store_.setMood(StoreMood::Well);
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.versions_.back() == 4 && !fixture.beliefs_.upstreams_.contains("i-0"); }));
@@ -221,8 +183,8 @@
     REQUIRE(runUntil(fixture.loop_, [&] { return early.count("HTTP/1.1") == 1; }));
     CHECK(early.received().starts_with("HTTP/1.1 503"));
     CHECK(early.count("Retry-After") == 1);
-    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
-    fixture.store_.put("config", "main", manifest(1));
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
     CHECK(fixture.ask(fixture.settings_.ready_, "/-/readiness").starts_with("HTTP/1.1 200"));
     CHECK(fixture.ask(fixture.settings_.directory_, "/-/resolve?name=a.example&region=north&zone=north-a").find(formatSocketAddress(fixture.settings_.front_)) != std::string::npos);
@@ -240,8 +202,8 @@
 TEST_CASE("a gateway serves on through an outage of the store", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
-    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
-    fixture.store_.put("config", "main", manifest(1));
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
     fixture.start();
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
     fixture.store_.setMood(StoreMood::Silent);
@@ -261,10 +223,10 @@
             return { "HTTP/1.1 200 OK\r\nCold-Ms: 60000\r\nContent-Length: 0\r\n\r\n" };
         return { orderAnswer };
     });
-    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
-    auto declared = manifest(1);
-    declared["services"][0]["health_path"] = "/health";
-    fixture.store_.put("config", "main", declared);
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    auto document = declared(1);
+    document["services"][0]["health_path"] = "/health";
+    fixture.store_.put("config", "main", document);
     fixture.start();
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
     CHECK(fixture.ask(fixture.settings_.control_, "/metrics").find("gateway_upstream_health_requests_total 0") != std::string::npos);
@@ -292,8 +254,8 @@
 TEST_CASE("a gateway that is told to stop finishes what is in flight", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
-    fixture.store_.put("servers", "i-1", server(fixture.server_.address()));
-    fixture.store_.put("config", "main", manifest(1));
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
     fixture.start();
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
     LoopClient client(fixture.loop_, fixture.settings_.front_);
@@ -334,14 +296,14 @@
 TEST_CASE("an instance whose watch is swallowed learns from the others that it has missed a change", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
-    fixture.store_.put("config", "main", manifest(1));
+    fixture.store_.put("config", "main", declared(1));
     fixture.start();
     SecondGateway second(fixture);
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady() && second.gateway_->isReady(); }));
     fixture.store_.swallowWatches("config", 1);
-    fixture.store_.put("config", "main", manifest(2));
+    fixture.store_.put("config", "main", declared(2));
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.isSwallowed("config"); }));
-    fixture.store_.put("config", "main", manifest(3));
+    fixture.store_.put("config", "main", declared(3));
     const auto isAtThree = [&](const GatewaySettings& settings) {
         return fixture.ask(settings.control_, "/metrics").find("gateway_declaration_version 3") != std::string::npos;
     };
@@ -351,7 +313,7 @@
 TEST_CASE("two gateways find each other through the store and name each other", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
-    fixture.store_.put("config", "main", manifest(1));
+    fixture.store_.put("config", "main", declared(1));
     fixture.start();
     auto second = fixture.settings_;
     second.name_ = "e2";
--- /dev/null
+++ b/tests/relay_choice_test.cpp
@@ -0,0 +1,133 @@
+// Which instances ask the platform for news, and which follow another instance.
+#include "gateway/relay_choice.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <set>
+
+using namespace sapphirepass;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto member(std::size_t number, const std::string& region) -> MemberReport
+{
+    MemberReport report;
+    report.name_ = fmt::format("{}-{}", region, number);
+    report.region_ = region;
+    report.phase_ = MemberPhase::Ready;
+    report.peer_ = { "127.0.0.1", 8001 };
+    report.control_ = { "127.0.0.1", static_cast<std::uint16_t>(9000 + number) };
+    return report;
+}
+
+// The view of one instance of a fleet.
+struct View {
+    View(const Clock& clock, const MemberReport& self)
+        : fleet_(clock, { 2s, 20s }, self.name_)
+        , choice_(fleet_, self.region_)
+    {
+        fleet_.setReady(true);
+    }
+
+    FleetView fleet_;
+    RelayChoice choice_;
+};
+
+struct Fleet {
+    Fleet(std::size_t north, std::size_t south)
+    {
+        for (std::size_t i = 0; i < north; ++i)
+            reports_.push_back(member(i, "north"));
+        for (std::size_t i = 0; i < south; ++i)
+            reports_.push_back(member(100 + i, "south"));
+        for (const auto& report : reports_)
+            views_.push_back(std::make_unique<View>(clock_, report));
+        beat({});
+    }
+
+    auto beat(const std::set<std::string>& silent) -> void
+    {
+        for (const auto& view : views_) {
+            for (const auto& report : reports_) {
+                if (!silent.contains(report.name_))
+                    view->fleet_.hear(report);
+            }
+        }
+    }
+
+    // Control addresses of those that ask the platform themselves.
+    auto watchers(const std::string& region) const -> std::set<SocketAddress>
+    {
+        std::set<SocketAddress> found;
+        for (std::size_t i = 0; i < views_.size(); ++i) {
+            if (reports_[i].region_ == region && views_[i]->choice_.peers().empty())
+                found.insert(reports_[i].control_);
+        }
+        return found;
+    }
+
+    ManualClock clock_;
+    std::vector<MemberReport> reports_;
+    std::vector<std::unique_ptr<View>> views_;
+};
+
+}
+
+TEST_CASE("in a large region two instances ask the platform and the others follow these", "[relay-choice]")
+{
+    Fleet fleet(29, 12);
+    const auto north = fleet.watchers("north");
+    REQUIRE(north.size() == 2);
+    CHECK(fleet.watchers("south").size() == 2);
+    std::map<SocketAddress, int> first;
+    for (std::size_t i = 0; i < 29; ++i) {
+        const auto peers = fleet.views_[i]->choice_.peers();
+        if (peers.empty())
+            continue;
+        CHECK(std::set<SocketAddress>(peers.begin(), peers.end()) == north);
+        ++first[peers.front()];
+    }
+    // Followers spread over both.
+    REQUIRE(first.size() == 2);
+    for (const auto& [address, count] : first)
+        CHECK(count >= 6);
+}
+
+TEST_CASE("a small region, and an instance that is not ready, ask the platform", "[relay-choice]")
+{
+    Fleet fleet(8, 9);
+    CHECK(fleet.watchers("north").size() == 8);
+    CHECK(fleet.watchers("south").size() == 2);
+    for (const auto& view : fleet.views_)
+        view->fleet_.setReady(false);
+    CHECK(fleet.watchers("south").size() == 9);
+}
+
+TEST_CASE("another instance takes the place of one that is silent or stops", "[relay-choice]")
+{
+    Fleet fleet(20, 0);
+    const auto before = fleet.watchers("north");
+    const auto gone = std::find_if(fleet.reports_.begin(), fleet.reports_.end(), [&](const auto& report) { return report.control_ == *before.begin(); });
+    REQUIRE(gone != fleet.reports_.end());
+    const auto name = gone->name_;
+    const bool stops = GENERATE(true, false);
+    if (stops) {
+        gone->phase_ = MemberPhase::Stopping;
+        fleet.beat({});
+    } else {
+        fleet.clock_.advance(3s);
+        fleet.beat({ name });
+    }
+    for (const auto& view : fleet.views_) {
+        if (view->fleet_.self() == name)
+            continue;
+        const auto peers = view->choice_.peers();
+        CHECK(std::find(peers.begin(), peers.end(), *before.begin()) == peers.end());
+    }
+    std::size_t asking = 0;
+    for (const auto& view : fleet.views_)
+        asking += view->fleet_.self() != name && view->choice_.peers().empty() ? 1 : 0;
+    CHECK(asking == 2);
+}
