--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -56,6 +56,16 @@
     return ready;
 }
 
+auto FleetView::activeMembers(std::string_view region) const -> std::vector<const MemberReport*>
+{
+    std::vector<const MemberReport*> active;
+    for (const auto& [name, member] : members_) {
+        if (isFresh(member) && member.report_.phase_ != MemberPhase::Stopping && member.report_.region_ == region)
+            active.push_back(&member.report_);
+    }
+    return active;
+}
+
 auto FleetView::anyReadyMembers() const -> std::vector<const MemberReport*>
 {
     std::vector<const MemberReport*> ready;
@@ -74,6 +84,16 @@
     return addresses;
 }
 
+auto FleetView::peerAddressesNear(std::string_view region) const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [name, member] : members_) {
+        if (!member.heard_ || member.report_.region_ == region)
+            addresses.push_back(member.report_.peer_);
+    }
+    return addresses;
+}
+
 auto FleetView::heardAddresses() const -> std::vector<SocketAddress>
 {
     std::vector<SocketAddress> addresses;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -81,7 +81,6 @@
     // An instance that the platform lists but that may be gone.
     auto expect(const std::string& name, const SocketAddress& peer) -> void;
     // Whether this instance is ready itself.
-    auto isReady() const -> bool { return isReady_; }
     auto setReady(bool ready) -> void { isReady_ = ready; }
     // Whether this instance does not hear of upstreams from the platform.
     auto setSourceLost(bool lost) -> void { isSourceLost_ = lost; }
@@ -91,9 +90,12 @@
 
     // Ready instances that were heard of late, all regions or one.
     auto readyMembers(std::string_view region) const -> std::vector<const MemberReport*>;
+    // Instances of a region that were heard of late and do not stop, ready or still starting.
+    auto activeMembers(std::string_view region) const -> std::vector<const MemberReport*>;
     auto anyReadyMembers() const -> std::vector<const MemberReport*>;
-    // Where heartbeats go.
+    // Where heartbeats go, and those of them in one region or not yet heard.
     auto peerAddresses() const -> std::vector<SocketAddress>;
+    auto peerAddressesNear(std::string_view region) const -> std::vector<SocketAddress>;
     auto heardAddresses() const -> std::vector<SocketAddress>;
     // Instances that may spend of a limit now, this one included.
     auto spenders() const -> std::size_t { return members_.size() + 1; }
--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/relay_choice.cpp
@@ -9,7 +9,7 @@
 namespace {
     // Instances of a region that ask the platform: one may stop or be cut off.
     constexpr std::size_t watchersPerRegion = 2;
-    // Regions with fewer ready instances do not relay: a follower hears later than a watcher and depends on it.
+    // Regions with fewer instances do not relay: a follower hears later than a watcher and depends on it.
     constexpr std::size_t fewestToRelay = 9;
 }
 
@@ -19,16 +19,16 @@
 {
 }
 
-// All instances of a region name the same watchers; each follower begins with one of them by its own name.
+// All instances of a region name the same watchers, ready or not: a fleet that starts hears most news at once. Each follower begins with one of them by its own name.
 auto RelayChoice::peers() const -> std::vector<SocketAddress>
 {
-    const auto ready = fleet_.readyMembers(region_);
-    if (!fleet_.isReady() || ready.size() + 1 < fewestToRelay)
+    const auto others = fleet_.activeMembers(region_);
+    if (others.size() + 1 < fewestToRelay)
         return {};
     const auto object = stableHash("news");
     const auto own = rendezvousWeight(object, fleet_.self());
     std::vector<std::pair<std::uint64_t, SocketAddress>> ranked;
-    for (const auto* member : ready)
+    for (const auto* member : others)
         ranked.emplace_back(rendezvousWeight(object, member->name_), member->control_);
     std::partial_sort(ranked.begin(), ranked.begin() + watchersPerRegion, ranked.end(), std::greater<>());
     ranked.resize(watchersPerRegion);
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -13,8 +13,10 @@
 namespace {
     // Housekeeping: time limits, heartbeats, logs.
     constexpr Duration tickTime = 200ms;
-    // Heartbeats go every so many ticks: shares of limits follow demand within a second.
+    // Heartbeats go every so many ticks: several in the time after which an instance counts as silent.
     constexpr std::uint64_t heartbeatTicks = 2;
+    // To other regions, whose bytes are priced, every so many: two in the shortest such time.
+    constexpr std::uint64_t farHeartbeatTicks = 4;
     constexpr std::uint64_t statusTicks = 25;
     // Heartbeats name the instances that the sender hears every so many times.
     constexpr std::uint64_t knownTicks = 10;
@@ -132,7 +134,7 @@
         return fmt::format("{}: {}", formatSocketAddress(settings_.peer_), error);
     log_.write(EventId::GatewayStarted, { { "front", formatSocketAddress(settings_.front_) }, { "region", settings_.region_ }, { "domain", settings_.domain_ }, { "incarnation", incarnation_ } });
     adapter_.source_->start(beliefs_, { settings_.name_, settings_.peer_ }, relayChoice_);
-    sendHeartbeat();
+    sendHeartbeat(Reach::All);
     scheduleTick();
     return {};
 }
@@ -226,7 +228,7 @@
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.forgetSilent();
         beliefs_.noteFleetOutage();
-        sendHeartbeat();
+        sendHeartbeat(ticks_ % farHeartbeatTicks == 0 ? Reach::All : Reach::Near);
         noteFleet();
         renewFeeds();
     }
@@ -274,15 +276,15 @@
     return report;
 }
 
-auto Gateway::sendHeartbeat() -> void
+auto Gateway::sendHeartbeat(Reach reach) -> void
 {
     fleet_.setReady(isReady());
     auto report = ownReport();
     report.crashes_ = crashes_.counts();
     if (ticks_ % (heartbeatTicks * knownTicks) == 0)
         report.known_ = fleet_.heardAddresses();
-    auto to = fleet_.peerAddresses();
-    if (to.empty())
+    auto to = reach == Reach::All ? fleet_.peerAddresses() : fleet_.peerAddressesNear(settings_.region_);
+    if (fleet_.spenders() == 1)
         to = seedPeers();
     datagrams_.send(encodeDatagram(report), to);
 }
@@ -347,7 +349,7 @@
 auto Gateway::onFoundCold(const std::string& upstream, Duration left) -> void
 {
     log_.write(EventId::UpstreamFoundCold, { { "upstream", upstream }, { "cold_ms", left / 1ms } });
-    sendHeartbeat();
+    sendHeartbeat(Reach::All);
 }
 
 auto Gateway::noteFleet() -> void
@@ -371,7 +373,7 @@
     isStopping_ = true;
     stoppingAt_ = clock_.now();
     log_.write(EventId::GatewayStopping, { { "in_flight", inFlight_ }, { "connections", front_.openCount() } });
-    sendHeartbeat();
+    sendHeartbeat(Reach::All);
 }
 
 auto Gateway::continueStop() -> void
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -92,7 +92,9 @@
     auto answerMetrics() -> HttpResponse;
     auto tick() -> void;
     auto scheduleTick() -> void;
-    auto sendHeartbeat() -> void;
+    enum class Reach { All,
+        Near };
+    auto sendHeartbeat(Reach reach) -> void;
     auto ownReport() const -> MemberReport;
     auto onDatagram(std::string_view bytes, const SocketAddress& from) -> void;
     auto onReport(const MemberReport& report) -> void;
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -34,6 +34,8 @@
     auto swallowWatches(const std::string& kind, std::size_t count) -> void { swallowed_[kind] = count; }
     auto isSwallowed(const std::string& kind) const -> bool { return swallowed_.contains(kind) && swallowed_.at(kind) == 0; }
     auto calls() const -> std::size_t { return calls_; }
+    // Watches that wait for a change.
+    auto watches() const -> std::size_t { return watching_.size(); }
     auto objects(const std::string& kind) const -> std::size_t;
     auto setPage(std::size_t page) -> void { page_ = page; }
     // Called after each page of a list that has more to come.
--- a/tests/news_relay_test.cpp
+++ b/tests/news_relay_test.cpp
@@ -93,6 +93,7 @@
 TEST_CASE("a follower whose watcher loses the store asks the store itself", "[news-relay]")
 {
     RelayFixture fixture;
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
     fixture.farStore_.put("config", "main", declared(5));
     fixture.store_.setMood(StoreMood::Busy);
     fixture.store_.cutWatches();
@@ -118,6 +119,8 @@
 TEST_CASE("a follower that hears of a newer change elsewhere asks the store, and returns to its watcher", "[news-relay]")
 {
     RelayFixture fixture;
+    // Its watch at the watcher, and that watcher's three at the store.
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
     fixture.farStore_.put("config", "main", declared(5));
     fixture.follower_.renew(Feed::Declaration);
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.versions_.back() == 5; }));
