--- a/src/gateway/feed_lag.cpp
+++ b/src/gateway/feed_lag.cpp
@@ -7,8 +7,8 @@
 using namespace std::chrono_literals;
 
 namespace {
-    // A change reaches the others within the pause in which events gather (400 ms) and a heartbeat (400 ms).
-    constexpr Duration firstPatience = 1s;
+    // An instance may be in the pause in which events gather (400 ms) when others tell a change.
+    constexpr Duration firstPatience = 700ms;
     // One that tells a change that never was would otherwise cause a call a second.
     constexpr Duration longestPatience = 16s;
 }
--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/relay_choice.cpp
@@ -19,7 +19,7 @@
 {
 }
 
-// All instances of a region name the same watchers, ready or not: a fleet that starts hears most news at once. Each follower begins with one of them by its own name.
+// One that does not hear the platform is passed over. All instances of a region name the same watchers, ready or not: a fleet that starts hears most news at once. Each follower begins with one of them by its own name.
 auto RelayChoice::peers() const -> std::vector<SocketAddress>
 {
     const auto others = fleet_.activeMembers(region_);
@@ -28,8 +28,13 @@
     const auto object = stableHash("news");
     const auto own = rendezvousWeight(object, fleet_.self());
     std::vector<std::pair<std::uint64_t, SocketAddress>> ranked;
-    for (const auto* member : others)
+    for (const auto* member : others) {
+        if (member->isSourceLost_)
+            continue;
         ranked.emplace_back(rendezvousWeight(object, member->name_), member->control_);
+    }
+    if (ranked.size() < watchersPerRegion)
+        return {};
     std::partial_sort(ranked.begin(), ranked.begin() + watchersPerRegion, ranked.end(), std::greater<>());
     ranked.resize(watchersPerRegion);
     if (own > ranked.back().first)
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -230,8 +230,8 @@
         beliefs_.noteFleetOutage();
         sendHeartbeat(ticks_ % farHeartbeatTicks == 0 ? Reach::All : Reach::Near);
         noteFleet();
-        renewFeeds();
     }
+    renewFeeds();
     for (auto* listener : { &front_, &directory_, &ready_, &control_ })
         listener->sweep();
     pool_.sweep();
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -62,7 +62,7 @@
     SECTION("not before the change had time to come")
     {
         CHECK_FALSE(isDue(10, 12));
-        clock.advance(900ms);
+        clock.advance(600ms);
         CHECK_FALSE(isDue(10, 12));
         clock.advance(200ms);
         CHECK(isDue(10, 12));
--- a/tests/news_relay_test.cpp
+++ b/tests/news_relay_test.cpp
@@ -132,6 +132,39 @@
     CHECK(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.follows_.at(Feed::Declaration) == fixture.address_; }));
 }
 
+TEST_CASE("a watcher that is behind turns its followers away until it hears the store again", "[news-relay]")
+{
+    RelayFixture fixture;
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
+    fixture.farStore_.put("config", "main", declared(5));
+    fixture.store_.swallowWatches("config", 1);
+    fixture.watcher_.renew(Feed::Declaration);
+    CHECK(runUntil(fixture.loop_, [&] { return fixture.followerBeliefs_.versions_.back() == 5; }));
+    CHECK(fixture.followerBeliefs_.lost_ == 0);
+}
+
+TEST_CASE("a list of a peer that is older than what was seen is refused", "[news-relay]")
+{
+    RelayFixture fixture;
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
+    // The follower has seen more than its watcher, whose history is too short for it to watch there.
+    for (int version = 5; version < 9; ++version)
+        fixture.farStore_.put("config", "main", declared(version));
+    for (int number = 0; number < 40; ++number)
+        fixture.farStore_.put("servers", "i-2", listed({ "127.0.0.1", static_cast<std::uint16_t>(7100 + number) }));
+    fixture.farStore_.remove("servers", "i-1");
+    fixture.follower_.renew(Feed::Upstreams);
+    REQUIRE(runUntil(fixture.loop_, [&] { return !fixture.followerBeliefs_.upstreams_.contains("i-1"); }));
+    const auto seen = fixture.follower_.position(Feed::Upstreams).seenUpTo_;
+    fixture.farStore_.forgetHistory();
+    REQUIRE(runUntil(fixture.loop_, [&] {
+        fixture.farStore_.cutWatches();
+        return fixture.followerBeliefs_.lists_ >= 2 || fixture.followerBeliefs_.lost_ > 0;
+    }));
+    CHECK(fixture.follower_.position(Feed::Upstreams).seenUpTo_ >= seen);
+    CHECK_FALSE(fixture.followerBeliefs_.upstreams_.contains("i-1"));
+}
+
 TEST_CASE("a follower that comes back after long is told to list again", "[news-relay]")
 {
     asio::io_context loop;
@@ -143,24 +176,24 @@
     CHECK(answers.back().result_int() == 503);
     mirror.replace({ { "a", "{}" } }, 100);
     mirror.setLive(true);
-    for (std::int64_t revision = 101; revision < 300; ++revision)
+    for (std::int64_t revision = 101; revision < 500; ++revision)
         mirror.apply({ { "a", "{\"n\":1}", false } }, revision);
     ask("watch=100&wait_ms=1000");
     CHECK(answers.back().result_int() == 410);
-    ask("watch=298&wait_ms=1000");
-    CHECK(answers.back().body() == R"({"events":[{"deleted":false,"object":{"n":1}}],"current_rev":299})");
+    ask("watch=498&wait_ms=1000");
+    CHECK(answers.back().body() == R"({"events":[{"deleted":false,"object":{"n":1}}],"current_rev":499})");
     ask("");
-    CHECK(answers.back().body() == R"({"items":[{"n":1}],"more":false,"current_rev":299})");
+    CHECK(answers.back().body() == R"({"items":[{"n":1}],"more":false,"current_rev":499})");
     SECTION("one that waits is answered empty after its time")
     {
-        ask("watch=299&wait_ms=5");
+        ask("watch=499&wait_ms=5");
         REQUIRE(runUntil(loop, [&] { return answers.size() == 5; }));
-        CHECK(answers.back().body() == R"({"events":[],"current_rev":299})");
+        CHECK(answers.back().body() == R"({"events":[],"current_rev":499})");
     }
     SECTION("one that leaves is forgotten, one that stays is turned away when the store is lost")
     {
-        const auto leaving = ask("watch=299&wait_ms=20000");
-        const auto staying = ask("watch=299&wait_ms=20000");
+        const auto leaving = ask("watch=499&wait_ms=20000");
+        const auto staying = ask("watch=499&wait_ms=20000");
         leaving->cancel();
         mirror.setLive(false);
         REQUIRE(answers.size() == 5);
@@ -168,9 +201,9 @@
     }
     SECTION("what a new list shows as gone or changed is told as changes")
     {
-        mirror.replace({ { "b", "{\"n\":2}" } }, 400);
-        ask("watch=299&wait_ms=1000");
-        CHECK(answers.back().body() == R"({"events":[{"deleted":true,"object":{"n":1}},{"deleted":false,"object":{"n":2}}],"current_rev":400})");
+        mirror.replace({ { "b", "{\"n\":2}" } }, 600);
+        ask("watch=499&wait_ms=1000");
+        CHECK(answers.back().body() == R"({"events":[{"deleted":true,"object":{"n":1}},{"deleted":false,"object":{"n":2}}],"current_rev":600})");
     }
     SECTION("a query without sense is no watch")
     {
--- a/tests/relay_choice_test.cpp
+++ b/tests/relay_choice_test.cpp
@@ -118,10 +118,16 @@
     const auto gone = std::find_if(fleet.reports_.begin(), fleet.reports_.end(), [&](const auto& report) { return report.control_ == *before.begin(); });
     REQUIRE(gone != fleet.reports_.end());
     const auto name = gone->name_;
-    const bool stops = GENERATE(true, false);
-    if (stops) {
+    enum class End { Stops,
+        LosesPlatform,
+        Silent };
+    const auto end = GENERATE(End::Stops, End::LosesPlatform, End::Silent);
+    if (end == End::Stops) {
         gone->phase_ = MemberPhase::Stopping;
         fleet.beat({});
+    } else if (end == End::LosesPlatform) {
+        gone->isSourceLost_ = true;
+        fleet.beat({});
     } else {
         fleet.clock_.advance(3s);
         fleet.beat({ name });
