--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/relay_choice.cpp
@@ -40,6 +40,7 @@
     if (own > ranked.back().first)
         return {};
     std::vector<SocketAddress> peers;
+    peers.reserve(ranked.size());
     for (const auto& [weight, address] : ranked)
         peers.push_back(address);
     std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(own % watchersPerRegion), peers.end());
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -278,10 +278,10 @@
 
 // A second gateway beside that of the fixture.
 struct SecondGateway {
-    explicit SecondGateway(GatewayFixture& fixture)
+    explicit SecondGateway(GatewayFixture& fixture, const std::string& name = "e2")
         : settings_(fixture.settings_)
     {
-        settings_.name_ = "e2";
+        settings_.name_ = name;
         for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
             *address = freeAddress(fixture.loop_);
         GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), 300ms) };
@@ -313,6 +313,36 @@
     CHECK(runUntil(fixture.loop_, [&] { return isAtThree(fixture.settings_) && isAtThree(second.settings_); }));
 }
 
+TEST_CASE("ten gateways of a region all hear a change, and two of them ask the store", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    std::vector<std::unique_ptr<SecondGateway>> others;
+    for (int number = 2; number <= 10; ++number)
+        others.push_back(std::make_unique<SecondGateway>(fixture, fmt::format("e{}", number)));
+    const auto allAt = [&](int version) {
+        const auto line = fmt::format("gateway_declaration_version {}", version);
+        const auto isAt = [&](const GatewaySettings& settings) { return fixture.ask(settings.control_, "/metrics").find(line) != std::string::npos; };
+        return isAt(fixture.settings_) && std::all_of(others.begin(), others.end(), [&](const auto& other) { return isAt(other->settings_); });
+    };
+    REQUIRE(runUntil(fixture.loop_, [&] { return allAt(1); }));
+    // Each change is one answered watch at each watcher; ten of them would be fifty in five changes. A slow machine may
+    // let a follower ask the store for some changes, but not for good.
+    constexpr int changes = 5;
+    constexpr std::size_t most = 2 * changes + 4;
+    std::size_t calls = most + 1;
+    for (int version = 2; version < 60 && calls > most; version += changes) {
+        const auto before = fixture.store_.calls();
+        for (int change = 0; change < changes; ++change) {
+            fixture.store_.put("config", "main", declared(version + change));
+            REQUIRE(runUntil(fixture.loop_, [&] { return allAt(version + change); }));
+        }
+        calls = fixture.store_.calls() - before;
+    }
+    CHECK(calls <= most);
+}
+
 TEST_CASE("two gateways find each other through the store and name each other", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
