--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/relay_choice.cpp
@@ -19,7 +19,8 @@
 {
 }
 
-// One that does not hear the platform is passed over. All instances of a region name the same watchers, ready or not: a fleet that starts hears most news at once. Each follower begins with one of them by its own name.
+// All instances of a region name the same watchers, ready or not: a fleet that starts hears most news at once. One that
+// does not hear the platform is passed over. Each follower begins with one of the watchers by its own name.
 auto RelayChoice::peers() const -> std::vector<SocketAddress>
 {
     const auto others = fleet_.activeMembers(region_);
