Tests of promises that the relay and the cold watch touch: keys, leaving upstreams, a failed region, older lists

The test of older lists passed without the guard: it never had the follower ask its watcher for a list. It does now, and fails with the guard taken out (mutation: i-1 came back).

--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -18,8 +18,10 @@
     {
         ++lists_;
         upstreams_.clear();
-        for (const auto& entry : entries)
+        for (const auto& entry : entries) {
             upstreams_.insert(entry.id_);
+            everListed_.insert(entry.id_);
+        }
     }
     auto upstreamSeen(const UpstreamEntry& entry) -> void override { upstreams_.insert(entry.id_); }
     auto upstreamGone(const std::string& id) -> void override { upstreams_.erase(id); }
@@ -37,6 +39,8 @@
 
     std::vector<std::uint64_t> versions_;
     std::set<std::string> upstreams_;
+    // Once for each list that named the upstream.
+    std::multiset<std::string> everListed_;
     std::set<std::string> evacuated_;
     std::vector<ListedInstance> instances_;
     std::map<Feed, std::optional<SocketAddress>> follows_;
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -127,6 +127,69 @@
 }
 
 // Seen in a recorded day: a few objects drew most requests; their one owner refused while the others idled.
+// A region fails, and its callers press on: the other region gets what it can finish in time, the rest is refused at once.
+TEST_CASE("when a region fails the other is not overloaded", "[placement]")
+{
+    ManualClock clock;
+    std::vector<std::unique_ptr<Instance>> instances;
+    for (int i = 0; i < 6; ++i) {
+        instances.push_back(std::make_unique<Instance>(clock, fmt::format("e{}", i)));
+        instances.back()->put(4);
+        instances.back()->put(4, "south-a");
+    }
+    // What upstreams state of their load; each instance hears it with its own answers.
+    std::map<std::string, int> running;
+    std::map<std::string, int> most;
+    int placed = 0;
+    int refused = 0;
+    for (int round = 0; round < 200; ++round) {
+        if (round == 50) {
+            for (const auto& instance : instances)
+                instance->upstreams_.setEvacuated({ "north-a" });
+            running.clear();
+            for (const auto& instance : instances) {
+                for (const auto& upstream : instance->upstreams_.ofService("core"))
+                    upstream->inFlight_ = 0;
+            }
+        }
+        clock.advance(10ms);
+        // Work of 100 ms on 32 slots, three requests each 10 ms: as much as both regions bear, twice what one does.
+        for (int sent = 0; sent < 3; ++sent) {
+            const auto number = static_cast<std::uint64_t>(round * 3 + sent);
+            auto& instance = *instances[number % instances.size()];
+            const auto result = instance.placer_.place(query(number * 7919));
+            const auto* placement = std::get_if<Placement>(&result);
+            placed += placement != nullptr ? 1 : 0;
+            refused += placement == nullptr ? 1 : 0;
+            if (placement == nullptr)
+                continue;
+            auto& upstream = *placement->upstream_;
+            CHECK((round < 50 || upstream.region_ == "south"));
+            ++upstream.inFlight_;
+            most[upstream.entry_.id_] = std::max(most[upstream.entry_.id_], ++running[upstream.entry_.id_]);
+        }
+        // A tenth of what runs ends, and tells the load to the instance that asked.
+        for (auto& [id, count] : running) {
+            for (const auto& instance : instances) {
+                const auto upstream = instance->find(id);
+                instance->upstreams_.noteLoad(*upstream, { std::min(count, 4), std::max(0, count - 4), 4 });
+                if (upstream->inFlight_ > 0 && round % 10 == 0) {
+                    count -= upstream->inFlight_;
+                    upstream->inFlight_ = 0;
+                }
+            }
+        }
+    }
+    CAPTURE(placed, refused);
+    CHECK(refused > 0);
+    CHECK(placed > 200);
+    for (const auto& [id, count] : most) {
+        CAPTURE(id);
+        // Four slots, and what waits no longer than the 200 ms that a request may.
+        CHECK(count <= 4 + 8);
+    }
+}
+
 TEST_CASE("an object that most callers ask for gets more owners, and loses them again", "[placement]")
 {
     ManualClock clock;
--- a/tests/news_relay_test.cpp
+++ b/tests/news_relay_test.cpp
@@ -23,12 +23,14 @@
     auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override
     {
         ++asked_;
+        lists_ += request.target().find("watch=") == std::string_view::npos ? 1 : 0;
         return source_.answerPeer(request, std::move(answer));
     }
     auto limits() const -> CallerLimits override { return {}; }
     auto isClosing() const -> bool override { return false; }
 
     int asked_ = 0;
+    int lists_ = 0;
 
 private:
     platform::StoreSource& source_;
@@ -147,22 +149,23 @@
 {
     RelayFixture fixture;
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
-    // The follower has seen more than its watcher, whose history is too short for it to watch there.
-    for (int version = 5; version < 9; ++version)
-        fixture.farStore_.put("config", "main", declared(version));
-    for (int number = 0; number < 40; ++number)
+    // The follower goes to the store and sees there what its watcher has not seen.
+    fixture.peers_.peers_.clear();
+    for (int number = 0; number < 20; ++number)
         fixture.farStore_.put("servers", "i-2", listed({ "127.0.0.1", static_cast<std::uint16_t>(7100 + number) }));
     fixture.farStore_.remove("servers", "i-1");
     fixture.follower_.renew(Feed::Upstreams);
     REQUIRE(runUntil(fixture.loop_, [&] { return !fixture.followerBeliefs_.upstreams_.contains("i-1"); }));
-    const auto seen = fixture.follower_.position(Feed::Upstreams).seenUpTo_;
-    fixture.farStore_.forgetHistory();
-    REQUIRE(runUntil(fixture.loop_, [&] {
-        fixture.farStore_.cutWatches();
-        return fixture.followerBeliefs_.lists_ >= 2 || fixture.followerBeliefs_.lost_ > 0;
-    }));
-    CHECK(fixture.follower_.position(Feed::Upstreams).seenUpTo_ >= seen);
+    REQUIRE(fixture.follower_.position(Feed::Upstreams).seenUpTo_ > fixture.watcher_.position(Feed::Upstreams).seenUpTo_);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.farStore_.watches() == 3; }));
+    // Its watch there is cut, and the watcher is to be asked for a list.
+    const auto lists = fixture.followerBeliefs_.lists_;
+    const auto peerLists = fixture.pages_.lists_;
+    fixture.peers_.peers_ = { fixture.address_ };
+    fixture.farStore_.cutWatches();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.lists_ > peerLists && fixture.followerBeliefs_.lists_ > lists; }));
     CHECK_FALSE(fixture.followerBeliefs_.upstreams_.contains("i-1"));
+    CHECK(fixture.followerBeliefs_.everListed_.count("i-1") == 1);
 }
 
 TEST_CASE("a follower that comes back after long is told to list again", "[news-relay]")
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -313,6 +313,82 @@
     CHECK(runUntil(fixture.loop_, [&] { return isAtThree(fixture.settings_) && isAtThree(second.settings_); }));
 }
 
+TEST_CASE("a key that is withdrawn while callers are connected stops working, also where the watch is swallowed", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    SecondGateway second(fixture);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady() && second.gateway_->isReady(); }));
+    LoopClient first(fixture.loop_, fixture.settings_.front_);
+    LoopClient other(fixture.loop_, second.settings_.front_);
+    const auto answered = [&](LoopClient& client) {
+        const auto before = client.count("HTTP/1.1 ");
+        client.send(order);
+        return runUntil(fixture.loop_, [&] { return client.count("HTTP/1.1 ") == before + 1; });
+    };
+    REQUIRE((answered(first) && answered(other)));
+    REQUIRE(first.count("done") + other.count("done") == 2);
+    fixture.store_.swallowWatches("config", 1);
+    fixture.store_.put("config", "main", declared(2));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.isSwallowed("config"); }));
+    auto withdrawn = declared(3);
+    withdrawn["tenants"][0]["api_keys"] = { "another" };
+    fixture.store_.put("config", "main", withdrawn);
+    for (auto* client : { &first, &other }) {
+        CHECK(runUntil(fixture.loop_, [&] { return answered(*client) && client->count("HTTP/1.1 401") == 1; }));
+        const auto done = client->count("done");
+        const auto sent = fixture.server_.requests().size();
+        REQUIRE(answered(*client));
+        CHECK(client->count("done") == done);
+        CHECK(fixture.server_.requests().size() == sent);
+    }
+}
+
+TEST_CASE("an upstream that leaves gets no new work, also where the watch is swallowed", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    LoopServer staying(fixture.loop_, [](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("servers", "i-2", listed(staying.address()));
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    SecondGateway second(fixture);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady() && second.gateway_->isReady(); }));
+    // Twenty requests at each gateway; how many the first upstream got.
+    const auto workAtLeaving = [&] {
+        const auto before = fixture.server_.requests().size();
+        for (const auto& front : { fixture.settings_.front_, second.settings_.front_ }) {
+            LoopClient client(fixture.loop_, front);
+            for (std::size_t sent = 1; sent <= 20; ++sent) {
+                client.send(order);
+                REQUIRE(runUntil(fixture.loop_, [&] { return client.count("HTTP/1.1 200") == sent; }));
+            }
+        }
+        return fixture.server_.requests().size() - before;
+    };
+    CHECK(workAtLeaving() > 0);
+    fixture.store_.swallowWatches("servers", 1);
+    fixture.store_.put("servers", "i-2", listed(staying.address()));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.isSwallowed("servers"); }));
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address(), "draining"));
+    CHECK(runUntil(fixture.loop_, [&] { return workAtLeaving() == 0; }));
+    CHECK(workAtLeaving() == 0);
+}
+
+TEST_CASE("what instances tell each other is not told to callers", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
+    const auto path = platform::objectsPath + platform::declarationKind;
+    CHECK(fixture.ask(fixture.settings_.control_, path).find("secret") != std::string::npos);
+    for (const auto& address : { fixture.settings_.front_, fixture.settings_.directory_, fixture.settings_.ready_ })
+        CHECK(fixture.ask(address, path).starts_with("HTTP/1.1 404"));
+}
+
 TEST_CASE("ten gateways of a region all hear a change, and two of them ask the store", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
