Review: decisions leave platform/, one parser step, one page handler, no sleep beside an injected clock

What stood in the wrong place or twice: - where a feed is asked for, whether an answer is too old, and which changes are kept for followers were decided in platform/: now FeedRoute, FeedProgress and ChangeHistory in src/gateway, with tests without a network - three copies of feeding what has arrived to a parser: parseArrived. The copy in CallChannel went on reading after an error that took no bytes - two handlers of the gateway's own pages of one shape: PageHandler - the client's wait for a change to be in force took the system's clock and slept: waitInForce takes a clock and a pauser, and no longer pauses beyond its limit - the soak's plan of addresses repeated the gateway's settings; the tests of the listener set up the same five lines five times Left: stand-ins and listeners that open sockets step by step have the same shape; sections of tests that are rows of data; generated code.

--- a/soak/gateway_process.cpp
+++ b/soak/gateway_process.cpp
@@ -15,8 +15,8 @@
 GatewayProcess::GatewayProcess(GatewayPlan plan)
     : plan_(std::move(plan))
 {
-    std::ofstream settings(fmt::format("{}/{}.ini", plan_.folder_, plan_.name_));
-    settings << fmt::format("[instance]\nname = {}\nregion = north\ndomain = north-a\nfront = {}\ndirectory = {}\nready = {}\ncontrol = {}\npeer = {}\n[store]\naddress = {}\n[rates]\nover = 0.1\nslack = 20\n[retries]\nslack = 64\n[domains]\nnorth-a = north\n", plan_.name_, formatSocketAddress(plan_.front_), formatSocketAddress(plan_.directory_), formatSocketAddress(plan_.ready_), formatSocketAddress(plan_.control_), formatSocketAddress(plan_.peer_), formatSocketAddress(plan_.store_));
+    std::ofstream settings(fmt::format("{}/{}.ini", plan_.folder_, plan_.settings_.name_));
+    settings << fmt::format("[instance]\nname = {}\nregion = north\ndomain = north-a\nfront = {}\ndirectory = {}\nready = {}\ncontrol = {}\npeer = {}\n[store]\naddress = {}\n[rates]\nover = 0.1\nslack = 20\n[retries]\nslack = 64\n[domains]\nnorth-a = north\n", plan_.settings_.name_, formatSocketAddress(plan_.settings_.front_), formatSocketAddress(plan_.settings_.directory_), formatSocketAddress(plan_.settings_.ready_), formatSocketAddress(plan_.settings_.control_), formatSocketAddress(plan_.settings_.peer_), formatSocketAddress(plan_.settings_.store_));
 }
 
 GatewayProcess::~GatewayProcess()
@@ -29,8 +29,8 @@
 
 auto GatewayProcess::start() -> void
 {
-    const auto settings = fmt::format("{}/{}.ini", plan_.folder_, plan_.name_);
-    const auto log = fmt::format("{}/{}.log", plan_.folder_, plan_.name_);
+    const auto settings = fmt::format("{}/{}.ini", plan_.folder_, plan_.settings_.name_);
+    const auto log = fmt::format("{}/{}.log", plan_.folder_, plan_.settings_.name_);
     std::string config = "--config=" + settings;
     std::string subcommand = "gateway";
     std::string binary = plan_.binary_;
--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -1,7 +1,7 @@
 // One gateway as a process of its own. Only processes that it started are ever signalled.
 #pragma once
 
-#include "base/socket_address.h"
+#include "settings/gateway_settings.h"
 
 #include <optional>
 #include <string>
@@ -12,13 +12,7 @@
 struct GatewayPlan {
     std::string binary_;
     std::string folder_;
-    std::string name_;
-    SocketAddress front_;
-    SocketAddress directory_;
-    SocketAddress ready_;
-    SocketAddress control_;
-    SocketAddress peer_;
-    SocketAddress store_;
+    GatewaySettings settings_;
 };
 
 class GatewayProcess {
@@ -33,7 +27,7 @@
     // The exit status once the process has ended, told once.
     auto ended() -> std::optional<int>;
     auto isRunning() const -> bool { return pid_ > 0; }
-    auto plan() const -> const GatewayPlan& { return plan_; }
+    auto settings() const -> const GatewaySettings& { return plan_.settings_; }
 
 private:
     GatewayPlan plan_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -97,7 +97,7 @@
         {
             if (const auto status = slot.process_->ended()) {
                 if (!slot.isExpectedToEnd_)
-                    world_.violations_.add(fmt::format("{} ended by itself with status {}", slot.process_->plan().name_, *status));
+                    world_.violations_.add(fmt::format("{} ended by itself with status {}", slot.process_->settings().name_, *status));
                 slot.isExpectedToEnd_ = false;
                 slot.restartAt_ = now() + std::chrono::milliseconds(world_.random(500));
             }
@@ -218,8 +218,8 @@
         auto checkCalm() -> void
         {
             for (auto& slot : world_.gateways_) {
-                const auto& name = slot->process_->plan().name_;
-                if (ask(slot->process_->plan().ready_, "GET /-/readiness HTTP/1.1\r\nHost: a\r\n\r\n") != 200)
+                const auto& name = slot->process_->settings().name_;
+                if (ask(slot->process_->settings().ready_, "GET /-/readiness HTTP/1.1\r\nHost: a\r\n\r\n") != 200)
                     world_.violations_.add(fmt::format("{} is not ready in calm", name));
                 for (int i = 0; i < 10; ++i) {
                     const auto status = request(*slot, "acme");
@@ -236,7 +236,7 @@
         {
             const auto attempt = fmt::format("calm-{}", ++world_.lastAttempt_);
             world_.attempts_[attempt] = { false, workspace, 0, 0 };
-            const auto status = ask(slot.process_->plan().front_, fmt::format("POST /order/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {}\r\nAuthorization: Token key-{}\r\nContent-Length: 2\r\n\r\nhi", attempt, workspace));
+            const auto status = ask(slot.process_->settings().front_, fmt::format("POST /order/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {}\r\nAuthorization: Token key-{}\r\nContent-Length: 2\r\n\r\nhi", attempt, workspace));
             world_.attempts_[attempt].status_ = status;
             return status;
         }
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -65,10 +65,12 @@
 {
     auto slot = std::make_unique<GatewaySlot>();
     slot->storeProxy_ = std::make_unique<FaultProxy>(loop_, store_.address());
-    GatewayPlan plan { binary_, folder_, fmt::format("e{}", number), {}, {}, {}, {}, {}, slot->storeProxy_->address() };
-    for (auto* address : { &plan.front_, &plan.directory_, &plan.ready_, &plan.control_, &plan.peer_ })
+    GatewaySettings settings;
+    settings.name_ = fmt::format("e{}", number);
+    settings.store_ = slot->storeProxy_->address();
+    for (auto* address : { &settings.front_, &settings.directory_, &settings.ready_, &settings.control_, &settings.peer_ })
         *address = standin::freeAddress(loop_, ownHost(number));
-    slot->process_ = std::make_unique<GatewayProcess>(std::move(plan));
+    slot->process_ = std::make_unique<GatewayProcess>(GatewayPlan { binary_, folder_, std::move(settings) });
     slot->process_->start();
     gateways_.push_back(std::move(slot));
 }
@@ -158,7 +160,7 @@
 {
     gateway_ = world_.random(world_.gateways_.size());
     try {
-        client_ = std::make_unique<standin::LoopClient>(loop_, world_.gateways_[gateway_]->process_->plan().front_);
+        client_ = std::make_unique<standin::LoopClient>(loop_, world_.gateways_[gateway_]->process_->settings().front_);
         seen_ = 0;
     } catch (const boost::system::system_error&) {
         // Nobody listens there now: another is tried at the next step.
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,6 +1,7 @@
 #include "base/clock.h"
 
 #include <ctime>
+#include <thread>
 
 namespace sapphirepass {
 
@@ -16,6 +17,11 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
+auto SystemPauser::pause(Duration length) -> void
+{
+    std::this_thread::sleep_for(length);
+}
+
 auto ManualClock::advance(Duration step) -> void
 {
     now_ += step;
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -28,6 +28,18 @@
     auto wallNow() const -> WallTime override;
 };
 
+// Lets time pass in a client that has nothing else to do. Daemons never wait this way.
+class Pauser {
+public:
+    virtual ~Pauser() = default;
+    virtual auto pause(Duration length) -> void = 0;
+};
+
+class SystemPauser final : public Pauser {
+public:
+    auto pause(Duration length) -> void override;
+};
+
 // A clock that moves only when told to; for tests and experiments.
 class ManualClock final : public Clock {
 public:
--- /dev/null
+++ b/src/gateway/feed_route.h
@@ -0,0 +1,40 @@
+// Decides where a feed is asked for: at one of the instances that may be followed, or at the platform itself.
+#pragma once
+
+#include "gateway/belief_source.h"
+
+#include <optional>
+
+namespace sapphirepass {
+
+// Answers peers that fail, fall silent or are behind: each failure moves on, and a feed returns to the best place only
+// after some answers.
+class FeedRoute {
+public:
+    explicit FeedRoute(const NewsPeers& peers);
+
+    // The peer to ask now; nothing for the platform itself.
+    auto current() const -> std::optional<SocketAddress>;
+    auto noteFailure() -> void;
+    auto noteAnswer() -> void;
+    auto turnToPlatform() -> void;
+
+private:
+    const NewsPeers& peers_;
+    std::size_t failures_ = 0;
+    std::size_t answersInRow_ = 0;
+};
+
+// How far a feed has come. What it has seen never goes back.
+class FeedProgress {
+public:
+    auto position() const -> const FeedPosition& { return position_; }
+    auto noteChange(std::uint64_t number) -> void;
+    // An answer that holds every change up to a number. False if more was seen before: the answer is of no use.
+    auto noteSeen(std::uint64_t upTo) -> bool;
+
+private:
+    FeedPosition position_;
+};
+
+} // namespace sapphirepass
--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -92,15 +92,8 @@
     if (error)
         return fail(error.message());
     buffer_.commit(count);
-    NetError failure;
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-        const auto used = parser_->put(buffer_.data(), failure);
-        buffer_.consume(used);
-        if (failure == http::error::need_more || used == 0)
-            break;
-        if (failure)
-            return fail(failure.message());
-    }
+    if (const auto failure = parseArrived(*parser_, buffer_))
+        return fail(failure.message());
     if (!parser_->is_done())
         return readMore();
     timer_.cancel();
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -106,17 +106,10 @@
 
 auto CallerChannel::parseBuffer() -> void
 {
-    NetError error;
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-        const auto used = parser_->put(buffer_.data(), error);
-        buffer_.consume(used);
-        if (error && error != http::error::need_more)
-            return refuse(error);
-        if (!hasHeader_ && parser_->is_header_done() && !onHeader())
-            return;
-        if (error == http::error::need_more || used == 0)
-            return readMore();
-    }
+    if (const auto error = parseArrived(*parser_, buffer_))
+        return refuse(error);
+    if (!hasHeader_ && parser_->is_header_done() && !onHeader())
+        return;
     if (!parser_->is_done())
         return readMore();
     onWholeRequest();
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -71,20 +71,6 @@
     return run;
 }
 
-auto Gateway::OwnHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
-{
-    answer(gateway_.answerOwn(request));
-    return nullptr;
-}
-
-auto Gateway::ControlHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
-{
-    if (request.target() != metricsPath)
-        return gateway_.adapter_.source_->answerPeer(request, std::move(answer));
-    answer(gateway_.answerMetrics());
-    return nullptr;
-}
-
 Gateway::Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter)
     : loop_(loop)
     , clock_(clock)
@@ -107,12 +93,15 @@
     , coldProber_(loop, adapter_.headers_, coldWatch_, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, metrics_ }
     , frontHandler_(*this)
-    , ownHandler_(*this)
-    , controlHandler_(*this)
+    , publicPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) {
+        answer(answerPublic(request));
+        return nullptr;
+    })
+    , controlPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) { return answerControl(request, answer); })
     , front_(loop, frontHandler_, clock)
-    , directory_(loop, ownHandler_, clock)
-    , ready_(loop, ownHandler_, clock)
-    , control_(loop, controlHandler_, clock)
+    , directory_(loop, publicPages_, clock)
+    , ready_(loop, publicPages_, clock)
+    , control_(loop, controlPages_, clock)
     , datagrams_(loop, [this](std::string_view bytes, const SocketAddress& from) { onDatagram(bytes, from); })
     , timer_(loop)
     , startedAt_(clock.now())
@@ -144,7 +133,7 @@
     return context_.index_ ? context_.index_->declaration().limits_ : CallerLimits {};
 }
 
-auto Gateway::answerOwn(const HttpRequest& request) -> HttpResponse
+auto Gateway::answerPublic(const HttpRequest& request) const -> HttpResponse
 {
     const std::string_view target { request.target().data(), request.target().size() };
     const auto path = target.substr(0, target.find('?'));
@@ -155,6 +144,14 @@
     return ownAnswer(404, "no such page", Executed::No);
 }
 
+auto Gateway::answerControl(const HttpRequest& request, const CallerHandler::Answer& answer) -> std::shared_ptr<RunningRequest>
+{
+    if (request.target() != metricsPath)
+        return adapter_.source_->answerPeer(request, answer);
+    answer(answerMetrics());
+    return nullptr;
+}
+
 auto Gateway::answerReadiness() const -> HttpResponse
 {
     return isReady() ? ownAnswer(200, "ready", Executed::No) : ownAnswer(503, "not ready", Executed::No);
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -55,38 +55,29 @@
     private:
         Gateway& gateway_;
     };
-    // The directory, readiness and metrics: answered at once.
-    class OwnHandler final : public CallerHandler {
+    // Pages of the gateway's own.
+    class PageHandler final : public CallerHandler {
     public:
-        explicit OwnHandler(Gateway& gateway)
-            : gateway_(gateway)
-        {
-        }
-        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
-        auto limits() const -> CallerLimits override { return {}; }
-        auto isClosing() const -> bool override { return false; }
+        using Answerer = std::function<std::shared_ptr<RunningRequest>(const HttpRequest& request, const Answer& answer)>;
 
-    private:
-        Gateway& gateway_;
-    };
-    // Operators and other instances; callers do not reach it.
-    class ControlHandler final : public CallerHandler {
-    public:
-        explicit ControlHandler(Gateway& gateway)
-            : gateway_(gateway)
+        explicit PageHandler(Answerer answerer)
+            : answerer_(std::move(answerer))
         {
         }
-        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
+        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override { return answerer_(request, answer); }
         auto limits() const -> CallerLimits override { return {}; }
         auto isClosing() const -> bool override { return false; }
 
     private:
-        Gateway& gateway_;
+        Answerer answerer_;
     };
     class Run;
 
     auto callerLimits() const -> CallerLimits;
-    auto answerOwn(const HttpRequest& request) -> HttpResponse;
+    // For callers and the platform: the directory and readiness.
+    auto answerPublic(const HttpRequest& request) const -> HttpResponse;
+    // For operators and other instances; callers do not reach it.
+    auto answerControl(const HttpRequest& request, const CallerHandler::Answer& answer) -> std::shared_ptr<RunningRequest>;
     auto answerDirectory(std::string_view query) const -> HttpResponse;
     auto answerReadiness() const -> HttpResponse;
     auto answerMetrics() -> HttpResponse;
@@ -132,8 +123,8 @@
     Metrics metrics_;
     RequestContext context_;
     FrontHandler frontHandler_;
-    OwnHandler ownHandler_;
-    ControlHandler controlHandler_;
+    PageHandler publicPages_;
+    PageHandler controlPages_;
     CallerListener front_;
     CallerListener directory_;
     CallerListener ready_;
--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -22,6 +22,22 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+// Gives a parser what has arrived. An error, or none: then the parser is done or needs more.
+template <typename Parser>
+auto parseArrived(Parser& parser, boost::beast::flat_buffer& buffer) -> NetError
+{
+    while (buffer.size() > 0 && !parser.is_done()) {
+        NetError error;
+        const auto used = parser.put(buffer.data(), error);
+        buffer.consume(used);
+        if (error && error != http::error::need_more)
+            return error;
+        if (error || used == 0)
+            break;
+    }
+    return {};
+}
+
 // Ends a connection whose peer is silent, which the kernel alone would not notice for minutes.
 auto detectDeadPeer(Tcp::socket& socket) -> void;
 auto closeQuietly(Tcp::socket& socket) -> void;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -132,17 +132,8 @@
 
 auto UpstreamChannel::parseBuffer() -> void
 {
-    NetError error;
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-        const auto used = parser_->put(buffer_.data(), error);
-        buffer_.consume(used);
-        if (error == http::error::need_more)
-            return readMore();
-        if (error)
-            return lose(LossKind::Garbled, error.message());
-        if (used == 0)
-            break;
-    }
+    if (const auto error = parseArrived(*parser_, buffer_))
+        return lose(LossKind::Garbled, error.message());
     if (!parser_->is_done())
         return readMore();
     onWholeResponse();
--- /dev/null
+++ b/tests/feed_route_test.cpp
@@ -0,0 +1,121 @@
+// Where a feed is asked for, how far it has come, and what it tells on.
+#include "gateway/change_history.h"
+#include "gateway/feed_route.h"
+#include "standin/kept_beliefs.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace sapphirepass;
+using namespace sapphirepass::standin;
+
+TEST_CASE("a feed asks its peers and the platform in turn, and returns after some answers", "[feed-route]")
+{
+    NamedPeers peers;
+    const SocketAddress a { "127.0.0.1", 1 };
+    const SocketAddress b { "127.0.0.1", 2 };
+    peers.peers_ = { a, b };
+    FeedRoute route(peers);
+    CHECK(route.current() == a);
+    route.noteFailure();
+    CHECK(route.current() == b);
+    route.noteFailure();
+    CHECK(route.current() == std::nullopt);
+    SECTION("a failure of the platform as well begins anew")
+    {
+        route.noteFailure();
+        CHECK(route.current() == a);
+    }
+    SECTION("answers in a row lead back, a failure between starts the count again")
+    {
+        for (int answer = 0; answer < 3; ++answer)
+            route.noteAnswer();
+        CHECK(route.current() == std::nullopt);
+        route.noteFailure();
+        for (int answer = 0; answer < 3; ++answer)
+            route.noteAnswer();
+        route.noteFailure();
+        CHECK(route.current() == b);
+        for (int answer = 0; answer < 4; ++answer)
+            route.noteAnswer();
+        CHECK(route.current() == a);
+    }
+    SECTION("without peers it is always the platform")
+    {
+        peers.peers_.clear();
+        for (int failure = 0; failure < 4; ++failure) {
+            CHECK(route.current() == std::nullopt);
+            route.noteFailure();
+        }
+    }
+    SECTION("it turns to the platform at once")
+    {
+        route.noteFailure();
+        route.turnToPlatform();
+        CHECK(route.current() == std::nullopt);
+    }
+}
+
+TEST_CASE("what a feed has seen never goes back", "[feed-route]")
+{
+    FeedProgress progress;
+    CHECK(progress.noteSeen(10));
+    progress.noteChange(8);
+    progress.noteChange(3);
+    CHECK(progress.noteSeen(10));
+    CHECK_FALSE(progress.noteSeen(9));
+    CHECK(progress.position() == FeedPosition { 8, 10 });
+}
+
+// A follower that takes the changes after what it has, again and again, holds what the history holds.
+TEST_CASE("a follower that takes all changes has the same objects", "[feed-route]")
+{
+    rc::prop("any lists and changes, any times of asking", [] {
+        ChangeHistory history;
+        ChangeHistory::Objects followed;
+        std::int64_t seen = 0;
+        std::int64_t revision = 1;
+        history.replace({}, revision);
+        for (int step = 0; step < 300; ++step) {
+            revision += *rc::gen::inRange(1, 3);
+            const auto name = std::string(1, *rc::gen::inRange('a', 'f'));
+            if (*rc::gen::inRange(0, 10) == 0) {
+                auto objects = history.objects();
+                objects.erase(name);
+                objects["new"] = std::to_string(revision);
+                history.replace(objects, revision);
+            } else {
+                history.apply({ { name, std::to_string(revision), *rc::gen::arbitrary<bool>() } }, revision);
+            }
+            if (*rc::gen::inRange(0, 4) != 0)
+                continue;
+            if (!history.reachesBackTo(seen)) {
+                followed = history.objects();
+            } else {
+                for (const auto& change : history.after(seen)) {
+                    if (change.isDeleted_)
+                        followed.erase(change.name_);
+                    else
+                        followed[change.name_] = change.object_;
+                }
+            }
+            seen = history.revision();
+            RC_ASSERT(followed == history.objects());
+        }
+    });
+}
+
+TEST_CASE("a history keeps within its bound, and says what it no longer has", "[feed-route]")
+{
+    ChangeHistory history;
+    history.replace({ { "a", "" } }, 1);
+    const std::string large(100'000, 'x');
+    for (std::int64_t revision = 2; revision < 40; ++revision)
+        history.apply({ { "a", large, false } }, revision);
+    CHECK_FALSE(history.reachesBackTo(1));
+    std::size_t kept = 0;
+    for (const auto& change : history.after(1))
+        kept += change.object_.size();
+    CHECK(kept <= 1024 * 1024);
+    CHECK(kept > 500'000);
+}
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -219,73 +219,74 @@
     bool isClosing_ = false;
 };
 
+// A listener whose handler holds what it is asked.
+struct ListenerFixture {
+    ListenerFixture() { REQUIRE(listener_.listen(address_).empty()); }
+
+    asio::io_context loop_;
+    ManualClock clock_;
+    HeldHandler handler_;
+    CallerListener listener_ { loop_, handler_, clock_ };
+    SocketAddress address_ = freeAddress(loop_);
+};
+
 const std::string get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
 }
 
 TEST_CASE("requests on one connection are answered in order", "[caller]")
 {
-    asio::io_context loop;
-    ManualClock clock;
-    HeldHandler handler;
-    CallerListener listener(loop, handler, clock);
-    const auto address = freeAddress(loop);
-    REQUIRE(listener.listen(address).empty());
-    LoopClient client(loop, address);
+    ListenerFixture fixture;
+    LoopClient client(fixture.loop_, fixture.address_);
     SECTION("one after the other")
     {
         client.send(get);
-        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("answer") == 1; }));
         client.send(get);
-        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 2; }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("answer") == 2; }));
         CHECK_FALSE(client.isEnded());
     }
     SECTION("sent at once")
     {
         client.send(get + get + get);
-        REQUIRE(runUntil(loop, [&] { return client.count("answer 3") == 1; }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("answer 3") == 1; }));
     }
     SECTION("in chunks and pieces")
     {
         client.send("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Enc");
-        loop.poll();
+        fixture.loop_.poll();
         client.send("oding: chunked\r\n\r\n3\r\nabc\r\n");
-        loop.poll();
+        fixture.loop_.poll();
         client.send("2\r\nde\r\n0\r\n\r\n");
-        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
-        CHECK(handler.requests_.front().body() == "abcde");
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("answer") == 1; }));
+        CHECK(fixture.handler_.requests_.front().body() == "abcde");
     }
     SECTION("with a body that waits for leave")
     {
         client.send("POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
-        REQUIRE(runUntil(loop, [&] { return client.count("100 Continue") == 1; }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("100 Continue") == 1; }));
         client.send("abc");
-        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("answer") == 1; }));
     }
-    listener.stopAccepting();
+    fixture.listener_.stopAccepting();
 }
 
 TEST_CASE("a caller that leaves is noticed while its request is being answered", "[caller]")
 {
-    asio::io_context loop;
-    ManualClock clock;
-    HeldHandler handler;
-    handler.isImmediate_ = false;
-    CallerListener listener(loop, handler, clock);
-    const auto address = freeAddress(loop);
-    REQUIRE(listener.listen(address).empty());
+    ListenerFixture fixture;
+    fixture.handler_.isImmediate_ = false;
     {
-        LoopClient client(loop, address);
+        LoopClient client(fixture.loop_, fixture.address_);
         client.send(get);
-        REQUIRE(runUntil(loop, [&] { return handler.requests_.size() == 1; }));
-        CHECK(handler.cancelled_ == 0);
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.handler_.requests_.size() == 1; }));
+        CHECK(fixture.handler_.cancelled_ == 0);
         client.close();
-        REQUIRE(runUntil(loop, [&] { return handler.cancelled_ == 1; }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.handler_.cancelled_ == 1; }));
     }
     // An answer that comes now goes nowhere.
-    handler.answers_.front()(handler.response());
-    loop.poll();
-    listener.stopAccepting();
+    fixture.handler_.answers_.front()(fixture.handler_.response());
+    fixture.loop_.poll();
+    fixture.listener_.stopAccepting();
 }
 
 TEST_CASE("requests that are ambiguous or too large are refused before they are handled", "[caller]")
@@ -304,78 +305,63 @@
         { "GET /x HTTP/1.1\r\nHost: a\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", "HTTP/1.1 431" },
     }));
     CAPTURE(row.bytes_);
-    asio::io_context loop;
-    ManualClock clock;
-    HeldHandler handler;
-    CallerListener listener(loop, handler, clock);
-    const auto address = freeAddress(loop);
-    REQUIRE(listener.listen(address).empty());
-    LoopClient client(loop, address);
+    ListenerFixture fixture;
+    LoopClient client(fixture.loop_, fixture.address_);
     client.send(row.bytes_);
-    REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+    REQUIRE(runUntil(fixture.loop_, [&] { return client.isEnded(); }));
     CHECK(client.received().starts_with(row.status_));
-    CHECK(handler.requests_.empty());
-    listener.stopAccepting();
+    CHECK(fixture.handler_.requests_.empty());
+    fixture.listener_.stopAccepting();
 }
 
 TEST_CASE("idle and stalled connections end at their limits", "[caller]")
 {
-    asio::io_context loop;
-    ManualClock clock;
-    HeldHandler handler;
-    CallerListener listener(loop, handler, clock);
-    const auto address = freeAddress(loop);
-    REQUIRE(listener.listen(address).empty());
-    LoopClient client(loop, address);
+    ListenerFixture fixture;
+    LoopClient client(fixture.loop_, fixture.address_);
     SECTION("idle")
     {
         client.send(get);
-        REQUIRE(runUntil(loop, [&] { return client.count("answer") == 1; }));
-        clock.advance(14s);
-        listener.sweep();
-        loop.poll();
-        CHECK(listener.openCount() == 1);
-        clock.advance(2s);
-        listener.sweep();
-        REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.count("answer") == 1; }));
+        fixture.clock_.advance(14s);
+        fixture.listener_.sweep();
+        fixture.loop_.poll();
+        CHECK(fixture.listener_.openCount() == 1);
+        fixture.clock_.advance(2s);
+        fixture.listener_.sweep();
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.isEnded(); }));
         CHECK(client.count("HTTP/1.1") == 1);
     }
     SECTION("a header that does not come to its end")
     {
         client.send("GET /x HTTP/1.1\r\nHost");
-        REQUIRE(runUntil(loop, [&] { return listener.openCount() == 1; }));
-        runUntil(loop, [&] { return loop.poll() == 0; });
-        clock.advance(4s);
-        listener.sweep();
-        REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.listener_.openCount() == 1; }));
+        runUntil(fixture.loop_, [&] { return fixture.loop_.poll() == 0; });
+        fixture.clock_.advance(4s);
+        fixture.listener_.sweep();
+        REQUIRE(runUntil(fixture.loop_, [&] { return client.isEnded(); }));
         CHECK(client.received().starts_with("HTTP/1.1 408"));
     }
-    listener.stopAccepting();
+    fixture.listener_.stopAccepting();
 }
 
 TEST_CASE("while an instance stops, answers end their connections and idle ones close", "[caller]")
 {
-    asio::io_context loop;
-    ManualClock clock;
-    HeldHandler handler;
-    handler.isImmediate_ = false;
-    CallerListener listener(loop, handler, clock);
-    const auto address = freeAddress(loop);
-    REQUIRE(listener.listen(address).empty());
-    LoopClient client(loop, address);
+    ListenerFixture fixture;
+    fixture.handler_.isImmediate_ = false;
+    LoopClient client(fixture.loop_, fixture.address_);
     client.send(get);
-    REQUIRE(runUntil(loop, [&] { return handler.requests_.size() == 1; }));
-    handler.isClosing_ = true;
-    listener.closeIdle();
-    loop.poll();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.handler_.requests_.size() == 1; }));
+    fixture.handler_.isClosing_ = true;
+    fixture.listener_.closeIdle();
+    fixture.loop_.poll();
     // The request under way is not cut.
     CHECK_FALSE(client.isEnded());
-    CHECK(handler.cancelled_ == 0);
-    handler.answers_.front()(handler.response());
-    REQUIRE(runUntil(loop, [&] { return client.isEnded(); }));
+    CHECK(fixture.handler_.cancelled_ == 0);
+    fixture.handler_.answers_.front()(fixture.handler_.response());
+    REQUIRE(runUntil(fixture.loop_, [&] { return client.isEnded(); }));
     CHECK(client.count("answer") == 1);
     CHECK(client.count("Connection: close") == 1);
-    listener.stopAccepting();
+    fixture.listener_.stopAccepting();
 }
 
 TEST_CASE("the log never waits for its reader and counts what it drops", "[line-log]")
