--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -353,6 +353,10 @@
     CHECK(std::stoi(std::string((*calls[0].request_)[names.deadline_])) == 1'000);
     CHECK(std::stoi(std::string((*calls[1].request_)[names.deadline_])) == 600);
     CHECK(calls[0].upstream_ != calls[1].upstream_);
+    for (const auto& call : calls) {
+        CHECK(call.request_->count(http::field::authorization) == 0);
+        CHECK((*call.request_)[names.workspace_] == "acme");
+    }
 }
 
 TEST_CASE("a key on an open route is not passed on", "[request]")
--- a/tests/promises_test.cpp
+++ b/tests/promises_test.cpp
@@ -80,6 +80,23 @@
     }
 }
 
+TEST_CASE("docs/PROMISES.md names a test of the gateway for each promise", "[docs]")
+{
+    const auto text = page();
+    const auto section = text.find("## At the gateway");
+    REQUIRE(section != std::string::npos);
+    std::istringstream in(text.substr(text.find("| promise |", section)));
+    std::string line;
+    std::getline(in, line);
+    std::getline(in, line);
+    std::size_t promises = 0;
+    for (; std::getline(in, line) && line.starts_with("|"); ++promises) {
+        CAPTURE(line);
+        CHECK_FALSE(findAll(line, "`([^`]+)`").empty());
+    }
+    CHECK(promises == promiseCount);
+}
+
 TEST_CASE("docs/design/platform.md names only tests that exist, one at least for each rule", "[docs]")
 {
     const auto names = testNames();
