--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -142,6 +142,7 @@
     std::map<std::string, int> most;
     int placed = 0;
     int refused = 0;
+    std::uint64_t number = 0;
     for (int round = 0; round < 200; ++round) {
         if (round == 50) {
             for (const auto& instance : instances)
@@ -155,7 +156,7 @@
         clock.advance(10ms);
         // Work of 100 ms on 32 slots, three requests each 10 ms: as much as both regions bear, twice what one does.
         for (int sent = 0; sent < 3; ++sent) {
-            const auto number = static_cast<std::uint64_t>(round * 3 + sent);
+            ++number;
             auto& instance = *instances[number % instances.size()];
             const auto result = instance.placer_.place(query(number * 7919));
             const auto* placement = std::get_if<Placement>(&result);
