Test client: a pending read no longer outlives the client it writes to

Cause: a LoopClient that ends while its read is pending left a handler with its own address; the loop ran it later and wrote into the stack of the test. 'an upstream that leaves gets no new work ...' died with a segmentation fault. Ruled out: the gateway itself (the stack that broke is the test's; the client is the only object that ends before the loop runs on). Conclusion: what a read needs is kept by the read.

--- a/standin/loop_peer.cpp
+++ b/standin/loop_peer.cpp
@@ -126,34 +126,40 @@
 }
 
 LoopClient::LoopClient(asio::io_context& loop, const SocketAddress& server)
-    : socket_(loop)
+    : state_(std::make_shared<State>(loop))
 {
-    socket_.connect({ asio::ip::make_address_v4(server.host_), server.port_ });
-    read();
+    state_->socket_.connect({ asio::ip::make_address_v4(server.host_), server.port_ });
+    read(state_);
+}
+
+LoopClient::~LoopClient()
+{
+    close();
 }
 
 auto LoopClient::send(const std::string& bytes) -> void
 {
     NetError ignored;
-    asio::write(socket_, asio::buffer(bytes), ignored);
+    asio::write(state_->socket_, asio::buffer(bytes), ignored);
 }
 
-auto LoopClient::read() -> void
+auto LoopClient::read(const std::shared_ptr<State>& state) -> void
 {
-    socket_.async_read_some(asio::buffer(buffer_), [this](NetError error, std::size_t count) {
+    state->socket_.async_read_some(asio::buffer(state->buffer_), [state](NetError error, std::size_t count) {
         if (error) {
-            isEnded_ = error != asio::error::operation_aborted;
+            state->isEnded_ = error != asio::error::operation_aborted;
             return;
         }
-        received_.append(buffer_.data(), count);
-        read();
+        state->received_.append(state->buffer_.data(), count);
+        if (state->socket_.is_open())
+            read(state);
     });
 }
 
 auto LoopClient::count(const std::string& text) const -> std::size_t
 {
     std::size_t found = 0;
-    for (auto at = received_.find(text); at != std::string::npos; at = received_.find(text, at + 1))
+    for (auto at = received().find(text); at != std::string::npos; at = received().find(text, at + 1))
         ++found;
     return found;
 }
--- a/standin/loop_peer.h
+++ b/standin/loop_peer.h
@@ -62,22 +62,34 @@
 class LoopClient {
 public:
     LoopClient(asio::io_context& loop, const SocketAddress& server);
+    ~LoopClient();
+    LoopClient(const LoopClient&) = delete;
+    auto operator=(const LoopClient&) -> LoopClient& = delete;
 
     auto send(const std::string& bytes) -> void;
-    auto close() -> void { closeQuietly(socket_); }
-    auto received() const -> const std::string& { return received_; }
+    auto close() -> void { closeQuietly(state_->socket_); }
+    auto received() const -> const std::string& { return state_->received_; }
     // The server has ended the connection.
-    auto isEnded() const -> bool { return isEnded_; }
+    auto isEnded() const -> bool { return state_->isEnded_; }
     // How often a text stands in what was received.
     auto count(const std::string& text) const -> std::size_t;
 
 private:
-    auto read() -> void;
-
-    Tcp::socket socket_;
-    std::string received_;
-    std::array<char, 4096> buffer_ {};
-    bool isEnded_ = false;
+    // Kept by a read that is pending: the loop may end it after the client has gone.
+    struct State {
+        explicit State(asio::io_context& loop)
+            : socket_(loop)
+        {
+        }
+        Tcp::socket socket_;
+        std::string received_;
+        std::array<char, 4096> buffer_ {};
+        bool isEnded_ = false;
+    };
+
+    static auto read(const std::shared_ptr<State>& state) -> void;
+
+    std::shared_ptr<State> state_;
 };
 
 // Runs the loop until something holds; false if it hangs.
