Stalled upstreams are spared in an outage of discovery

Change: while discovery is away, an upstream that has left a request of this instance unanswered for more than two usual works gets no more from it. Test: a model of such an upstream with four slots (20 to 34 requests in a second before, 18.8 allowed), failing first.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -28,6 +28,9 @@
     constexpr double coldPart = 0.8;
     // Work on a cold object takes about three times as long: what the first run elsewhere would cost, in usual works.
     constexpr int warmUpWorks = 2;
+    // In an outage of discovery: an answer that takes longer than this many usual works may come from a cold upstream.
+    // Warm ones with a short queue and the first run of an object stay near it.
+    constexpr int stalledWorks = 2;
     // Part of the longest wait up to which no request is refused.
     constexpr double surelyTaken = 0.25;
     // An upstream that fails or sheds more than this share of its attempts is used last.
@@ -65,7 +68,7 @@
         return false;
     if (std::find(query.tried_.begin(), query.tried_.end(), upstream.entry_.id_) != query.tried_.end())
         return false;
-    return bearsCold(upstream, query);
+    return bearsCold(upstream, query) && !isStalled(upstream, query);
 }
 
 // A few instances share what a cold upstream bears, each at an even pace.
@@ -77,6 +80,15 @@
     return fleet_.coldSenders(upstream.entry_.id_, coldSenders).has_value() && now >= upstream.nextColdSend_;
 }
 
+// Answers the load of upstreams that become cold while discovery is away: a health request waits behind their queue for
+// longer than they bear their usual load, but their answers stay away at once.
+auto Placer::isStalled(const Upstream& upstream, const PlacementQuery& query) const -> bool
+{
+    if (upstream.sentAt_.empty() || query.coldPerSecond_ <= 0 || !fleet_.isSourceLost())
+        return false;
+    return clock_.now() - *upstream.sentAt_.begin() > query.usualWork_ * stalledWorks;
+}
+
 auto Placer::noteSent(Upstream& upstream, const PlacementQuery& query) const -> void
 {
     const auto now = clock_.now();
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -80,6 +80,8 @@
     auto leastWait(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
     auto mayUse(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto bearsCold(const Upstream& upstream, const PlacementQuery& query) const -> bool;
+    // Whether an upstream leaves requests unanswered for so long that it may have become cold without anyone's telling.
+    auto isStalled(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto occupied(const Upstream& upstream) const -> int;
     auto isSound(const Upstream& upstream) const -> bool;
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -177,7 +177,7 @@
     auto request = std::make_shared<OutgoingRequest>(*forwarded_);
     addressAttempt(*request, context_.names_, placement.upstream_->entry_, left());
     context_.placer_.noteSent(*placement.upstream_, query_);
-    ++placement.upstream_->inFlight_;
+    context_.upstreams_.noteSent(*placement.upstream_, sent_.at_);
     ++sends_;
     const auto self = weak_from_this();
     attempt_ = context_.caller_.call(placement.upstream_, request, [self](AttemptOutcome outcome) {
@@ -191,7 +191,7 @@
     if (!attempt_)
         return;
     attempt_.reset();
-    --sent_.upstream_->inFlight_;
+    context_.upstreams_.noteEnded(*sent_.upstream_, sent_.at_);
 }
 
 auto RequestRun::onOutcome(AttemptOutcome outcome) -> void
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -119,6 +119,19 @@
     return found == regionOfDomain_.end() ? std::string() : found->second;
 }
 
+auto UpstreamSet::noteSent(Upstream& upstream, MonotonicTime sentAt) -> void
+{
+    ++upstream.inFlight_;
+    upstream.sentAt_.insert(sentAt);
+}
+
+auto UpstreamSet::noteEnded(Upstream& upstream, MonotonicTime sentAt) -> void
+{
+    --upstream.inFlight_;
+    if (const auto sent = upstream.sentAt_.find(sentAt); sent != upstream.sentAt_.end())
+        upstream.sentAt_.erase(sent);
+}
+
 auto UpstreamSet::noteAttempt(Upstream& upstream, AttemptHealth health) -> void
 {
     const auto now = clock_.now();
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -27,6 +27,8 @@
     UpstreamEntry entry_;
     std::string region_;
     int inFlight_ = 0;
+    // When the requests in flight were sent.
+    std::multiset<MonotonicTime> sentAt_;
     StatedLoad load_;
     MonotonicTime loadAt_ {};
     MonotonicTime coldUntil_ {};
@@ -71,6 +73,9 @@
     auto regionOf(const std::string& domain) const -> std::string;
     // All declared regions.
     auto regions() const -> const std::set<std::string>& { return regions_; }
+    // An attempt that is about to be sent, and the same when it has ended in whatever way.
+    auto noteSent(Upstream& upstream, MonotonicTime sentAt) -> void;
+    auto noteEnded(Upstream& upstream, MonotonicTime sentAt) -> void;
     auto noteAttempt(Upstream& upstream, AttemptHealth health) -> void;
     // Its cold time never ends sooner than was heard before.
     auto noteCold(const std::string& id, Duration left) -> void;
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -291,6 +291,69 @@
     CHECK(region.finished_ >= 1'300);
 }
 
+// Seen in a hunted day: discovery was away, a full upstream became cold, and the health request that would have told so
+// waited in its queue for 0.8 s.
+TEST_CASE("an upstream that becomes cold while discovery is away is spared before its health is known", "[placement]")
+{
+    // The users' bound on a cold upstream that bears 9.2 a second.
+    constexpr double coldPerSecond = 9.2;
+    constexpr double bound = coldPerSecond * 1.5 + 5;
+    struct Work {
+        MonotonicTime sentAt_;
+        MonotonicTime doneAt_;
+        Instance* sender_ = nullptr;
+    };
+    ManualClock clock;
+    std::vector<std::unique_ptr<Instance>> instances;
+    for (int i = 0; i < 4; ++i) {
+        instances.push_back(std::make_unique<Instance>(clock, fmt::format("e{}", i)));
+        instances.back()->put(1);
+        instances.back()->fleet_.setSourceLost(true);
+    }
+    // Its usual load, which four slots bear at 108 ms a request, and work that takes 720 ms from the second second on.
+    const auto gap = GENERATE(30ms, 40ms, 50ms);
+    const auto coldAt = clock.now() + 2s;
+    std::deque<Work> works;
+    std::deque<MonotonicTime> recent;
+    std::size_t most = 0;
+    std::size_t beforeCold = 0;
+    const auto count = static_cast<std::uint64_t>(5s / gap);
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        clock.advance(gap);
+        const auto now = clock.now();
+        std::erase_if(works, [now](const auto& work) {
+            if (work.doneAt_ <= now) {
+                auto& upstreams = work.sender_->upstreams_;
+                upstreams.noteEnded(*upstreams.byId().at("north-a-0"), work.sentAt_);
+            }
+            return work.doneAt_ <= now;
+        });
+        auto& instance = *instances[number % instances.size()];
+        auto asked = query(number);
+        asked.coldPerSecond_ = coldPerSecond;
+        asked.usualWork_ = 126ms;
+        asked.longestWait_ = 600ms;
+        asked.spread_ = stableHash(fmt::format("{}", number));
+        const auto result = instance.placer_.place(asked);
+        const auto* placement = std::get_if<Placement>(&result);
+        if (placement == nullptr)
+            continue;
+        instance.upstreams_.noteSent(*placement->upstream_, now);
+        const auto begins = works.size() < 4 ? now : works[works.size() - 4].doneAt_;
+        works.push_back({ now, std::max(now, begins) + (now < coldAt ? 108ms : 720ms), &instance });
+        beforeCold += now < coldAt ? 1 : 0;
+        if (now >= coldAt)
+            recent.push_back(now);
+        while (!recent.empty() && recent.front() + 1s <= now)
+            recent.pop_front();
+        most = std::max(most, recent.size());
+    }
+    CAPTURE(gap / 1ms, beforeCold, most);
+    // While it is warm it gets all.
+    CHECK(beforeCold >= static_cast<std::size_t>(2s / gap) - 2);
+    CHECK(static_cast<double>(most) <= bound);
+}
+
 // Work on a cold object takes about three times as long: a short wait for the owner that has it warm is soon over.
 TEST_CASE("a request waits for a warm owner rather than warm another, unless the wait is long", "[placement]")
 {
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -48,6 +48,26 @@
     auto sendAsk(const Keeper&, const RateAsk&) -> void override { }
 };
 
+// Time may go on between two readings, as it does outside of tests.
+class FlowingClock final : public Clock {
+public:
+    explicit FlowingClock(ManualClock& clock)
+        : clock_(clock)
+    {
+    }
+    auto now() const -> MonotonicTime override
+    {
+        clock_.advance(step_);
+        return clock_.now();
+    }
+    auto wallNow() const -> WallTime override { return clock_.wallNow(); }
+
+    Duration step_ {};
+
+private:
+    ManualClock& clock_;
+};
+
 struct Fixture {
     explicit Fixture(int upstreams = 6)
     {
@@ -101,10 +121,11 @@
     auto calls() const -> std::size_t { return caller_.calls().size(); }
 
     ManualClock clock_;
+    FlowingClock flowing_ { clock_ };
     standin::ManualAlarms alarms_ { clock_ };
-    UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
+    UpstreamSet upstreams_ { flowing_, { { "north-a", "north" } } };
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
-    Placer placer_ { clock_, upstreams_, fleet_, "north" };
+    Placer placer_ { flowing_, upstreams_, fleet_, "north" };
     NoPeers peers_;
     RateGate rates_ { clock_, alarms_, fleet_, peers_, { 5s, 0.1, 0 }, 0 };
     RetryGate retries_ { clock_, fleet_, { 0.2, 64, 10s } };
@@ -114,7 +135,7 @@
     standin::ScriptedCaller caller_;
     standin::KeptLog log_;
     Metrics metrics_;
-    RequestContext context_ { clock_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, log_, metrics_ };
+    RequestContext context_ { flowing_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestRun>> runs_;
 };
@@ -373,12 +394,14 @@
 TEST_CASE("a caller that leaves ends the attempt and nothing more is sent", "[request]")
 {
     Fixture fixture;
+    fixture.flowing_.step_ = 1us;
     const auto run = fixture.start(fixture.request("/read/1"));
     const auto upstream = fixture.caller_.calls().front().upstream_;
     CHECK(upstream->inFlight_ == 1);
     run->cancel();
     CHECK(*fixture.caller_.calls().front().isEnded_);
     CHECK(upstream->inFlight_ == 0);
+    CHECK(upstream->sentAt_.empty());
     fixture.caller_.finish(AttemptLoss { LossKind::Cut, "reset" });
     fixture.alarms_.advance(10s);
     CHECK(fixture.calls() == 1);
@@ -388,6 +411,7 @@
 TEST_CASE("a request ends at its route's time, and its attempt with it", "[request]")
 {
     Fixture fixture;
+    fixture.flowing_.step_ = 1us;
     const auto run = fixture.start(fixture.request("/order/1"));
     fixture.alarms_.advance(990ms);
     CHECK(fixture.answers_.empty());
@@ -395,6 +419,7 @@
     CHECK(fixture.status() == 504);
     CHECK(*fixture.caller_.calls().front().isEnded_);
     CHECK(fixture.caller_.calls().front().upstream_->inFlight_ == 0);
+    CHECK(fixture.caller_.calls().front().upstream_->sentAt_.empty());
 }
 
 // Seen on a standard day: a server that had lost power got requests until its connections timed out.
