A store that is silent while watches wait is found by a sign of life

The store was away for 5.6 s and cut no watch: no instance logged a lost source, so nothing looked for cold upstreams; and on its return all entries that had lapsed were dropped at once, though living upstreams come back. Ruled out: shorter waits of watches (each of three feeds would cost a full call every second or two; a stale read costs a tenth). Change: after 600 ms without an answer of the store an instance that waits for its news asks for the smallest list as a stale read; feeds that wait count as lost until one succeeds. What has gone is judged after the feed is known as regained. Tests: tests/source_pulse_test.cpp.

--- a/src/gateway/belief_source.h
+++ b/src/gateway/belief_source.h
@@ -74,6 +74,10 @@
     virtual auto stop() -> void = 0;
     // Calls to the platform so far.
     virtual auto calls() const -> std::uint64_t = 0;
+    // Answers of the platform so far.
+    virtual auto answers() const -> std::uint64_t = 0;
+    // Asks the platform for a sign of life. Feeds that wait for its news count as lost until it answers again.
+    virtual auto probe() -> void = 0;
     virtual auto position(Feed feed) const -> FeedPosition = 0;
     // Answers another instance that follows the platform's news here. Null if it was answered at once.
     virtual auto answerPeer(const OutgoingRequest& request, std::function<void(UpstreamResponse)> answer) -> std::shared_ptr<RunningRequest> = 0;
--- a/src/gateway/beliefs.cpp
+++ b/src/gateway/beliefs.cpp
@@ -136,6 +136,7 @@
 
 auto Beliefs::feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void
 {
+    feeds_[feed].isFollowing_ = peer.has_value();
     log_.write(EventId::SourceChosen, { { "feed", feedName(feed) }, { "follows", peer ? formatSocketAddress(*peer) : "platform" } });
 }
 
@@ -144,9 +145,10 @@
     log_.write(EventId::InstanceNotListed, { { "why", why } });
 }
 
+// An instance that asks the platform itself knows whether it lives: where others cannot reach it, what has gone is gone.
 auto Beliefs::noteFleetOutage() -> void
 {
-    if (fleet_.isSourceLost())
+    if (feeds_[Feed::Upstreams].isFollowing_ && fleet_.isSourceLost())
         feeds_[Feed::Upstreams].doubtUntil_ = clock_.now() + returnTime;
 }
 
--- a/src/gateway/beliefs.h
+++ b/src/gateway/beliefs.h
@@ -41,6 +41,8 @@
 private:
     struct FeedState {
         bool isLost_ = false;
+        // Hears of news through another instance.
+        bool isFollowing_ = false;
         MonotonicTime lostAt_ {};
         // Until then, what is missing may only have lapsed during the outage.
         MonotonicTime doubtUntil_ {};
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -83,6 +83,7 @@
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
     , beliefs_(clock, upstreams_, fleet_, log_)
     , feedLag_(clock)
+    , pulse_(clock)
     , relayChoice_(fleet_, settings_.region_)
     , coldWatch_(clock, upstreams_, fleet_)
     , placer_(clock, upstreams_, fleet_, settings_.region_)
@@ -229,6 +230,8 @@
         noteFleet();
     }
     renewFeeds();
+    if (pulse_.isDue(adapter_.source_->answers()))
+        adapter_.source_->probe();
     for (auto* listener : { &front_, &directory_, &ready_, &control_ })
         listener->sweep();
     pool_.sweep();
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/feed_lag.h"
 #include "gateway/relay_choice.h"
 #include "gateway/request_run.h"
+#include "gateway/source_pulse.h"
 #include "loop/caller_listener.h"
 #include "loop/cold_prober.h"
 #include "loop/datagram_socket.h"
@@ -110,6 +111,7 @@
     FleetView fleet_;
     Beliefs beliefs_;
     FeedLag feedLag_;
+    SourcePulse pulse_;
     RelayChoice relayChoice_;
     ColdWatch coldWatch_;
     Placer placer_;
--- a/tests/gateway_beliefs_test.cpp
+++ b/tests/gateway_beliefs_test.cpp
@@ -78,9 +78,13 @@
     CHECK(fixture.known() == 1);
 }
 
-TEST_CASE("an entry that lapses in an outage that only the others notice is kept", "[beliefs]")
+// An instance that asks the platform itself finds an outage by itself: half of the others may be cut off while it lives,
+// and an upstream that leaves then must be dropped at once.
+TEST_CASE("an entry that lapses in an outage that only the others notice is kept where news come through them", "[beliefs]")
 {
     Fixture fixture;
+    const bool isFollowing = GENERATE(true, false);
+    fixture.beliefs_.feedFollows(Feed::Upstreams, isFollowing ? std::optional(SocketAddress { "127.0.0.1", 9000 }) : std::nullopt);
     fixture.beliefs_.upstreamsListed({ entry("a"), entry("b") });
     const auto lostAt = GENERATE(as<std::set<std::string>> {}, std::set<std::string> { "x", "y" }, std::set<std::string> { "x" });
     for (const auto* name : { "x", "y", "z" }) {
@@ -91,7 +95,7 @@
     }
     fixture.beliefs_.noteFleetOutage();
     fixture.beliefs_.upstreamGone("a");
-    CHECK(fixture.known() == (lostAt.size() == 2 ? 2 : 1));
+    CHECK(fixture.known() == (isFollowing && lostAt.size() == 2 ? 2 : 1));
 }
 
 TEST_CASE("an entry that lapsed in an outage is kept until living upstreams would be back", "[beliefs]")
--- /dev/null
+++ b/tests/source_pulse_test.cpp
@@ -0,0 +1,144 @@
+// A store that falls silent while watches wait there: nothing is cut, nothing is refused.
+#include "gateway/beliefs.h"
+#include "gateway/source_pulse.h"
+#include "platform/store_source.h"
+#include "standin/kept_beliefs.h"
+#include "standin/kept_log.h"
+#include "standin/platform_store.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirepass;
+using namespace sapphirepass::standin;
+using namespace std::chrono_literals;
+
+TEST_CASE("a sign of life is asked for after a silence, and not sooner", "[source-pulse]")
+{
+    ManualClock clock;
+    SourcePulse pulse(clock);
+    std::uint64_t answers = 0;
+    SECTION("silent")
+    {
+        clock.advance(500ms);
+        CHECK_FALSE(pulse.isDue(answers));
+        clock.advance(100ms);
+        CHECK(pulse.isDue(answers));
+        CHECK_FALSE(pulse.isDue(answers));
+        clock.advance(600ms);
+        CHECK(pulse.isDue(answers));
+    }
+    SECTION("busy")
+    {
+        for (int i = 0; i < 10; ++i) {
+            clock.advance(500ms);
+            CHECK_FALSE(pulse.isDue(++answers));
+        }
+        clock.advance(600ms);
+        CHECK(pulse.isDue(answers));
+    }
+}
+
+namespace {
+
+struct Fixture {
+    Fixture()
+    {
+        store_.put("config", "main", declared(1));
+        store_.put("servers", "i-1", listed({ "127.0.0.1", 9000 }));
+    }
+    ~Fixture() { source_.stop(); }
+    Fixture(const Fixture&) = delete;
+    auto operator=(const Fixture&) -> Fixture& = delete;
+
+    auto start(BeliefSink& sink) -> void
+    {
+        source_.start(sink, { "e1", { "127.0.0.1", 7000 } }, peers_);
+        REQUIRE(runUntil(loop_, [this] { return store_.watches() == 3; }));
+    }
+
+    // What the store has been asked and has answered since.
+    auto probe() -> void
+    {
+        const auto before = store_.calls();
+        source_.probe();
+        REQUIRE(runUntil(loop_, [&] { return store_.calls() > before; }));
+    }
+
+    asio::io_context loop_;
+    PlatformStore store_ { loop_ };
+    NamedPeers peers_;
+    platform::StoreSource source_ { loop_, store_.address(), 300ms };
+};
+
+}
+
+TEST_CASE("a store that is away while watches wait is told as lost, and regained when it lives", "[source-pulse]")
+{
+    Fixture fixture;
+    KeptBeliefs beliefs;
+    fixture.start(beliefs);
+    const auto lists = beliefs.lists_;
+    const auto answers = fixture.source_.answers();
+    const auto mood = GENERATE(StoreMood::Busy, StoreMood::Silent, StoreMood::Resetting);
+    CAPTURE(static_cast<int>(mood));
+    fixture.store_.setMood(mood);
+    fixture.probe();
+    REQUIRE(runUntil(fixture.loop_, [&] { return beliefs.lost_ == 3; }));
+    CHECK(fixture.source_.answers() == answers);
+    fixture.store_.setMood(StoreMood::Well);
+    const auto regained = beliefs.regained_;
+    fixture.probe();
+    REQUIRE(runUntil(fixture.loop_, [&] { return beliefs.regained_ == regained + 3; }));
+    CHECK(fixture.source_.answers() == answers + 1);
+    // The watches have gone on.
+    CHECK(beliefs.lists_ == lists);
+    CHECK(fixture.store_.watches() == 3);
+    fixture.store_.put("config", "main", declared(2));
+    CHECK(runUntil(fixture.loop_, [&] { return beliefs.versions_.back() == 2; }));
+}
+
+TEST_CASE("a probe that succeeds says nothing of a feed that is refused", "[source-pulse]")
+{
+    Fixture fixture;
+    KeptBeliefs beliefs;
+    fixture.start(beliefs);
+    fixture.store_.setMood(StoreMood::Busy);
+    fixture.store_.cutWatches();
+    REQUIRE(runUntil(fixture.loop_, [&] { return beliefs.lost_ >= 3; }));
+    const auto calls = fixture.store_.calls();
+    fixture.source_.probe();
+    CHECK(beliefs.regained_ <= 3);
+    CHECK(fixture.store_.calls() == calls);
+}
+
+// Seen in a hunted day: the store was away for six seconds without a watch being cut, all entries lapsed, and each
+// instance dropped all upstreams when they were told of it.
+TEST_CASE("an entry that lapses in an outage that only a sign of life shows is kept", "[source-pulse]")
+{
+    Fixture fixture;
+    ManualClock clock;
+    KeptLog log;
+    UpstreamSet upstreams(clock, { { "north-a", "north" } });
+    FleetView fleet(clock, { 2s, 20s }, "e1");
+    Beliefs beliefs(clock, upstreams, fleet, log);
+    fixture.start(beliefs);
+    REQUIRE(upstreams.size() == 1);
+    const bool isProbed = GENERATE(true, false);
+    fixture.store_.setMood(StoreMood::Busy);
+    if (isProbed) {
+        fixture.probe();
+        REQUIRE(runUntil(fixture.loop_, [&] {
+            clock.advance(1s);
+            return beliefs.lostFor(Feed::Upstreams) > 1s;
+        }));
+    }
+    fixture.store_.setMood(StoreMood::Well);
+    fixture.store_.remove("servers", "i-1");
+    // Told after the upstreams' change, by another feed.
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.source_.position(Feed::Upstreams).seenUpTo_ > fixture.source_.position(Feed::Evacuations).seenUpTo_; }));
+    // Without the probe nothing tells an outage from calm.
+    CHECK(upstreams.size() == (isProbed ? 1U : 0U));
+    clock.advance(2300ms);
+    upstreams.dropMissing();
+    CHECK(upstreams.size() == 0);
+}
