An instance that starts while the store is away learns from another what that last heard

Cause: a process that restarted in an outage knew nothing and answered 503 until the store returned; a rolling restart in a long outage would have taken every instance out. Chosen: after a failure of the store an instance that has listed nothing yet asks a ready one, its own region first, for the last known objects; it counts its source as lost and goes on asking the store. It is ready once it also knows its fellows: 1.6 s after one of them has named all that it hears. Test: a gateway that starts against a busy, silent or resetting store and a peer becomes ready, serves, and takes a withdrawn key in when the store is back (before: never ready).

--- a/src/gateway/belief_source.h
+++ b/src/gateway/belief_source.h
@@ -64,6 +64,9 @@
 public:
     virtual ~NewsPeers() = default;
     virtual auto peers() const -> std::vector<SocketAddress> = 0;
+    // Instances that hold all news, the nearest first: one that has just started asks them for what they last heard while
+    // the platform is away.
+    virtual auto holders() const -> std::vector<SocketAddress> = 0;
 };
 
 class BeliefSource {
--- a/src/gateway/beliefs.cpp
+++ b/src/gateway/beliefs.cpp
@@ -10,6 +10,9 @@
     // Living upstreams are listed again within this time of the store's return.
     constexpr Duration returnTime = 2'200ms;
 
+    // Instances that another has named have told of themselves by then: two heartbeats to other regions.
+    constexpr Duration namedTime = 1'600ms;
+
     auto feedName(Feed feed) -> std::string_view
     {
         switch (feed) {
@@ -112,6 +115,18 @@
         fleet_.expect(instance.name_, instance.peer_);
 }
 
+auto Beliefs::instancesNamed() -> void
+{
+    if (!namedAt_)
+        namedAt_ = clock_.now();
+}
+
+// What instances share, such as limits, needs their number.
+auto Beliefs::knowsInstances() const -> bool
+{
+    return hasInstances_ || (namedAt_ && clock_.now() - *namedAt_ >= namedTime);
+}
+
 auto Beliefs::feedLost(Feed feed, std::string_view why) -> void
 {
     auto& state = feeds_[feed];
--- a/src/gateway/beliefs.h
+++ b/src/gateway/beliefs.h
@@ -30,12 +30,14 @@
 
     auto index() const -> const std::shared_ptr<const DeclarationIndex>& { return index_; }
     // Whether requests can be decided: everything has been heard at least once.
-    auto isComplete() const -> bool { return index_ && hasUpstreams_ && hasEvacuations_ && hasInstances_; }
+    auto isComplete() const -> bool { return index_ && hasUpstreams_ && hasEvacuations_ && knowsInstances(); }
     auto lostFor(Feed feed) const -> Duration;
     // Remembers an outage that the other instances notice, also where this one's watch is still open. Called now and then.
     auto noteFleetOutage() -> void;
     // Others have told a change that did not come here; the platform is asked anew.
     auto feedBehind(Feed feed, const FeedPosition& own, std::uint64_t newestElsewhere) -> void;
+    // Another instance has named all that it hears.
+    auto instancesNamed() -> void;
     auto onDeclaration(std::function<void()> action) -> void { declarationAction_ = std::move(action); }
 
 private:
@@ -49,6 +51,7 @@
     };
 
     auto keepMissing() const -> Duration;
+    auto knowsInstances() const -> bool;
 
     const Clock& clock_;
     UpstreamSet& upstreams_;
@@ -59,6 +62,7 @@
     bool hasUpstreams_ = false;
     bool hasEvacuations_ = false;
     bool hasInstances_ = false;
+    std::optional<MonotonicTime> namedAt_;
     std::function<void()> declarationAction_;
 };
 
--- a/src/gateway/feed_route.cpp
+++ b/src/gateway/feed_route.cpp
@@ -43,6 +43,14 @@
     answersInRow_ = 0;
 }
 
+auto FeedRoute::nextHolder() -> std::optional<SocketAddress>
+{
+    const auto holders = peers_.holders();
+    if (holders.empty())
+        return std::nullopt;
+    return holders[holdersAsked_++ % holders.size()];
+}
+
 auto FeedProgress::noteChange(std::uint64_t number) -> void
 {
     position_.newestChange_ = std::max(position_.newestChange_, number);
--- a/src/gateway/feed_route.h
+++ b/src/gateway/feed_route.h
@@ -18,9 +18,12 @@
     auto noteFailure() -> void;
     auto noteAnswer() -> void;
     auto turnToPlatform() -> void;
+    // Whom an instance that knows nothing yet asks after a failure, one after the other; nothing if there is nobody.
+    auto nextHolder() -> std::optional<SocketAddress>;
 
 private:
     const NewsPeers& peers_;
+    std::size_t holdersAsked_ = 0;
     std::size_t failures_ = 0;
     std::size_t answersInRow_ = 0;
 };
--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/relay_choice.cpp
@@ -48,4 +48,16 @@
     return peers;
 }
 
+// Ready instances hold all news.
+auto RelayChoice::holders() const -> std::vector<SocketAddress>
+{
+    auto ready = fleet_.anyReadyMembers();
+    std::stable_partition(ready.begin(), ready.end(), [this](const auto* member) { return member->region_ == region_; });
+    std::vector<SocketAddress> holders;
+    holders.reserve(ready.size());
+    for (const auto* member : ready)
+        holders.push_back(member->control_);
+    return holders;
+}
+
 } // namespace sapphirepass
--- a/src/gateway/relay_choice.h
+++ b/src/gateway/relay_choice.h
@@ -13,6 +13,7 @@
     RelayChoice(const FleetView& fleet, std::string region);
 
     auto peers() const -> std::vector<SocketAddress> override;
+    auto holders() const -> std::vector<SocketAddress> override;
 
 private:
     const FleetView& fleet_;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -314,6 +314,8 @@
 {
     fleet_.hear(report);
     coldWatch_.hear(report.colds_);
+    if (!report.known_.empty())
+        beliefs_.instancesNamed();
     const auto known = fleet_.peerAddresses();
     std::vector<SocketAddress> strangers;
     for (const auto& address : report.known_) {
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -57,8 +57,10 @@
 class NamedPeers final : public NewsPeers {
 public:
     auto peers() const -> std::vector<SocketAddress> override { return peers_; }
+    auto holders() const -> std::vector<SocketAddress> override { return holders_; }
 
     std::vector<SocketAddress> peers_;
+    std::vector<SocketAddress> holders_;
 };
 
 inline auto declared(int version) -> nlohmann::json
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -278,12 +278,17 @@
 
 // A second gateway beside that of the fixture.
 struct SecondGateway {
-    explicit SecondGateway(GatewayFixture& fixture, const std::string& name = "e2")
+    explicit SecondGateway(GatewayFixture& fixture, const std::string& name = "e2", const std::string& host = "127.0.0.1")
         : settings_(fixture.settings_)
     {
         settings_.name_ = name;
         for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
-            *address = freeAddress(fixture.loop_);
+            *address = freeAddress(fixture.loop_, host);
+        // On another host heartbeats go to the same port as everywhere, found through a seed.
+        if (host != "127.0.0.1") {
+            settings_.peer_.port_ = fixture.settings_.peer_.port_;
+            settings_.seeds_ = formatSocketAddress(fixture.settings_.control_);
+        }
         GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), 300ms) };
         gateway_ = std::make_unique<Gateway>(fixture.loop_, fixture.clock_, settings_, std::move(adapter));
         REQUIRE(gateway_->start().empty());
@@ -377,6 +382,35 @@
     CHECK(workAtLeaving() == 0);
 }
 
+TEST_CASE("an instance that starts while the store is away learns from another what that last heard, and serves", "[gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady() && fixture.store_.watches() == 3; }));
+    fixture.store_.setMood(GENERATE(StoreMood::Busy, StoreMood::Silent, StoreMood::Resetting));
+    fixture.store_.cutWatches();
+    SecondGateway second(fixture, "e2", "127.0.0.2");
+    LoopClient early(fixture.loop_, second.settings_.front_);
+    early.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&] { return early.count("HTTP/1.1 503") == 1; }));
+    REQUIRE(runUntil(fixture.loop_, [&] { return second.gateway_->isReady(); }));
+    LoopClient client(fixture.loop_, second.settings_.front_);
+    client.send(order);
+    CHECK(runUntil(fixture.loop_, [&] { return client.count("done") == 1; }));
+    // It goes on with the store's own news.
+    fixture.store_.setMood(StoreMood::Well);
+    auto withdrawn = declared(2);
+    withdrawn["tenants"][0]["api_keys"] = { "another" };
+    fixture.store_.put("config", "main", withdrawn);
+    CHECK(runUntil(fixture.loop_, [&] {
+        const auto before = client.count("HTTP/1.1 ");
+        client.send(order);
+        return runUntil(fixture.loop_, [&] { return client.count("HTTP/1.1 ") > before; }) && client.count("HTTP/1.1 401") == 1;
+    }));
+}
+
 TEST_CASE("what instances tell each other is not told to callers", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
