--- a/src/gateway/belief_source.h
+++ b/src/gateway/belief_source.h
@@ -56,6 +56,8 @@
     virtual auto feedRegained(Feed feed) -> void = 0;
     // Where the feed is asked for from now on: another instance, or the platform itself if empty.
     virtual auto feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void = 0;
+    // Another instance, asked while the platform is away, could not tell what it last heard.
+    virtual auto lastKnownRefused(Feed feed, std::string_view why) -> void = 0;
     virtual auto instanceNotListed(std::string_view why) -> void = 0;
 };
 
--- a/src/gateway/beliefs.cpp
+++ b/src/gateway/beliefs.cpp
@@ -155,6 +155,11 @@
     log_.write(EventId::SourceChosen, { { "feed", feedName(feed) }, { "follows", peer ? formatSocketAddress(*peer) : "platform" } });
 }
 
+auto Beliefs::lastKnownRefused(Feed feed, std::string_view why) -> void
+{
+    log_.write(EventId::LastKnownRefused, { { "feed", feedName(feed) }, { "why", why } });
+}
+
 auto Beliefs::instanceNotListed(std::string_view why) -> void
 {
     log_.write(EventId::InstanceNotListed, { { "why", why } });
--- a/src/gateway/beliefs.h
+++ b/src/gateway/beliefs.h
@@ -26,6 +26,7 @@
     auto feedLost(Feed feed, std::string_view why) -> void override;
     auto feedRegained(Feed feed) -> void override;
     auto feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void override;
+    auto lastKnownRefused(Feed feed, std::string_view why) -> void override;
     auto instanceNotListed(std::string_view why) -> void override;
 
     auto index() const -> const std::shared_ptr<const DeclarationIndex>& { return index_; }
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -35,6 +35,7 @@
     auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
     auto feedRegained(Feed) -> void override { ++regained_; }
     auto feedFollows(Feed feed, std::optional<SocketAddress> peer) -> void override { follows_[feed] = std::move(peer); }
+    auto lastKnownRefused(Feed, std::string_view) -> void override { ++refusedByHolders_; }
     auto instanceNotListed(std::string_view) -> void override { }
 
     std::vector<std::uint64_t> versions_;
@@ -48,6 +49,7 @@
     int unreadable_ = 0;
     int lost_ = 0;
     int regained_ = 0;
+    int refusedByHolders_ = 0;
 
     auto isComplete() const -> bool { return lists_ > 0 && !versions_.empty() && !instances_.empty() && hasEvacuations_; }
     bool hasEvacuations_ = false;
--- a/tests/source_pulse_test.cpp
+++ b/tests/source_pulse_test.cpp
@@ -111,6 +111,35 @@
     CHECK(fixture.store_.calls() == calls);
 }
 
+TEST_CASE("an instance that knows nothing asks others for what they last heard, and says so when they cannot tell", "[source-pulse]")
+{
+    Fixture fixture;
+    fixture.store_.setMood(StoreMood::Busy);
+    // A holder that refuses as well.
+    PlatformStore holder(fixture.loop_);
+    const bool refuses = GENERATE(true, false);
+    holder.put("config", "main", declared(7));
+    holder.put("servers", "i-7", listed({ "127.0.0.1", 9000 }));
+    holder.setMood(refuses ? StoreMood::Busy : StoreMood::Well);
+    fixture.peers_.holders_ = { holder.address() };
+    KeptBeliefs beliefs;
+    fixture.source_.start(beliefs, { "e1", { "127.0.0.1", 7000 } }, fixture.peers_);
+    if (refuses) {
+        CHECK(runUntil(fixture.loop_, [&] { return beliefs.refusedByHolders_ >= 3; }));
+        CHECK(beliefs.versions_.empty());
+        return;
+    }
+    REQUIRE(runUntil(fixture.loop_, [&] { return beliefs.upstreams_.contains("i-7") && !beliefs.versions_.empty(); }));
+    CHECK(beliefs.versions_.back() == 7);
+    // The store itself is still lost, and asked again.
+    CHECK(beliefs.lost_ >= 3);
+    CHECK(beliefs.regained_ == 0);
+    const auto asked = holder.calls();
+    const auto calls = fixture.store_.calls();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.calls() > calls + 3; }));
+    CHECK(holder.calls() <= asked + 3);
+}
+
 // Seen in a hunted day: the store was away for six seconds without a watch being cut, all entries lapsed, and each
 // instance dropped all upstreams when they were told of it.
 TEST_CASE("an entry that lapses in an outage that only a sign of life shows is kept", "[source-pulse]")
