--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -22,7 +22,7 @@
 
 // One instance with its own view of the same upstreams.
 struct Instance {
-    explicit Instance(ManualClock& clock, const std::string& name = "self")
+    explicit Instance(const ManualClock& clock, const std::string& name = "self")
         : upstreams_(clock, regionOfDomain)
         , fleet_(clock, { 2s, 20s }, name)
         , placer_(clock, upstreams_, fleet_, "north")
@@ -181,18 +181,25 @@
     std::map<std::string, std::deque<Request>> queues_;
 };
 
-}
-
-// A region fails, and its callers press on: the other region gets what it can finish in time, the rest is refused at once.
-TEST_CASE("when a region fails the other is not overloaded", "[placement]")
+// Each knows four upstreams in either region.
+auto sixInstances(const ManualClock& clock) -> std::vector<std::unique_ptr<Instance>>
 {
-    ManualClock clock;
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < 6; ++i) {
         instances.push_back(std::make_unique<Instance>(clock, fmt::format("e{}", i)));
         instances.back()->put(4);
         instances.back()->put(4, "south-a");
     }
+    return instances;
+}
+
+}
+
+// A region fails, and its callers press on: the other region gets what it can finish in time, the rest is refused at once.
+TEST_CASE("when a region fails the other is not overloaded", "[placement]")
+{
+    ManualClock clock;
+    const auto instances = sixInstances(clock);
     // What upstreams state of their load; each instance hears it with its own answers.
     std::map<std::string, int> running;
     std::map<std::string, int> most;
@@ -254,13 +261,9 @@
 TEST_CASE("instances that decide apart send a region no more than it finishes in time", "[placement]")
 {
     ManualClock clock;
-    std::vector<std::unique_ptr<Instance>> instances;
-    for (int i = 0; i < 6; ++i) {
-        instances.push_back(std::make_unique<Instance>(clock, fmt::format("e{}", i)));
-        instances.back()->put(4);
-        instances.back()->put(4, "south-a");
-        instances.back()->upstreams_.setEvacuated({ "north-a" });
-    }
+    const auto instances = sixInstances(clock);
+    for (const auto& instance : instances)
+        instance->upstreams_.setEvacuated({ "north-a" });
     WorkingRegion region;
     std::uint64_t asked = 0;
     std::size_t placed = 0;
