--- a/src/gateway/change_history.cpp
+++ b/src/gateway/change_history.cpp
@@ -49,6 +49,15 @@
     add(std::move(batch));
 }
 
+auto ChangeHistory::clear() -> void
+{
+    objects_.clear();
+    batches_.clear();
+    bytes_ = 0;
+    revision_ = 0;
+    oldestRevision_ = 0;
+}
+
 auto ChangeHistory::add(Batch batch) -> void
 {
     bytes_ += batch.bytes_;
--- a/src/gateway/change_history.h
+++ b/src/gateway/change_history.h
@@ -27,6 +27,8 @@
     // Replaces all objects by name. Differences from the previous ones are recorded as changes.
     auto replace(Objects objects, std::int64_t revision) -> void;
     auto apply(std::vector<ObjectChange> changes, std::int64_t revision) -> void;
+    // Forgets everything: revisions of another era cannot be compared with those held.
+    auto clear() -> void;
 
     auto objects() const -> const Objects& { return objects_; }
     // 0 until the objects are first set.
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -42,7 +42,10 @@
             report.knownPeers_.push_back(readAddress(address));
         const auto newest = reader.getNewestChanges();
         for (unsigned i = 0; i < newest.size() && i < report.lastChangeRevisions_.size(); ++i)
-            report.lastChangeRevisions_.at(i) = newest[i];
+            report.lastChangeRevisions_.at(i).number_ = newest[i];
+        const auto eras = reader.getEras();
+        for (unsigned i = 0; i < eras.size() && i < report.lastChangeRevisions_.size(); ++i)
+            report.lastChangeRevisions_.at(i).era_ = eras[i];
         report.isSourceLost_ = reader.getSourceLost();
         for (const auto cold : reader.getColds())
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
@@ -74,8 +77,11 @@
         for (unsigned i = 0; i < known.size(); ++i)
             writeAddress(known[i], report.knownPeers_[i]);
         auto newest = heartbeat.initNewestChanges(static_cast<unsigned>(report.lastChangeRevisions_.size()));
-        for (unsigned i = 0; i < newest.size(); ++i)
-            newest.set(i, report.lastChangeRevisions_.at(i));
+        auto eras = heartbeat.initEras(newest.size());
+        for (unsigned i = 0; i < newest.size(); ++i) {
+            newest.set(i, report.lastChangeRevisions_.at(i).number_);
+            eras.set(i, report.lastChangeRevisions_.at(i).era_);
+        }
         heartbeat.setSourceLost(report.isSourceLost_);
         auto colds = heartbeat.initColds(static_cast<unsigned>(report.coldNotices_.size()));
         for (unsigned i = 0; i < colds.size(); ++i) {
--- /dev/null
+++ b/src/gateway/departed_upstreams.h
@@ -0,0 +1,45 @@
+// What is remembered of upstreams that discovery has removed, in case an entry of the same start appears again.
+#pragma once
+
+#include "base/clock.h"
+#include "gateway/upstream_type.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace sapphirepass {
+
+struct DepartedUpstream {
+    UpstreamEntry entry_;
+    // The upstream was draining or had said that it is leaving: this start never gets requests again.
+    bool isFinal_ = false;
+    MonotonicTime pausedUntil_ {};
+
+    auto operator<=>(const DepartedUpstream&) const = default;
+};
+
+// An entry can appear again under a known start because it had only expired, or because the store has returned from a
+// copy that still lists it.
+class DepartedUpstreams {
+public:
+    explicit DepartedUpstreams(const Clock& clock);
+
+    auto record(DepartedUpstream departed) -> void;
+    // The removed upstream of the same id and start; null if there is none.
+    auto find(const UpstreamEntry& entry) const -> const DepartedUpstream*;
+    // Whether the entry is older than what was known when its upstream was removed.
+    auto isOutdated(const UpstreamEntry& entry) const -> bool;
+    auto removeExpired() -> void;
+
+private:
+    struct Record {
+        DepartedUpstream departed_;
+        MonotonicTime at_ {};
+    };
+
+    const Clock& clock_;
+    std::map<std::string, Record> byId_;
+};
+
+} // namespace sapphirepass
--- a/src/gateway/discovery_source.h
+++ b/src/gateway/discovery_source.h
@@ -22,12 +22,22 @@
 
 inline constexpr std::array<Feed, 3> allFeeds { Feed::Declaration, Feed::Upstreams, Feed::Evacuations };
 
-// Progress of a feed, in revisions of the platform's store.
+// A revision of the platform's store. The era rises each time the store returns from an older copy; revisions after that
+// copy are then given out again for other changes, so they are only comparable within an era.
+struct StoreRevision {
+    // 0 if the store names none.
+    std::uint64_t era_ = 0;
+    std::uint64_t number_ = 0;
+
+    auto operator<=>(const StoreRevision&) const = default;
+};
+
+// Progress of a feed.
 struct FeedPosition {
     // Revision of the newest change in this feed that was applied.
-    std::uint64_t lastChangeRevision_ = 0;
+    StoreRevision lastChange_;
     // All changes up to this revision have been received.
-    std::uint64_t currentRevision_ = 0;
+    StoreRevision current_;
 
     auto operator<=>(const FeedPosition&) const = default;
 };
@@ -55,6 +65,8 @@
     virtual auto instancesListed(const std::vector<ListedInstance>& instances) -> void = 0;
     virtual auto feedLost(Feed feed, std::string_view why) -> void = 0;
     virtual auto feedRestored(Feed feed) -> void = 0;
+    // The store has returned from an older copy, which lacks recent changes. Called before the copy's objects are listed.
+    virtual auto storeRestored(Feed feed, std::uint64_t era) -> void = 0;
     // The feed is read from another instance from now on, or from the platform if empty.
     virtual auto feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void = 0;
     // Another instance could not provide its last known state while the platform was unavailable.
@@ -90,9 +102,9 @@
     virtual auto position(Feed feed) const -> FeedPosition = 0;
     // Serves a feed request of another instance. Null if it was answered immediately.
     virtual auto answerPeer(const OutgoingRequest& request, std::function<void(UpstreamResponse)> answer) -> std::shared_ptr<RunningRequest> = 0;
-    // Restarts the feed's watch at the platform on a new connection, after other instances reported a change that this
-    // feed has not received.
-    virtual auto reconnect(Feed feed) -> void = 0;
+    // Reads the feed at the platform on a new connection, after other instances reported a change that this feed has not
+    // received: by a new watch, or by a list if the change belongs to a newer era.
+    virtual auto reconnect(Feed feed, const StoreRevision& newestReported) -> void = 0;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/discovery_state.cpp
@@ -37,6 +37,7 @@
     , upstreams_(upstreams)
     , fleet_(fleet)
     , log_(log)
+    , evacuations_(clock)
 {
 }
 
@@ -99,13 +100,21 @@
 
 auto DiscoveryState::domainsEvacuated(std::set<std::string> domains) -> void
 {
+    evacuations_.setListed(std::move(domains));
+    const auto current = evacuations_.current();
     LogFields names = LogFields::array();
-    for (const auto& domain : domains)
+    for (const auto& domain : current)
         names.push_back(domain);
-    if (!hasEvacuations_ || !domains.empty())
+    if (!hasEvacuations_ || !current.empty())
         log_.write(EventId::DomainsEvacuated, { { "domains", names } });
     hasEvacuations_ = true;
-    upstreams_.setEvacuated(std::move(domains));
+    upstreams_.setEvacuated(current);
+}
+
+auto DiscoveryState::releaseKeptEvacuations() -> void
+{
+    if (evacuations_.release())
+        upstreams_.setEvacuated(evacuations_.current());
 }
 
 auto DiscoveryState::instancesListed(const std::vector<ListedInstance>& instances) -> void
@@ -149,6 +158,18 @@
     log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
 }
 
+// What is missing in the copy may only not have been written again yet.
+auto DiscoveryState::storeRestored(Feed feed, std::uint64_t era) -> void
+{
+    log_.write(EventId::StoreRestored, { { "feed", feedName(feed) }, { "era", era }, { "version", index_ ? index_->declaration().version_ : 0 }, { "upstreams", upstreams_.size() } });
+    if (feed == Feed::Upstreams) {
+        feeds_[feed].removalGraceUntil_ = clock_.now() + reregistrationTime;
+        upstreams_.recordRestore();
+    }
+    if (feed == Feed::Evacuations)
+        evacuations_.recordRestore();
+}
+
 auto DiscoveryState::feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void
 {
     feeds_[feed].isFollowing_ = peer.has_value();
@@ -173,9 +194,9 @@
         feeds_[Feed::Upstreams].removalGraceUntil_ = clock_.now() + reregistrationTime;
 }
 
-auto DiscoveryState::feedBehind(Feed feed, const FeedPosition& own, std::uint64_t newestElsewhere) -> void
+auto DiscoveryState::feedBehind(Feed feed, const FeedPosition& own, const StoreRevision& newestElsewhere) -> void
 {
-    log_.write(EventId::SourceBehind, { { "feed", feedName(feed) }, { "seen_up_to", own.currentRevision_ }, { "newest_elsewhere", newestElsewhere } });
+    log_.write(EventId::SourceBehind, { { "feed", feedName(feed) }, { "era", own.current_.era_ }, { "seen_up_to", own.current_.number_ }, { "newest_elsewhere", newestElsewhere.number_ }, { "newest_era", newestElsewhere.era_ } });
 }
 
 auto DiscoveryState::outageDuration(Feed feed) const -> Duration
--- a/src/gateway/discovery_state.h
+++ b/src/gateway/discovery_state.h
@@ -4,6 +4,7 @@
 #include "gateway/decision_log.h"
 #include "gateway/declaration_index.h"
 #include "gateway/discovery_source.h"
+#include "gateway/evacuation_memory.h"
 #include "gateway/fleet_view.h"
 #include "gateway/upstream_set.h"
 
@@ -25,6 +26,7 @@
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override;
     auto feedLost(Feed feed, std::string_view why) -> void override;
     auto feedRestored(Feed feed) -> void override;
+    auto storeRestored(Feed feed, std::uint64_t era) -> void override;
     auto feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void override;
     auto bootstrapFailed(Feed feed, std::string_view why) -> void override;
     auto registrationFailed(std::string_view why) -> void override;
@@ -38,8 +40,10 @@
     // While the fleet reports an outage, extends the removal grace period if upstreams are read from another instance, even
     // if the watch there is still open. To be called periodically.
     auto noteFleetOutage() -> void;
+    // Ends evacuations that were only kept over a restore of the store. To be called periodically.
+    auto releaseKeptEvacuations() -> void;
     // Other instances report a newer revision than this feed has received; the feed is being reconnected.
-    auto feedBehind(Feed feed, const FeedPosition& own, std::uint64_t newestElsewhere) -> void;
+    auto feedBehind(Feed feed, const FeedPosition& own, const StoreRevision& newestElsewhere) -> void;
     // Another instance has sent the addresses of all instances that it receives heartbeats from.
     auto peerListReceived() -> void;
     auto onDeclaration(std::function<void()> action) -> void { declarationAction_ = std::move(action); }
@@ -63,6 +67,7 @@
     DecisionLog& log_;
     std::shared_ptr<const DeclarationIndex> index_;
     std::map<Feed, FeedState> feeds_;
+    EvacuationMemory evacuations_;
     bool hasUpstreams_ = false;
     bool hasEvacuations_ = false;
     bool hasInstances_ = false;
--- a/src/gateway/feed_lag.cpp
+++ b/src/gateway/feed_lag.cpp
@@ -18,17 +18,17 @@
 {
 }
 
-auto FeedLag::isOverdue(Feed feed, const FeedPosition& own, std::uint64_t newestReported) -> bool
+auto FeedLag::isOverdue(Feed feed, const FeedPosition& own, const StoreRevision& newestReported) -> bool
 {
     auto& state = states_.at(static_cast<std::size_t>(feed));
     const auto now = clock_.now();
-    if (newestReported <= own.currentRevision_) {
+    if (newestReported <= own.current_) {
         state = {};
         return false;
     }
     // During a stream of changes an instance is always slightly behind; only a single change that fails to arrive counts as
     // lag.
-    if (state.awaitedRevision_ <= own.currentRevision_) {
+    if (state.awaitedRevision_ <= own.current_) {
         state = { newestReported, now + initialWait, initialWait };
         return false;
     }
--- a/src/gateway/feed_lag.h
+++ b/src/gateway/feed_lag.h
@@ -14,12 +14,12 @@
 
     // Whether the feed should be reconnected now, given the newest revision that other instances report. Each time it is
     // due, the wait before the next reconnection doubles.
-    auto isOverdue(Feed feed, const FeedPosition& own, std::uint64_t newestReported) -> bool;
+    auto isOverdue(Feed feed, const FeedPosition& own, const StoreRevision& newestReported) -> bool;
 
 private:
     struct State {
         // Reported revision that has not arrived yet; 0 for none.
-        std::uint64_t awaitedRevision_ = 0;
+        StoreRevision awaitedRevision_;
         MonotonicTime dueAt_ {};
         Duration wait_ {};
     };
--- a/src/gateway/feed_source_selector.cpp
+++ b/src/gateway/feed_source_selector.cpp
@@ -51,16 +51,27 @@
     return candidates[bootstrapAttempts_++ % candidates.size()];
 }
 
+auto FeedProgress::recordEra(std::uint64_t era) -> EraOrder
+{
+    const auto known = position_.current_.era_;
+    if (era == known)
+        return EraOrder::Same;
+    if (era < known)
+        return EraOrder::Older;
+    position_ = { { era, 0 }, { era, 0 } };
+    return EraOrder::Newer;
+}
+
 auto FeedProgress::noteChange(std::uint64_t number) -> void
 {
-    position_.lastChangeRevision_ = std::max(position_.lastChangeRevision_, number);
+    position_.lastChange_.number_ = std::max(position_.lastChange_.number_, number);
 }
 
 auto FeedProgress::advanceTo(std::uint64_t revision) -> bool
 {
-    if (revision < position_.currentRevision_)
+    if (revision < position_.current_.number_)
         return false;
-    position_.currentRevision_ = revision;
+    position_.current_.number_ = revision;
     return true;
 }
 
--- a/src/gateway/feed_source_selector.h
+++ b/src/gateway/feed_source_selector.h
@@ -29,10 +29,18 @@
     std::size_t consecutiveAnswers_ = 0;
 };
 
-// Tracks the progress of a feed. It only moves forward.
+// How the era of an answer compares with the one that is known.
+enum class EraOrder { Older,
+    Same,
+    Newer };
+
+// Tracks the progress of a feed. Within an era it only moves forward, and eras only rise.
 class FeedProgress {
 public:
     auto position() const -> const FeedPosition& { return position_; }
+    // Compares the era that an answer names. A newer one is taken over, and the position in the earlier era is void; an
+    // answer of an older one is stale and must be discarded.
+    auto recordEra(std::uint64_t era) -> EraOrder;
     // Takes note of an applied change, by its revision number.
     auto noteChange(std::uint64_t number) -> void;
     // Takes note of an answer with all changes up to a revision. False if the feed is already past it, in which case the
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -154,9 +154,9 @@
     return std::min(maxSenders, memberCount());
 }
 
-auto FleetView::newestRevisionReported(std::size_t feed) const -> std::uint64_t
+auto FleetView::newestRevisionReported(std::size_t feed) const -> StoreRevision
 {
-    std::uint64_t newest = 0;
+    StoreRevision newest;
     for (const auto& [name, member] : members_) {
         if (isLive(member))
             newest = std::max(newest, member.report_.lastChangeRevisions_.at(feed));
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/socket_address.h"
+#include "gateway/discovery_source.h"
 
 #include <array>
 #include <compare>
@@ -51,7 +52,7 @@
     // Peer addresses of the instances that the sender currently receives heartbeats from.
     std::vector<SocketAddress> knownPeers_;
     // Revision of the newest change that the sender has applied, for each feed in the order of Feed.
-    std::array<std::uint64_t, 3> lastChangeRevisions_ {};
+    std::array<StoreRevision, allFeeds.size()> lastChangeRevisions_ {};
     // The sender's upstream feed is lost.
     bool isSourceLost_ = false;
     std::vector<ColdNotice> coldNotices_;
@@ -113,7 +114,7 @@
     // The number of instances that send to a cold upstream, at most maxSenders; empty if this instance is not one of them.
     auto coldSenderCount(std::string_view upstream, std::size_t maxSenders) const -> std::optional<std::size_t>;
     // Revision of the newest change in the feed (an index into allFeeds) that a live instance reports; 0 if none does.
-    auto newestRevisionReported(std::size_t feed) const -> std::uint64_t;
+    auto newestRevisionReported(std::size_t feed) const -> StoreRevision;
     // Number of upstreams that the request has crashed, as reported by other instances.
     auto crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t;
 
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -26,6 +26,8 @@
     std::string load_;
     // Milliseconds until an upstream is no longer cold, in its responses to health requests.
     std::string coldLeft_;
+    // "1" in all responses of an upstream that is leaving.
+    std::string leaving_;
 
     auto operator<=>(const HeaderNames&) const = default;
 };
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -61,12 +61,27 @@
 {
 }
 
-auto Placer::mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool
+auto Placer::mayRunOn(const Upstream& upstream, const PlacementQuery& query) const -> bool
 {
-    if (!upstreams_.isEligible(upstream))
-        return false;
     const auto* homeRegions = query.homeRegions_;
-    if (homeRegions != nullptr && !homeRegions->empty() && std::find(homeRegions->begin(), homeRegions->end(), upstream.region_) == homeRegions->end())
+    const bool isHome = homeRegions == nullptr || homeRegions->empty() || std::find(homeRegions->begin(), homeRegions->end(), upstream.region_) != homeRegions->end();
+    return isHome && upstreams_.isEligible(upstream);
+}
+
+auto Placer::shortestPause(const PlacementQuery& query) const -> std::optional<Duration>
+{
+    std::optional<Duration> shortest;
+    for (const auto& upstream : upstreams_.ofService(query.service_)) {
+        const auto left = upstreams_.pauseLeft(*upstream);
+        if (left > Duration::zero() && mayRunOn(*upstream, query))
+            shortest = std::min(left, shortest.value_or(left));
+    }
+    return shortest;
+}
+
+auto Placer::mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool
+{
+    if (!mayRunOn(upstream, query) || upstreams_.pauseLeft(upstream) > Duration::zero())
         return false;
     if (std::find(query.tried_.begin(), query.tried_.end(), upstream.entry_.id_) != query.tried_.end())
         return false;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -56,6 +56,8 @@
     Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion);
 
     auto place(const PlacementQuery& query) -> PlacementResult;
+    // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
+    auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
     // Must be called before a placed request is sent; if the upstream is cold, this sets when it may get the next one.
     auto recordColdSend(Upstream& upstream, const PlacementQuery& query) const -> void;
 
@@ -79,6 +81,7 @@
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
+    auto mayRunOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto isWithinColdRate(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     // Whether a request has been outstanding for so long that the upstream may have become cold without being reported.
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -233,6 +233,7 @@
 
 auto RequestHandler::onResponse(UpstreamResponse response) -> void
 {
+    context_.noticeRecorder_.record(*lastAttempt_.upstream_, response);
     if (const auto load = readLoad(response, context_.headerNames_))
         context_.upstreams_.noteLoad(*lastAttempt_.upstream_, *load);
     const auto status = response.result_int();
@@ -291,10 +292,12 @@
 
 auto RequestHandler::finishUnplaced(PlacementRefusal refusal) -> void
 {
-    const auto reason = refusal == PlacementRefusal::Full ? "all-full" : "no-upstream";
+    const auto pause = refusal == PlacementRefusal::NoUpstream ? context_.placer_.shortestPause(query_) : std::nullopt;
+    const std::string_view reason = refusal == PlacementRefusal::Full ? "all-full" : pause ? "all-paused"
+                                                                                           : "no-upstream";
     if (mayHaveRun_)
         return finishWithProblem(502, reason, Executed::Unknown);
-    finishWithProblem(503, reason, Executed::No, std::max<Duration>(minRetryAfter, query_.typicalResponseTime_));
+    finishWithProblem(503, reason, Executed::No, std::max<Duration>(minRetryAfter, pause.value_or(query_.typicalResponseTime_)));
 }
 
 auto RequestHandler::onTimeout() -> void
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -6,6 +6,7 @@
 #include "gateway/declaration_index.h"
 #include "gateway/forwarding.h"
 #include "gateway/limits.h"
+#include "gateway/notice_recorder.h"
 #include "gateway/placement.h"
 #include "gateway/problem_response.h"
 #include "gateway/rate_limiter.h"
@@ -31,6 +32,7 @@
     TrafficSplitter& trafficSplitter_;
     ResponseTimes& responseTimes_;
     UpstreamCaller& upstreamCaller_;
+    NoticeRecorder& noticeRecorder_;
     DecisionLog& log_;
     Metrics& metrics_;
 };
--- /dev/null
+++ b/src/gateway/upstream_notice.h
@@ -0,0 +1,25 @@
+// What an upstream says about itself in a response: that it is leaving, or that it wants no requests for a while.
+#pragma once
+
+#include "gateway/header_names.h"
+#include "gateway/upstream_caller.h"
+
+#include <optional>
+
+namespace sapphirepass {
+
+struct UpstreamNotice {
+    // The upstream is about to end; it must get no further requests under this start.
+    bool isLeaving_ = false;
+    // For this long after the response, the upstream wants no requests from this instance.
+    std::optional<Duration> pause_;
+    // A pause was given but could not be read.
+    bool isPauseInvalid_ = false;
+
+    auto operator<=>(const UpstreamNotice&) const = default;
+};
+
+// Reads the notice in a response; an empty one if the response does not come from the expected upstream (421).
+auto readNotice(const UpstreamResponse& response, const HeaderNames& names) -> UpstreamNotice;
+
+} // namespace sapphirepass
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace sapphirepass {
 
@@ -18,6 +19,8 @@
     // The request rate that a cold upstream can take is measured over one second. An upstream that was in use when it
     // became cold therefore gets no requests for that long.
     constexpr Duration coldStartPause = 1s;
+    // After a restore, entries of upstreams that have ended expire within this time: three of their report intervals.
+    constexpr Duration restoredEntryLifetime = 5s;
     // Weight of the latest attempt in the failure rate.
     constexpr double failureWeight = 0.25;
 }
@@ -25,6 +28,7 @@
 UpstreamSet::UpstreamSet(const Clock& clock, std::map<std::string, std::string> regionOfDomain)
     : clock_(clock)
     , regionOfDomain_(std::move(regionOfDomain))
+    , departed_(clock)
 {
     for (const auto& [domain, region] : regionOfDomain_)
         regions_.insert(region);
@@ -33,7 +37,12 @@
 auto UpstreamSet::replaceAll(const std::vector<UpstreamEntry>& entries, Duration removalGrace) -> void
 {
     std::set<std::string> named;
+    withheld_.clear();
     for (const auto& entry : entries) {
+        if (clock_.now() < withholdUntil_ && isOutdated(entry)) {
+            withheld_[entry.id_] = entry;
+            continue;
+        }
         named.insert(entry.id_);
         put(entry);
     }
@@ -46,20 +55,48 @@
         remove(id, removalGrace);
 }
 
+auto UpstreamSet::recordRestore() -> void
+{
+    withholdUntil_ = clock_.now() + restoredEntryLifetime;
+}
+
+auto UpstreamSet::isOutdated(const UpstreamEntry& entry) const -> bool
+{
+    const auto found = byId_.find(entry.id_);
+    if (found == byId_.end())
+        return departed_.isOutdated(entry);
+    return entry.startTimeMs_ < found->second->entry_.startTimeMs_;
+}
+
+auto UpstreamSet::makeUpstream(const UpstreamEntry& entry) const -> UpstreamPtr
+{
+    auto upstream = std::make_shared<Upstream>();
+    upstream->entry_ = entry;
+    upstream->region_ = regionOf(entry.domain_);
+    if (const auto* departed = departed_.find(entry)) {
+        upstream->isLeaving_ = departed->isFinal_;
+        upstream->pausedUntil_ = departed->pausedUntil_;
+    }
+    return upstream;
+}
+
+// A drain is final for a start: an entry that says otherwise is older.
 auto UpstreamSet::put(const UpstreamEntry& entry) -> void
 {
     const auto now = clock_.now();
+    withheld_.erase(entry.id_);
     auto& slot = byId_[entry.id_];
-    const bool sameStart = slot && slot->entry_.startTimeMs_ == entry.startTimeMs_ && slot->entry_.address_ == entry.address_ && slot->entry_.service_ == entry.service_;
+    const bool sameStart = slot && isSameStart(slot->entry_, entry);
     if (sameStart) {
+        const bool isDraining = slot->entry_.state_ == UpstreamState::Draining;
         slot->entry_ = entry;
+        if (isDraining)
+            slot->entry_.state_ = UpstreamState::Draining;
         slot->removeAt_.reset();
     } else {
         if (slot)
             retire(*slot);
-        slot = std::make_shared<Upstream>();
-        slot->entry_ = entry;
-        slot->region_ = regionOf(entry.domain_);
+        slot = makeUpstream(entry);
     }
     if (!sameStart && entry.coldLeft_ > Duration::zero())
         slot->coldUntil_ = now + entry.coldLeft_;
@@ -70,6 +107,7 @@
 
 auto UpstreamSet::remove(const std::string& id, Duration removalGrace) -> void
 {
+    withheld_.erase(id);
     const auto found = byId_.find(id);
     if (found == byId_.end() || found->second->removeAt_)
         return;
@@ -82,9 +120,20 @@
     rebuildServices();
 }
 
+auto UpstreamSet::retire(Upstream& upstream) -> void
+{
+    upstream.retired_ = true;
+    departed_.record({ upstream.entry_, upstream.isLeaving_ || upstream.entry_.state_ == UpstreamState::Draining, upstream.pausedUntil_ });
+}
+
 auto UpstreamSet::removeExpired() -> void
 {
     const auto now = clock_.now();
+    departed_.removeExpired();
+    if (now >= withholdUntil_) {
+        for (const auto& [id, entry] : std::exchange(withheld_, {}))
+            put(entry);
+    }
     const auto dropped = std::erase_if(byId_, [this, now](const auto& item) {
         const bool over = item.second->removeAt_ && *item.second->removeAt_ <= now;
         if (over)
@@ -111,7 +160,7 @@
 
 auto UpstreamSet::isEligible(const Upstream& upstream) const -> bool
 {
-    return !upstream.retired_ && upstream.entry_.state_ == UpstreamState::Ready && !evacuated_.contains(upstream.entry_.domain_);
+    return !upstream.retired_ && !upstream.isLeaving_ && upstream.entry_.state_ == UpstreamState::Ready && !evacuated_.contains(upstream.entry_.domain_);
 }
 
 auto UpstreamSet::regionOf(const std::string& domain) const -> std::string
@@ -176,6 +225,16 @@
     upstream.coldUntil_ = std::max(upstream.coldUntil_, now + left);
 }
 
+auto UpstreamSet::recordPause(Upstream& upstream, Duration pause) -> void
+{
+    upstream.pausedUntil_ = std::max(upstream.pausedUntil_, clock_.now() + pause);
+}
+
+auto UpstreamSet::pauseLeft(const Upstream& upstream) const -> Duration
+{
+    return std::max<Duration>(Duration::zero(), upstream.pausedUntil_ - clock_.now());
+}
+
 auto UpstreamSet::noteLoad(Upstream& upstream, ReportedLoad load) -> void
 {
     upstream.load_ = load;
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -1,6 +1,7 @@
 // The upstreams known from discovery, each with the load and health that this instance has observed.
 #pragma once
 
+#include "gateway/departed_upstreams.h"
 #include "gateway/upstream_type.h"
 
 #include <map>
@@ -25,6 +26,10 @@
 
 struct Upstream {
     UpstreamEntry entry_;
+    // The upstream has said that it is leaving. Final for this start.
+    bool isLeaving_ = false;
+    // The upstream has asked this instance for a pause.
+    MonotonicTime pausedUntil_ {};
     std::string region_;
     int inFlight_ = 0;
     // Send times of the requests in flight.
@@ -60,7 +65,10 @@
     auto replaceAll(const std::vector<UpstreamEntry>& entries, Duration removalGrace) -> void;
     auto put(const UpstreamEntry& entry) -> void;
     auto remove(const std::string& id, Duration removalGrace) -> void;
-    // Removes missing upstreams whose grace period has ended.
+    // The store has returned from a copy, so lists may have entries that are older than what is known. For a few seconds
+    // such entries are withheld; after that, what is still listed is in use.
+    auto recordRestore() -> void;
+    // Removes missing upstreams whose grace period has ended, and releases entries that were withheld long enough.
     auto removeExpired() -> void;
     auto setEvacuated(std::set<std::string> domains) -> void { evacuated_ = std::move(domains); }
     // Sets the declared time for which upstreams of the service stay cold after a restart.
@@ -82,11 +90,20 @@
     // Extends the upstream's cold time; never shortens it.
     auto noteCold(const std::string& id, Duration left) -> void;
     auto noteLoad(Upstream& upstream, ReportedLoad load) -> void;
+    // The upstream gets no further requests under its current start.
+    auto recordLeaving(Upstream& upstream) -> void { upstream.isLeaving_ = true; }
+    // The upstream gets no requests, probes included, for this long. Never shortens an earlier pause.
+    auto recordPause(Upstream& upstream, Duration pause) -> void;
+    // Time until the pause of the upstream ends; zero if it is not paused.
+    auto pauseLeft(const Upstream& upstream) const -> Duration;
 
 private:
+    // Whether a listed entry is older than what is known of its upstream.
+    auto isOutdated(const UpstreamEntry& entry) const -> bool;
+    auto makeUpstream(const UpstreamEntry& entry) const -> UpstreamPtr;
     auto rebuildServices() -> void;
     auto markCold(Upstream& upstream, Duration left) -> void;
-    auto retire(Upstream& upstream) -> void { upstream.retired_ = true; }
+    auto retire(Upstream& upstream) -> void;
 
     const Clock& clock_;
     std::map<std::string, std::string> regionOfDomain_;
@@ -94,6 +111,10 @@
     std::map<std::string, UpstreamPtr> byId_;
     std::map<std::string, ServiceUpstreams> byService_;
     std::map<std::string, Duration> coldDurations_;
+    DepartedUpstreams departed_;
+    // Listed entries that are older than what is known, while the store may still list what has gone since the copy.
+    std::map<std::string, UpstreamEntry> withheld_;
+    MonotonicTime withholdUntil_ {};
     std::set<std::string> evacuated_;
 };
 
--- a/src/gateway/upstream_type.h
+++ b/src/gateway/upstream_type.h
@@ -24,10 +24,18 @@
     UpstreamState state_ = UpstreamState::Ready;
     // How much longer the upstream stays cold, counted from when the entry is received.
     Duration coldLeft_ {};
+    // Raised by the upstream with each report under the same start.
+    std::int64_t sequence_ = 0;
 
     auto operator<=>(const UpstreamEntry&) const = default;
 };
 
+// Whether both entries describe the same process.
+inline auto isSameStart(const UpstreamEntry& a, const UpstreamEntry& b) -> bool
+{
+    return a.id_ == b.id_ && a.startTimeMs_ == b.startTimeMs_ && a.address_ == b.address_ && a.service_ == b.service_;
+}
+
 // Load that an upstream reported in the header of an answer.
 struct ReportedLoad {
     int running_ = 0;
--- a/src/loop/cold_prober.cpp
+++ b/src/loop/cold_prober.cpp
@@ -19,10 +19,11 @@
     }
 }
 
-ColdProber::ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, std::function<void(const std::string&, Duration)> onCold)
+ColdProber::ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, HealthAnswer onAnswer, std::function<void(const std::string&, Duration)> onCold)
     : loop_(loop)
     , headers_(headers)
     , watch_(watch)
+    , onHealthAnswer_(std::move(onAnswer))
     , onCold_(std::move(onCold))
 {
 }
@@ -34,7 +35,7 @@
     for (const auto& upstream : watch_.takeDueProbes()) {
         const auto* service = index.service(upstream->entry_.service_);
         if (service != nullptr && !service->healthPath_.empty())
-            ask(*upstream, service->healthPath_);
+            ask(upstream, service->healthPath_);
     }
 }
 
@@ -45,9 +46,9 @@
     probes_.clear();
 }
 
-auto ColdProber::ask(const Upstream& upstream, const std::string& path) -> void
+auto ColdProber::ask(const UpstreamPtr& upstream, const std::string& path) -> void
 {
-    const auto& entry = upstream.entry_;
+    const auto& entry = upstream->entry_;
     auto& probe = probes_[entry.id_];
     if (!probe.channel_ || probe.address_ != entry.address_) {
         if (probe.channel_)
@@ -60,16 +61,18 @@
     ++count_;
     HttpRequest request { http::verb::get, path, 11 };
     request.set(headers_.expectedUpstream_, entry.id_);
-    probe.channel_->call(std::move(request), probeLimit, [this, id = entry.id_](const CallResult& result) { onAnswer(id, result); });
+    probe.channel_->call(std::move(request), probeLimit, [this, upstream](const CallResult& result) { onAnswer(upstream, result); });
 }
 
 // An upstream that does not answer may be busy or gone: attempts will tell, so nothing is concluded here.
-auto ColdProber::onAnswer(const std::string& id, const CallResult& result) -> void
+auto ColdProber::onAnswer(const UpstreamPtr& upstream, const CallResult& result) -> void
 {
+    const auto& id = upstream->entry_.id_;
     probes_[id].isWaiting_ = false;
     const auto* response = std::get_if<HttpResponse>(&result);
     if (response == nullptr || response->result_int() == 421)
         return;
+    onHealthAnswer_(upstream, *response);
     const auto left = coldLeftIn(*response, headers_.coldLeft_);
     if (left <= Duration::zero())
         return;
--- a/src/loop/cold_prober.h
+++ b/src/loop/cold_prober.h
@@ -10,8 +10,11 @@
 
 class ColdProber {
 public:
-    // The action is called when an upstream was found cold.
-    ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, std::function<void(const std::string& upstream, Duration left)> onCold);
+    // Gets every health answer of an upstream.
+    using HealthAnswer = std::function<void(const UpstreamPtr& upstream, const HttpResponse& response)>;
+
+    // onCold is called when an upstream was found cold.
+    ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, HealthAnswer onAnswer, std::function<void(const std::string& upstream, Duration left)> onCold);
 
     // Sends what is due. Called now and then.
     auto tick(const DeclarationIndex& index) -> void;
@@ -25,12 +28,13 @@
         bool isWaiting_ = false;
     };
 
-    auto ask(const Upstream& upstream, const std::string& path) -> void;
-    auto onAnswer(const std::string& id, const CallResult& result) -> void;
+    auto ask(const UpstreamPtr& upstream, const std::string& path) -> void;
+    auto onAnswer(const UpstreamPtr& upstream, const CallResult& result) -> void;
 
     asio::io_context& loop_;
     const HeaderNames& headers_;
     ColdDetector& watch_;
+    HealthAnswer onHealthAnswer_;
     std::function<void(const std::string&, Duration)> onCold_;
     std::map<std::string, Probe> probes_;
     std::uint64_t count_ = 0;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -90,9 +90,11 @@
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
-    , pool_(loop, clock, adapter_.headers_)
-    , coldProber_(loop, adapter_.headers_, coldWatch_, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, log_, metrics_ }
+    , notices_(upstreams_, adapter_.headers_, log_)
+    , pool_(loop, clock, adapter_.headers_, [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response); })
+    , coldProber_(
+          loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
+    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, notices_, log_, metrics_ }
     , frontHandler_(*this)
     , publicPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) {
         answer(answerPublic(request));
@@ -220,6 +222,7 @@
 {
     ++ticks_;
     upstreams_.removeExpired();
+    beliefs_.releaseKeptEvacuations();
     fleet_.setSourceLost(beliefs_.outageDuration(Feed::Upstreams) > Duration::zero());
     if (context_.index_)
         coldProber_.tick(*context_.index_);
@@ -270,7 +273,7 @@
     if (isStopping_)
         report.phase_ = MemberPhase::Stopping;
     for (const auto feed : allFeeds)
-        report.lastChangeRevisions_.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed).lastChangeRevision_;
+        report.lastChangeRevisions_.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed).lastChange_;
     report.isSourceLost_ = beliefs_.outageDuration(Feed::Upstreams) > Duration::zero();
     report.coldNotices_ = coldWatch_.activeNotices();
     return report;
@@ -344,7 +347,7 @@
         if (!feedLag_.isOverdue(feed, own, newest))
             continue;
         beliefs_.feedBehind(feed, own, newest);
-        adapter_.source_->reconnect(feed);
+        adapter_.source_->reconnect(feed, newest);
     }
 }
 
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -120,6 +120,7 @@
     CrashTracker crashes_;
     TrafficSplitter split_;
     ResponseTimes workTimes_;
+    NoticeRecorder notices_;
     UpstreamPool pool_;
     ColdProber coldProber_;
     Metrics metrics_;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -42,11 +42,12 @@
     }
 }
 
-UpstreamChannel::UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names)
+UpstreamChannel::UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse)
     : socket_(loop)
     , timer_(loop)
     , clock_(clock)
     , names_(names)
+    , onLateResponse_(std::move(onLateResponse))
 {
 }
 
@@ -167,6 +168,7 @@
     // Late answers to earlier requests come first; what the id names belongs to this one.
     if (!echoed.empty() && echoed != (*request_)[name]) {
         isTainted_ = true;
+        onLateResponse_(response);
         if (ended)
             return lose(TransportErrorKind::InvalidResponse, "answer-of-another-request");
         newParser();
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -13,8 +13,10 @@
 public:
     // The outcome, and whether the connection may carry another request.
     using Done = std::function<void(AttemptOutcome, bool isReusable)>;
+    // Gets responses to earlier requests, which are passed over otherwise.
+    using LateResponse = std::function<void(const HttpResponse&)>;
 
-    UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names);
+    UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse);
 
     auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
     auto send(std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
@@ -45,6 +47,7 @@
     asio::steady_timer timer_;
     const Clock& clock_;
     const HeaderNames& names_;
+    LateResponse onLateResponse_;
     std::shared_ptr<const OutgoingRequest> request_;
     std::string head_;
     Done done_;
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -27,10 +27,11 @@
     };
 }
 
-UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names)
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse)
     : loop_(loop)
     , clock_(clock)
     , names_(names)
+    , onLateResponse_(std::move(onLateResponse))
 {
 }
 
@@ -60,7 +61,7 @@
     auto channel = takeIdle(upstream);
     const bool reused = channel != nullptr;
     if (!reused)
-        channel = std::make_shared<UpstreamChannel>(loop_, clock_, names_);
+        channel = std::make_shared<UpstreamChannel>(loop_, clock_, names_, [this, upstream](const HttpResponse& response) { onLateResponse_(*upstream, response); });
     auto attempt = std::make_unique<ChannelAttempt>(channel);
     const auto onDone = [this, upstream, channel, over = attempt->overFlag(), done = std::move(done)](AttemptOutcome outcome, bool isReusable) {
         *over = true;
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -19,7 +19,10 @@
 
 class UpstreamPool final : public UpstreamCaller {
 public:
-    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names);
+    // Gets responses to requests whose attempts are over.
+    using LateResponse = std::function<void(Upstream&, const HttpResponse&)>;
+
+    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse);
     ~UpstreamPool() override;
     UpstreamPool(const UpstreamPool&) = delete;
     auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
@@ -40,6 +43,7 @@
     asio::io_context& loop_;
     const Clock& clock_;
     const HeaderNames& names_;
+    LateResponse onLateResponse_;
     std::map<UpstreamPtr, Idle> idle_;
     PoolCounts counts_;
 };
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -34,6 +34,8 @@
   sourceLost @10 :Bool;
   colds @11 :List(Cold);
   control @12 :PeerAddress;
+  # Era of the store for each revision in newestChanges; empty from instances that know no eras, which counts as 0.
+  eras @13 :List(UInt64);
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -83,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -448,6 +448,9 @@
   inline bool hasControl() const;
   inline  ::sapphirepass::wire::PeerAddress::Reader getControl() const;
 
+  inline bool hasEras() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEras() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -556,6 +559,14 @@
   inline void adoptControl(::capnp::Orphan< ::sapphirepass::wire::PeerAddress>&& value);
   inline ::capnp::Orphan< ::sapphirepass::wire::PeerAddress> disownControl();
 
+  inline bool hasEras();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEras();
+  inline void setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEras(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEras(unsigned int size);
+  inline void adoptEras(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEras();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1408,6 +1419,44 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasEras() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasEras() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getEras() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setEras( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setEras(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initEras(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptEras(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownEras() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -34,6 +34,7 @@
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override { instances_ = instances; }
     auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
     auto feedRestored(Feed) -> void override { ++regained_; }
+    auto storeRestored(Feed, std::uint64_t era) -> void override { eras_.push_back(era); }
     auto feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void override { follows_[feed] = std::move(peer); }
     auto bootstrapFailed(Feed, std::string_view) -> void override { ++refusedByHolders_; }
     auto registrationFailed(std::string_view) -> void override { }
@@ -43,6 +44,8 @@
     // Once for each list that named the upstream.
     std::multiset<std::string> everListed_;
     std::set<std::string> evacuated_;
+    // One for each restore that a feed has noticed.
+    std::vector<std::uint64_t> eras_;
     std::vector<ListedInstance> instances_;
     std::map<Feed, std::optional<SocketAddress>> follows_;
     int lists_ = 0;
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -129,7 +129,7 @@
 // Whether the watch could be answered now.
 auto PlatformStore::answerWatch(const std::shared_ptr<Connection>& connection) -> bool
 {
-    if (connection->watchFrom_ < oldest_) {
+    if (connection->watchFrom_ < oldest_ || connection->watchFrom_ > revision_) {
         reply(connection, 410, { { "error", "gone" } });
         return true;
     }
@@ -151,6 +151,7 @@
     if (kinds_[kind].contains(name))
         return reply(connection, 409, kinds_[kind][name]);
     put(kind, name, object.at("spec"));
+    ++created_[kind];
     reply(connection, 201, kinds_[kind][name]);
 }
 
@@ -158,7 +159,8 @@
 {
     const auto text = body.dump();
     NetError ignored;
-    asio::write(connection->socket_, asio::buffer(fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}", status, text.size(), text)), ignored);
+    const auto era = isEraHidden_ ? std::string() : fmt::format("Store-Era: {}\r\n", era_);
+    asio::write(connection->socket_, asio::buffer(fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\n{}Content-Length: {}\r\n\r\n{}", status, era, text.size(), text)), ignored);
 }
 
 auto PlatformStore::put(const std::string& kind, const std::string& name, const Json& spec) -> void
@@ -201,6 +203,22 @@
     cutWatches();
 }
 
+auto PlatformStore::copy() -> void
+{
+    copiedKinds_ = kinds_;
+    copiedRevision_ = revision_;
+}
+
+// Revisions after the copy's are given out again, for other changes.
+auto PlatformStore::restore() -> void
+{
+    kinds_ = copiedKinds_;
+    revision_ = copiedRevision_;
+    std::erase_if(history_, [this](const Change& change) { return change.revision_ > revision_; });
+    ++era_;
+    cutWatches();
+}
+
 auto PlatformStore::objects(const std::string& kind) const -> std::size_t
 {
     const auto found = kinds_.find(kind);
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -1,4 +1,5 @@
-// The platform's store as its pages describe it, on the test's own event loop: lists, watches, history, outages.
+// The platform's store as its pages describe it, on the test's own event loop: lists, watches, history, outages, and a
+// return from a copy that is some seconds old.
 #pragma once
 
 #include "standin/loop_peer.h"
@@ -30,6 +31,13 @@
     // Forgets what has changed so far, and cuts the watches that wait.
     auto forgetHistory() -> void;
     auto cutWatches() -> void;
+    // Copies all objects and the revision; restore() returns to the last copy and raises the era that all responses name.
+    auto copy() -> void;
+    auto restore() -> void;
+    auto era() const -> std::uint64_t { return era_; }
+    // Without the header, as the store was before it could return from a copy.
+    auto hideEra() -> void { isEraHidden_ = true; }
+    auto revision() const -> std::int64_t { return revision_; }
     // The next so many watches of a kind are read and never answered; their connections stay open.
     auto swallowWatches(const std::string& kind, std::size_t count) -> void { swallowed_[kind] = count; }
     auto isSwallowed(const std::string& kind) const -> bool { return swallowed_.contains(kind) && swallowed_.at(kind) == 0; }
@@ -37,6 +45,8 @@
     // Watches that wait for a change.
     auto watches() const -> std::size_t { return watching_.size(); }
     auto objects(const std::string& kind) const -> std::size_t;
+    // Objects of a kind that were created by a call.
+    auto created(const std::string& kind) const -> std::size_t { return created_.contains(kind) ? created_.at(kind) : 0; }
     auto setPage(std::size_t page) -> void { page_ = page; }
     // Called after each page of a list that has more to come.
     auto onPage(std::function<void(const std::string& kind)> action) -> void { pageAction_ = std::move(action); }
@@ -58,6 +68,8 @@
     auto reply(const std::shared_ptr<Connection>& connection, int status, const nlohmann::json& body) -> void;
     auto wakeWatches() -> void;
 
+    using Kinds = std::map<std::string, std::map<std::string, nlohmann::json>>;
+
     Tcp::acceptor acceptor_;
     SocketAddress address_;
     StoreMood mood_ = StoreMood::Well;
@@ -67,7 +79,12 @@
     std::function<void(const std::string&)> pageAction_;
     std::size_t calls_ = 0;
     std::map<std::string, std::size_t> swallowed_;
-    std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
+    std::map<std::string, std::size_t> created_;
+    Kinds kinds_;
+    Kinds copiedKinds_;
+    std::int64_t copiedRevision_ = 0;
+    std::uint64_t era_ = 1;
+    bool isEraHidden_ = false;
     std::vector<Change> history_;
     std::vector<std::shared_ptr<Connection>> watching_;
     std::vector<std::weak_ptr<Connection>> open_;
--- a/tests/feed_relay_test.cpp
+++ b/tests/feed_relay_test.cpp
@@ -125,7 +125,7 @@
     // The follower's watches at the watcher, and the watcher's three at the store.
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
     fixture.farStore_.put("config", "main", declared(5));
-    fixture.follower_.reconnect(Feed::Declaration);
+    fixture.follower_.reconnect(Feed::Declaration, {});
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerSink_.versions_.back() == 5; }));
     CHECK(fixture.followerSink_.follows_.at(Feed::Declaration) == std::nullopt);
     for (int version = 6; version < 10; ++version) {
@@ -141,7 +141,7 @@
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
     fixture.farStore_.put("config", "main", declared(5));
     fixture.store_.swallowWatches("config", 1);
-    fixture.watcher_.reconnect(Feed::Declaration);
+    fixture.watcher_.reconnect(Feed::Declaration, {});
     CHECK(runUntil(fixture.loop_, [&] { return fixture.followerSink_.versions_.back() == 5; }));
     CHECK(fixture.followerSink_.lost_ == 0);
 }
@@ -155,9 +155,9 @@
     for (int number = 0; number < 20; ++number)
         fixture.farStore_.put("servers", "i-2", listed({ "127.0.0.1", static_cast<std::uint16_t>(7100 + number) }));
     fixture.farStore_.remove("servers", "i-1");
-    fixture.follower_.reconnect(Feed::Upstreams);
+    fixture.follower_.reconnect(Feed::Upstreams, {});
     REQUIRE(runUntil(fixture.loop_, [&] { return !fixture.followerSink_.upstreams_.contains("i-1"); }));
-    REQUIRE(fixture.follower_.position(Feed::Upstreams).currentRevision_ > fixture.watcher_.position(Feed::Upstreams).currentRevision_);
+    REQUIRE(fixture.follower_.position(Feed::Upstreams).current_ > fixture.watcher_.position(Feed::Upstreams).current_);
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.farStore_.watches() == 3; }));
     // The follower's watch there is cut, so that it requests a list from the watcher.
     const auto lists = fixture.followerSink_.lists_;
@@ -216,3 +216,73 @@
         CHECK(answers.back().body().starts_with("{\"items\""));
     }
 }
+
+// The watcher has noticed a restore of the store, the follower only hears of it from the watcher. The revision that the
+// follower knows has been given out again for another change.
+TEST_CASE("a follower lists anew after its watcher has noticed a restore", "[feed-relay][store-restore]")
+{
+    RelayFixture fixture;
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
+    const auto calls = fixture.follower_.calls();
+    fixture.store_.copy();
+    fixture.store_.put("servers", "i-9", listed({ "127.0.0.1", 7009 }));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerSink_.upstreams_.contains("i-9"); }));
+    const auto known = fixture.follower_.position(Feed::Upstreams).current_;
+    fixture.store_.restore();
+    fixture.store_.remove("servers", "i-1");
+    REQUIRE(static_cast<std::uint64_t>(fixture.store_.revision()) == known.number_);
+    CHECK(runUntil(fixture.loop_, [&] { return fixture.followerSink_.upstreams_ == std::set<std::string> { "i-0", "i-2" }; }));
+    CHECK(fixture.follower_.position(Feed::Upstreams).current_ == StoreRevision { known.era_ + 1, known.number_ });
+    // One call of its own at most: it writes its entry again.
+    CHECK(fixture.follower_.calls() <= calls + 1);
+    CHECK(fixture.followerSink_.eras_.size() == 3);
+}
+
+// The follower has noticed the restore itself, its watcher has not: what the watcher says is stale.
+TEST_CASE("a follower does not go back to an older era of its watcher", "[feed-relay][store-restore]")
+{
+    RelayFixture fixture;
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
+    fixture.farStore_.copy();
+    fixture.farStore_.restore();
+    fixture.farStore_.put("config", "main", declared(5));
+    fixture.follower_.reconnect(Feed::Declaration, { fixture.farStore_.era(), 1 });
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.followerSink_.versions_.back() == 5; }));
+    fixture.store_.put("config", "main", declared(4));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.watcherSink_.versions_.back() == 4; }));
+    fixture.farStore_.put("config", "main", declared(6));
+    CHECK(runUntil(fixture.loop_, [&] { return fixture.followerSink_.versions_.back() == 6; }));
+    CHECK(std::count(fixture.followerSink_.versions_.begin(), fixture.followerSink_.versions_.end(), 4U) == 0);
+    CHECK(fixture.follower_.position(Feed::Declaration).current_.era_ == fixture.farStore_.era());
+}
+
+TEST_CASE("an era that the store does not confirm costs one list", "[feed-relay][store-restore]")
+{
+    RelayFixture fixture;
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
+    const auto calls = fixture.watcher_.calls();
+    fixture.watcher_.reconnect(Feed::Declaration, { 1'000'000, 1 });
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.watches() == 3; }));
+    fixture.store_.put("config", "main", declared(2));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.watcherSink_.versions_.back() == 2; }));
+    CHECK(fixture.watcher_.calls() <= calls + 3);
+    CHECK(fixture.watcherSink_.eras_.empty());
+}
+
+// An instance of a build that knows no eras answers without them.
+TEST_CASE("stores and instances that name no era are followed as before", "[feed-relay][store-restore]")
+{
+    asio::io_context loop;
+    PlatformStore store(loop);
+    store.hideEra();
+    store.put("config", "main", declared(1));
+    KeptBeliefs recorded;
+    const NamedPeers peers;
+    platform::StoreSource source(loop, store.address(), 300ms);
+    source.start(recorded, { "e1", { "127.0.0.1", 7000 } }, peers);
+    REQUIRE(runUntil(loop, [&] { return recorded.isComplete() && store.watches() == 3; }));
+    store.put("config", "main", declared(2));
+    CHECK(runUntil(loop, [&] { return recorded.versions_.back() == 2; }));
+    CHECK(source.position(Feed::Declaration).current_.era_ == 0);
+    source.stop();
+}
--- a/tests/feed_source_selector_test.cpp
+++ b/tests/feed_source_selector_test.cpp
@@ -64,7 +64,7 @@
     progress.noteChange(3);
     CHECK(progress.advanceTo(10));
     CHECK_FALSE(progress.advanceTo(9));
-    CHECK(progress.position() == FeedPosition { 8, 10 });
+    CHECK(progress.position() == FeedPosition { { 0, 8 }, { 0, 10 } });
 }
 
 TEST_CASE("a follower that applies all changes has the same objects", "[feed-source-selector]")
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -58,7 +58,7 @@
 {
     ManualClock clock;
     FeedLag lag(clock);
-    const auto isDue = [&](std::uint64_t current, std::uint64_t reported) { return lag.isOverdue(Feed::Declaration, { current, current }, reported); };
+    const auto isDue = [&](std::uint64_t current, std::uint64_t reported) { return lag.isOverdue(Feed::Declaration, { { 1, current }, { 1, current } }, { 1, reported }); };
     SECTION("not before the change has had time to arrive")
     {
         CHECK_FALSE(isDue(10, 12));
@@ -89,7 +89,7 @@
     {
         CHECK_FALSE(isDue(10, 12));
         clock.advance(2s);
-        CHECK_FALSE(lag.isOverdue(Feed::Upstreams, { 10, 10 }, 12));
+        CHECK_FALSE(lag.isOverdue(Feed::Upstreams, { { 1, 10 }, { 1, 10 } }, { 1, 12 }));
         CHECK(isDue(10, 12));
     }
 }
@@ -99,12 +99,12 @@
     ManualClock clock;
     FleetView fleet(clock, { 2s, 20s }, "self");
     auto heartbeat = report("a");
-    heartbeat.lastChangeRevisions_ = { 7, 9, 0 };
+    heartbeat.lastChangeRevisions_ = { { { 0, 7 }, { 0, 9 }, {} } };
     fleet.updateMember(heartbeat);
-    CHECK(fleet.newestRevisionReported(0) == 7);
-    CHECK(fleet.newestRevisionReported(1) == 9);
+    CHECK(fleet.newestRevisionReported(0).number_ == 7);
+    CHECK(fleet.newestRevisionReported(1).number_ == 9);
     clock.advance(3s);
-    CHECK(fleet.newestRevisionReported(1) == 0);
+    CHECK(fleet.newestRevisionReported(1) == StoreRevision {});
 }
 
 TEST_CASE("all connected instances choose the same coordinator for a workspace", "[fleet-view]")
@@ -160,7 +160,7 @@
     sent.domain_ = "north-a";
     sent.crashes_ = { { 9, 2 } };
     sent.knownPeers_ = { { "127.0.0.1", 8009 } };
-    sent.lastChangeRevisions_ = { 5, 0, 1'000'000'000'000 };
+    sent.lastChangeRevisions_ = { { { 3, 5 }, {}, { 2, 1'000'000'000'000 } } };
     const auto datagram = GENERATE_COPY(PeerDatagram(sent), PeerDatagram(RateAsk { 5, "acme", 3 }), PeerDatagram(RateGrant { 5, "acme", 0, 250ms }));
     const auto received = decodeDatagram(encodeDatagram(datagram));
     REQUIRE(isOk(received));
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms" };
+const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms", "Leaving" };
 
 auto success(const std::string& id, const std::string& body, const std::string& more = "") -> std::string
 {
@@ -51,7 +51,8 @@
 
     asio::io_context loop_;
     SystemClock clock_;
-    UpstreamPool pool_ { loop_, clock_, names };
+    UpstreamPool pool_ { loop_, clock_, names, [this](Upstream&, const HttpResponse&) { ++lateResponses_; } };
+    int lateResponses_ = 0;
     UpstreamPtr upstream_ = std::make_shared<Upstream>();
     LoopServer server_;
 };
@@ -164,7 +165,7 @@
 {
     asio::io_context loop;
     SystemClock clock;
-    UpstreamPool pool(loop, clock, names);
+    UpstreamPool pool(loop, clock, names, [](Upstream&, const HttpResponse&) {});
     const auto upstream = std::make_shared<Upstream>();
     upstream->entry_.address_ = freeAddress(loop);
     std::optional<AttemptOutcome> outcome;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms" };
+const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms", "Leaving" };
 
 auto route(const std::string& name, const std::string& prefix, RepeatRule repeat) -> DeclaredRoute
 {
@@ -134,8 +134,9 @@
     ResponseTimes workTimes_;
     standin::ScriptedCaller caller_;
     standin::KeptLog log_;
+    NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { advancing_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, log_, metrics_ };
+    RequestContext context_ { advancing_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, notices_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -73,7 +73,7 @@
 {
     const auto decoded = platform::decodeUpstream("i-1", server());
     REQUIRE(isOk(decoded));
-    CHECK(valueOf(decoded) == UpstreamEntry { "i-1", 1764806400123, "s1", { "10.128.0.9", 8080 }, "north-a", 4, UpstreamState::Ready, 1500ms });
+    CHECK(valueOf(decoded) == UpstreamEntry { "i-1", 1764806400123, "s1", { "10.128.0.9", 8080 }, "north-a", 4, UpstreamState::Ready, 1500ms, 4 });
 }
 
 TEST_CASE("an entry of another writer names no upstream", "[platform]")
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -1,9 +1,6 @@
 // The store's dialect and the whole gateway, against a stand-in of the platform on loopback.
-#include "loop/gateway.h"
-#include "platform/store_source.h"
-#include "platform/wire_names.h"
 #include "standin/kept_beliefs.h"
-#include "standin/platform_store.h"
+#include "standin/local_gateway.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -129,51 +126,6 @@
     CHECK(fixture.beliefs_.versions_.back() == 1);
 }
 
-namespace {
-
-// A whole gateway with a store and one upstream.
-struct GatewayFixture {
-    explicit GatewayFixture(LoopServer::Script script)
-        : server_(loop_, std::move(script))
-    {
-        settings_.name_ = "e1";
-        settings_.region_ = "north";
-        settings_.domain_ = "north-a";
-        settings_.domains_ = { { "north-a", "north" } };
-        for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
-            *address = freeAddress(loop_);
-        settings_.storeTimeout_ = 300ms;
-        settings_.store_ = store_.address();
-    }
-
-    auto start() -> void
-    {
-        GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(loop_, store_.address(), 300ms) };
-        gateway_ = std::make_unique<Gateway>(loop_, clock_, settings_, std::move(adapter));
-        REQUIRE(gateway_->start().empty());
-    }
-
-    auto ask(const SocketAddress& address, const std::string& path) -> std::string
-    {
-        LoopClient client(loop_, address);
-        client.send(fmt::format("GET {} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", path));
-        REQUIRE(runUntil(loop_, [&] { return client.isEnded(); }));
-        return client.received();
-    }
-
-    asio::io_context loop_;
-    SystemClock clock_;
-    PlatformStore store_ { loop_ };
-    LoopServer server_;
-    GatewaySettings settings_;
-    std::unique_ptr<Gateway> gateway_;
-};
-
-const std::string order = "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: t1\r\nAuthorization: Token secret\r\nContent-Length: 2\r\n\r\nhi";
-const std::string orderAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nContent-Length: 4\r\n\r\ndone";
-
-}
-
 TEST_CASE("a gateway is ready once it knows everything, and serves", "[gateway]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
@@ -274,32 +226,6 @@
     CHECK(client.count("Connection: close") == 1);
 }
 
-namespace {
-
-// A second gateway beside that of the fixture.
-struct SecondGateway {
-    explicit SecondGateway(GatewayFixture& fixture, const std::string& name = "e2", const std::string& host = "127.0.0.1")
-        : settings_(fixture.settings_)
-    {
-        settings_.name_ = name;
-        for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
-            *address = freeAddress(fixture.loop_, host);
-        // On another host heartbeats go to the same port as everywhere, found through a seed.
-        if (host != "127.0.0.1") {
-            settings_.peer_.port_ = fixture.settings_.peer_.port_;
-            settings_.seeds_ = formatSocketAddress(fixture.settings_.control_);
-        }
-        GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), 300ms) };
-        gateway_ = std::make_unique<Gateway>(fixture.loop_, fixture.clock_, settings_, std::move(adapter));
-        REQUIRE(gateway_->start().empty());
-    }
-
-    GatewaySettings settings_;
-    std::unique_ptr<Gateway> gateway_;
-};
-
-}
-
 // The swallowed watch would end by itself after 21.5 s; runUntil gives up earlier.
 TEST_CASE("an instance whose watch is swallowed learns from the others that it has missed a change", "[gateway]")
 {
--- a/tests/source_keepalive_test.cpp
+++ b/tests/source_keepalive_test.cpp
@@ -164,7 +164,7 @@
     fixture.store_.setMood(StoreMood::Well);
     fixture.store_.remove("servers", "i-1");
     // Wait until the upstreams feed has received the removal.
-    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.source_.position(Feed::Upstreams).currentRevision_ > fixture.source_.position(Feed::Evacuations).currentRevision_; }));
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.source_.position(Feed::Upstreams).current_ > fixture.source_.position(Feed::Evacuations).current_; }));
     // Without the probe the outage cannot be told apart from normal operation.
     CHECK(upstreams.size() == (isProbed ? 1U : 0U));
     clock.advance(2300ms);
