--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -47,6 +47,7 @@
         for (unsigned i = 0; i < eras.size() && i < report.lastChangeRevisions_.size(); ++i)
             report.lastChangeRevisions_.at(i).era_ = eras[i];
         report.isSourceLost_ = reader.getSourceLost();
+        report.wantsPeers_ = reader.getWantsPeers();
         for (const auto cold : reader.getColds())
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
         return report;
@@ -83,6 +84,7 @@
             eras.set(i, report.lastChangeRevisions_.at(i).era_);
         }
         heartbeat.setSourceLost(report.isSourceLost_);
+        heartbeat.setWantsPeers(report.wantsPeers_);
         auto colds = heartbeat.initColds(static_cast<unsigned>(report.coldNotices_.size()));
         for (unsigned i = 0; i < colds.size(); ++i) {
             colds[i].setUpstream(report.coldNotices_[i].upstream_);
--- a/src/gateway/discovery_state.h
+++ b/src/gateway/discovery_state.h
@@ -46,6 +46,8 @@
     auto feedBehind(Feed feed, const FeedPosition& own, const StoreRevision& newestElsewhere) -> void;
     // Another instance has sent the addresses of all instances that it receives heartbeats from.
     auto peerListReceived() -> void;
+    // Whether neither the platform nor another instance has named the other instances yet.
+    auto needsPeerList() const -> bool { return !hasInstances_ && !peerListReceivedAt_; }
     auto onDeclaration(std::function<void()> action) -> void { declarationAction_ = std::move(action); }
 
 private:
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -6,6 +6,29 @@
 
 namespace sapphirepass {
 
+using namespace std::chrono_literals;
+
+namespace {
+    // Regions lose each other for an hour now and then.
+    constexpr Duration lostPeerRetention = 3h;
+
+    // The addresses with the highest rendezvous weight for the round: each round has other ones, and all come in turn.
+    auto sample(std::vector<SocketAddress> addresses, std::uint64_t round, std::size_t maxCount) -> std::vector<SocketAddress>
+    {
+        std::vector<std::pair<std::uint64_t, SocketAddress>> ranked;
+        ranked.reserve(addresses.size());
+        for (auto& address : addresses)
+            ranked.emplace_back(rendezvousWeight(round, formatSocketAddress(address)), std::move(address));
+        const auto count = std::min(maxCount, ranked.size());
+        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), std::greater<>());
+        std::vector<SocketAddress> chosen;
+        chosen.reserve(count);
+        for (std::size_t i = 0; i < count; ++i)
+            chosen.push_back(ranked[i].second);
+        return chosen;
+    }
+}
+
 FleetView::FleetView(const Clock& clock, FleetTiming timing, std::string self)
     : clock_(clock)
     , timing_(timing)
@@ -21,6 +44,7 @@
     member.report_ = report;
     member.lastSeenAt_ = clock_.now();
     member.hasReported_ = true;
+    lostAt_.erase(report.peer_);
 }
 
 auto FleetView::addListedMember(const std::string& name, const SocketAddress& peer) -> void
@@ -37,10 +61,15 @@
 auto FleetView::removeSilent() -> void
 {
     const auto now = clock_.now();
+    std::erase_if(lostAt_, [now](const auto& item) { return now - item.second > lostPeerRetention; });
     std::erase_if(members_, [this, now](const auto& item) {
         const auto& member = item.second;
-        const auto keepFor = member.report_.phase_ == MemberPhase::Stopping ? timing_.silenceTimeout_ * 2 : timing_.reservationTime_;
-        return now - member.lastSeenAt_ > keepFor;
+        const bool isStopping = member.report_.phase_ == MemberPhase::Stopping;
+        const auto keepFor = isStopping ? timing_.silenceTimeout_ * 2 : timing_.reservationTime_;
+        const bool isOver = now - member.lastSeenAt_ > keepFor;
+        if (isOver && !isStopping)
+            lostAt_[member.report_.peer_] = now;
+        return isOver;
     });
 }
 
@@ -104,6 +133,19 @@
     return addresses;
 }
 
+auto FleetView::sampleLivePeers(std::uint64_t round, std::size_t maxCount) const -> std::vector<SocketAddress>
+{
+    return sample(livePeerAddresses(), round, maxCount);
+}
+
+auto FleetView::sampleLostPeers(std::uint64_t round, std::size_t maxCount) const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [address, at] : lostAt_)
+        addresses.push_back(address);
+    return sample(std::move(addresses), round, maxCount);
+}
+
 auto FleetView::hasQuorum() const -> bool
 {
     const auto live = std::count_if(members_.begin(), members_.end(), [this](const auto& item) { return isLive(item.second); });
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -49,13 +49,15 @@
     std::string domain_;
     MemberPhase phase_ = MemberPhase::Starting;
     std::vector<CrashCount> crashes_;
-    // Peer addresses of the instances that the sender currently receives heartbeats from.
+    // Peer addresses of some or all instances that the sender currently receives heartbeats from.
     std::vector<SocketAddress> knownPeers_;
     // Revision of the newest change that the sender has applied, for each feed in the order of Feed.
     std::array<StoreRevision, allFeeds.size()> lastChangeRevisions_ {};
     // The sender's upstream feed is lost.
     bool isSourceLost_ = false;
     std::vector<ColdNotice> coldNotices_;
+    // The sender has just started and asks for the addresses of the other instances.
+    bool wantsPeers_ = false;
 
     auto operator<=>(const MemberReport&) const = default;
 };
@@ -102,6 +104,11 @@
     auto peerAddressesNear(std::string_view region) const -> std::vector<SocketAddress>;
     // Addresses of the instances that send heartbeats.
     auto livePeerAddresses() const -> std::vector<SocketAddress>;
+    // Up to maxCount of these, others in each round.
+    auto sampleLivePeers(std::uint64_t round, std::size_t maxCount) const -> std::vector<SocketAddress>;
+    // Up to maxCount addresses of instances that fell silent within the last hours, others in each round. They may be
+    // alive behind a network partition, and after it nobody else knows both sides.
+    auto sampleLostPeers(std::uint64_t round, std::size_t maxCount) const -> std::vector<SocketAddress>;
     // Instances that the fleet's limits are divided among, this one and silent ones with a reservation included.
     auto memberCount() const -> std::size_t { return members_.size() + 1; }
     // Whether heartbeats arrive from at least half of the others, so this instance is not on the minority side of a network
@@ -133,6 +140,8 @@
     FleetTiming timing_;
     std::string self_;
     std::map<std::string, Member> members_;
+    // When instances were removed that did not say that they stop.
+    std::map<SocketAddress, MonotonicTime> lostAt_;
     bool isReady_ = false;
     bool isSourceLost_ = false;
 };
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random.h"
 #include "gateway/datagram_codec.h"
+#include "gateway/hashing.h"
 
 #include <fmt/format.h>
 #include <unistd.h>
@@ -18,8 +19,12 @@
     // To other regions, whose bytes are priced, every so many: two in the shortest such time.
     constexpr std::uint64_t farHeartbeatTicks = 4;
     constexpr std::uint64_t statusTicks = 25;
-    // Heartbeats name the instances that the sender hears every so many times.
-    constexpr std::uint64_t knownTicks = 10;
+    // Each instance names others that it hears to a few of them every so many heartbeats. Their number does not grow with
+    // the fleet, so neither do the bytes.
+    constexpr std::uint64_t gossipHeartbeats = 10;
+    constexpr std::size_t gossipTargets = 3;
+    // Addresses in one datagram.
+    constexpr std::size_t maxNamedPeers = 64;
     // After a request to stop: new connections are taken until callers have looked up another instance.
     constexpr Duration acceptAfterStop = 1'500ms;
     // Kept before the end of the grace time for the process to end by itself.
@@ -276,6 +281,7 @@
         report.lastChangeRevisions_.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed).lastChange_;
     report.isSourceLost_ = beliefs_.outageDuration(Feed::Upstreams) > Duration::zero();
     report.coldNotices_ = coldWatch_.activeNotices();
+    report.wantsPeers_ = beliefs_.needsPeerList();
     return report;
 }
 
@@ -284,14 +290,34 @@
     fleet_.setReady(isReady());
     auto report = ownReport();
     report.crashes_ = crashes_.counts();
-    if (ticks_ % (heartbeatTicks * knownTicks) == 0)
-        report.knownPeers_ = fleet_.livePeerAddresses();
+    if (ticks_ % (heartbeatTicks * gossipHeartbeats) == 0)
+        gossipPeers();
     auto to = reach == Reach::All ? fleet_.peerAddresses() : fleet_.peerAddressesNear(settings_.region_);
     if (fleet_.memberCount() == 1)
         to = seedPeers();
     datagrams_.send(encodeDatagram(report), to);
 }
 
+auto Gateway::gossipPeers() -> void
+{
+    const auto round = stableHash(settings_.name_, ticks_);
+    auto report = ownReport();
+    datagrams_.send(encodeDatagram(report), fleet_.sampleLostPeers(round, gossipTargets));
+    report.knownPeers_ = fleet_.sampleLivePeers(round, maxNamedPeers);
+    datagrams_.send(encodeDatagram(report), fleet_.sampleLivePeers(stableHash("targets", round), gossipTargets));
+}
+
+auto Gateway::answerNewcomer(const MemberReport& newcomer) -> void
+{
+    const auto live = fleet_.livePeerAddresses();
+    auto report = ownReport();
+    for (std::size_t from = 0; from < live.size(); from += maxNamedPeers) {
+        const auto count = std::min(maxNamedPeers, live.size() - from);
+        report.knownPeers_.assign(live.begin() + static_cast<std::ptrdiff_t>(from), live.begin() + static_cast<std::ptrdiff_t>(from + count));
+        datagrams_.send(encodeDatagram(report), { newcomer.peer_ });
+    }
+}
+
 auto Gateway::sendAsk(const Coordinator& keeper, const RateAsk& ask) -> void
 {
     datagrams_.send(encodeDatagram(ask), { keeper.peer_ });
@@ -319,6 +345,8 @@
     coldWatch_.applyNotices(report.coldNotices_);
     if (!report.knownPeers_.empty())
         beliefs_.peerListReceived();
+    if (report.wantsPeers_)
+        answerNewcomer(report);
     const auto known = fleet_.peerAddresses();
     std::vector<SocketAddress> strangers;
     for (const auto& address : report.knownPeers_) {
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -36,6 +36,8 @@
   control @12 :PeerAddress;
   # Era of the store for each revision in newestChanges; empty from instances that know no eras, which counts as 0.
   eras @13 :List(UInt64);
+  # The sender has just started and knows no other instances; it is answered with their addresses.
+  wantsPeers @14 :Bool;
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -451,6 +451,8 @@
   inline bool hasEras() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEras() const;
 
+  inline bool getWantsPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -567,6 +569,9 @@
   inline void adoptEras(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEras();
 
+  inline bool getWantsPeers();
+  inline void setWantsPeers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1457,6 +1462,20 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::getWantsPeers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getWantsPeers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setWantsPeers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -157,6 +157,7 @@
 {
     auto sent = report("a");
     sent.incarnation_ = 77;
+    sent.wantsPeers_ = true;
     sent.domain_ = "north-a";
     sent.crashes_ = { { 9, 2 } };
     sent.knownPeers_ = { { "127.0.0.1", 8009 } };
@@ -188,3 +189,57 @@
     CHECK(refused > 0);
     CHECK_FALSE(isOk(decodeDatagram("")));
 }
+
+// Lists of all instances to all others made the bytes grow with the cube of the fleet.
+TEST_CASE("the peers that an instance names are few in a large fleet, and all come in turn", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    constexpr std::size_t others = 919;
+    for (std::size_t i = 0; i < others; ++i) {
+        auto heartbeat = report(fmt::format("e{}", i));
+        heartbeat.peer_ = { fmt::format("10.0.{}.{}", i / 250, i % 250), 7000 };
+        fleet.updateMember(heartbeat);
+    }
+    std::set<SocketAddress> named;
+    std::uint64_t round = 0;
+    for (; round < 150; ++round) {
+        const auto chosen = fleet.sampleLivePeers(round, 64);
+        CHECK(std::set<SocketAddress>(chosen.begin(), chosen.end()).size() == 64);
+        named.insert(chosen.begin(), chosen.end());
+    }
+    CHECK(named.size() == others);
+    auto heartbeat = report("self");
+    heartbeat.knownPeers_ = fleet.sampleLivePeers(round, 64);
+    CHECK(encodeDatagram(heartbeat).size() < 1'400);
+}
+
+// After a partition that outlasts the reservations, no instance knows one of the other side.
+TEST_CASE("instances that fell silent are tried again for hours, those that stopped are not", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    auto cut = report("cut");
+    cut.peer_ = { "10.0.0.1", 7000 };
+    auto stopped = report("stopped", MemberPhase::Stopping);
+    stopped.peer_ = { "10.0.0.2", 7000 };
+    fleet.updateMember(cut);
+    fleet.updateMember(stopped);
+    CHECK(fleet.sampleLostPeers(1, 3).empty());
+    clock.advance(30s);
+    fleet.removeSilent();
+    REQUIRE(fleet.memberCount() == 1);
+    CHECK(fleet.sampleLostPeers(1, 3) == std::vector<SocketAddress> { cut.peer_ });
+    SECTION("until it is heard again")
+    {
+        clock.advance(1h);
+        fleet.updateMember(cut);
+        CHECK(fleet.sampleLostPeers(2, 3).empty());
+    }
+    SECTION("not for ever")
+    {
+        clock.advance(4h);
+        fleet.removeSilent();
+        CHECK(fleet.sampleLostPeers(2, 3).empty());
+    }
+}
