Rates: a request that is refused without having run gives its token back

The token was taken before placing, and kept when placing refused the request as all upstreams were full or an upstream turned it away. A hot workspace so lost its rate to requests that were never run.

A refusal that says "not run" returns the token to where it came from: the local bucket up to its capacity, or the granted tokens up to the grant's own expiry, so that no token lives longer than before and the bound of a window holds. The source of a token is an enum; names in the log are the same. Ruled out: to place before asking for a token (a placement would be held over a message).

--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -57,6 +57,26 @@
     return true;
 }
 
+auto TokenBucket::putBack(double count, double capacity) -> void
+{
+    tokens_ = std::min(capacity, tokens_ + count);
+}
+
+auto tokenSourceName(TokenSource source) -> std::string_view
+{
+    switch (source) {
+    case TokenSource::Unlimited:
+        return "unlimited";
+    case TokenSource::Granted:
+        return "granted";
+    case TokenSource::Local:
+        return "local";
+    case TokenSource::Denied:
+        return "denied";
+    }
+    return "";
+}
+
 RateLimiter::RateLimiter(const Clock& clock, TimerService& timers, const FleetView& fleet, RateAskSender& askSender, RateTolerance tolerance, std::uint64_t firstAskNumber)
     : clock_(clock)
     , timers_(timers)
@@ -87,19 +107,26 @@
     return share >= 2 ? evenSplitFraction : 0;
 }
 
+// A partitioned instance has no coordinator to ask. Few instances are partitioned, so one token each stays within the
+// limit.
+auto RateLimiter::isOnOwnTokens(const WorkspaceState& state) const -> bool
+{
+    return localFraction(state.limit_) == 0 && !fleet_.hasQuorum();
+}
+
+auto RateLimiter::localCapacity(const WorkspaceState& state) const -> double
+{
+    const bool isAlone = isOnOwnTokens(state);
+    const double fraction = isAlone ? evenSplitFraction : localFraction(state.limit_);
+    return std::max(isAlone ? 1.0 : 0.0, fleetCapacity(state.limit_) * fraction / static_cast<double>(fleet_.memberCount()));
+}
+
 auto RateLimiter::takeLocal(WorkspaceState& state) -> bool
 {
-    const auto count = static_cast<double>(fleet_.memberCount());
-    double fraction = localFraction(state.limit_);
-    double minCapacity = 0;
-    // A partitioned instance has no coordinator to ask. Few instances are partitioned, so one token each stays within
-    // the limit.
-    if (fraction == 0 && !fleet_.hasQuorum()) {
-        fraction = evenSplitFraction;
-        minCapacity = 1;
-    }
-    const double capacity = std::max(minCapacity, fleetCapacity(state.limit_) * fraction / count);
-    state.localBucket_.refill(clock_.now(), state.limit_.ratePerSecond_ * fraction / count, capacity, capacity * initialFillFraction);
+    const double fraction = isOnOwnTokens(state) ? evenSplitFraction : localFraction(state.limit_);
+    const double capacity = localCapacity(state);
+    const double perSecond = state.limit_.ratePerSecond_ * fraction / static_cast<double>(fleet_.memberCount());
+    state.localBucket_.refill(clock_.now(), perSecond, capacity, capacity * initialFillFraction);
     return state.localBucket_.take(1);
 }
 
@@ -113,6 +140,19 @@
     return true;
 }
 
+// Under overload a workspace would otherwise lose its rate to requests that are then refused as the upstreams are full.
+auto RateLimiter::returnToken(const std::string& workspace, const RateVerdict& verdict) -> void
+{
+    const auto found = states_.find(workspace);
+    if (found == states_.end() || !verdict.admitted_)
+        return;
+    auto& state = found->second;
+    if (verdict.source_ == TokenSource::Local)
+        state.localBucket_.putBack(1, localCapacity(state));
+    else if (verdict.source_ == TokenSource::Granted && clock_.now() < state.grantExpiresAt_)
+        state.granted_ = std::min<double>(maxTokensPerAsk, state.granted_ + 1);
+}
+
 auto RateLimiter::recordArrival(WorkspaceState& state) -> void
 {
     const auto now = clock_.now();
@@ -129,11 +169,11 @@
     state.limit_ = { workspace.ratePerSecond_, workspace.burst_ };
     recordArrival(state);
     if (takeGranted(state))
-        return done({ true, "granted", {} });
+        return done({ true, TokenSource::Granted, {} });
     if (takeLocal(state))
-        return done({ true, "local", {} });
+        return done({ true, TokenSource::Local, {} });
     if (clock_.now() < state.deniedUntil_)
-        return done({ false, "denied", recordDenial(state, state.deniedUntil_ - clock_.now()) });
+        return done({ false, TokenSource::Denied, recordDenial(state, state.deniedUntil_ - clock_.now()) });
     state.waiting_.push_back(std::move(done));
     if (state.pendingAsk_ == 0)
         ask(workspace.name_, state);
@@ -200,14 +240,14 @@
     while (!waiting.empty() && takeGranted(state)) {
         const auto done = std::move(waiting.front());
         waiting.pop_front();
-        done({ true, "granted", {} });
+        done({ true, TokenSource::Granted, {} });
     }
     if (expectsMoreTokens) {
         state.waiting_.insert(state.waiting_.begin(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
         return;
     }
     for (const auto& done : waiting)
-        done({ false, "denied", recordDenial(state, retryAfter) });
+        done({ false, TokenSource::Denied, recordDenial(state, retryAfter) });
 }
 
 // Assumes that the overload lasts as long again as it has lasted so far; callers that retry sooner would be denied
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -22,10 +22,20 @@
     double slack_ = 0;
 };
 
+// Where the token of an admitted request came from, or why there was none.
+enum class TokenSource { Unlimited,
+    // Tokens that the coordinator has granted to this instance.
+    Granted,
+    // This instance's part of the even split.
+    Local,
+    Denied };
+
+// For the log.
+auto tokenSourceName(TokenSource source) -> std::string_view;
+
 struct RateVerdict {
     bool admitted_ = true;
-    // Which bucket the token came from, or why there was none; for the log.
-    std::string_view source_ = "unlimited";
+    TokenSource source_ = TokenSource::Unlimited;
     Duration retryAfter_ {};
 };
 
@@ -33,6 +43,7 @@
 public:
     auto refill(MonotonicTime now, double perSecond, double capacity, double initial) -> void;
     auto take(double count) -> bool;
+    auto putBack(double count, double capacity) -> void;
     auto tokens() const -> double { return tokens_; }
 
 private:
@@ -59,6 +70,8 @@
 
     // Calls done at once, or after the coordinator has answered.
     auto admit(const DeclaredWorkspace& workspace, VerdictCallback done) -> void;
+    // Takes back the token of an admitted request that has not run and never will. A granted token keeps its expiry.
+    auto returnToken(const std::string& workspace, const RateVerdict& verdict) -> void;
     auto onGrant(const RateGrant& grant) -> void;
     // Answers a token request as the coordinator. A repeated request gets the same grant, and tokens are taken once.
     auto onAsk(const RateAsk& ask) -> RateGrant;
@@ -101,6 +114,8 @@
     auto fleetCapacity(const Limit& limit) const -> double;
     // The fraction of a rate that is split evenly over the instances.
     auto localFraction(const Limit& limit) const -> double;
+    auto isOnOwnTokens(const WorkspaceState& state) const -> bool;
+    auto localCapacity(const WorkspaceState& state) const -> double;
     auto takeLocal(WorkspaceState& state) -> bool;
     auto takeGranted(WorkspaceState& state) -> bool;
     auto recordArrival(WorkspaceState& state) -> void;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -332,6 +332,8 @@
 
 auto RequestHandler::finishWithProblem(unsigned status, std::string_view reason, Executed executed, std::optional<Duration> retryAfter) -> void
 {
+    if (executed == Executed::No && workspace_ != nullptr)
+        context_.rateLimiter_.returnToken(workspace_->name_, rateVerdict_);
     finish(problemResponse(status, reason, executed, retryAfter), reason);
 }
 
@@ -361,7 +363,7 @@
         fields["workspace"] = workspace_->name_;
         fields["rate_per_s"] = workspace_->ratePerSecond_;
         fields["burst"] = workspace_->burst_;
-        fields["token"] = rateVerdict_.source_;
+        fields["token"] = tokenSourceName(rateVerdict_.source_);
     }
     if (forwarded_) {
         fields["usual_ms"] = milliseconds(query_.typicalResponseTime_);
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -38,7 +38,7 @@
     result.routes_[2].anonymous_ = true;
     result.routes_[3].homeRegions_ = { "south" };
     result.services_ = { { "core", 100, 3s, 9.2, "" } };
-    result.workspaces_ = { { "acme", { "secret" }, std::nullopt, 0, 0, {} }, { "slow", { "rare" }, std::nullopt, 0.001, 0, {} } };
+    result.workspaces_ = { { "acme", { "secret" }, std::nullopt, 0, 0, {} }, { "slow", { "rare" }, std::nullopt, 0.001, 0, {} }, { "burst", { "few" }, std::nullopt, 0.001, 12, {} } };
     return result;
 }
 
@@ -525,3 +525,50 @@
     CHECK(counts["b"] == 200);
     CHECK(counts["c"] == 100);
 }
+
+// A hot workspace lost its whole rate to requests that were then refused as its upstreams were full, and was refused for
+// its rate when they had room.
+TEST_CASE("a request that is refused without having run costs no token", "[request]")
+{
+    Fixture fixture;
+    fixture.fleet_.setReady(true);
+    constexpr std::size_t refused = 20;
+    const auto setWaiting = [&](int waiting) {
+        for (const auto& [id, upstream] : fixture.upstreams_.byId())
+            fixture.upstreams_.noteLoad(*upstream, { 4, waiting, 4 });
+    };
+    const bool isShedByUpstream = GENERATE(false, true);
+    CAPTURE(isShedByUpstream);
+    if (!isShedByUpstream)
+        setWaiting(200);
+    for (std::size_t i = 1; i <= refused; ++i) {
+        fixture.start(fixture.request("/order/1", "few"));
+        if (isShedByUpstream) {
+            for (int attempts = 0; attempts < 2 && fixture.answers_.size() < i && fixture.calls() > 0; ++attempts)
+                fixture.caller_.finish(fixture.failure(503, true));
+        }
+        REQUIRE(fixture.answers_.size() == i);
+        CHECK(fixture.status() == 503);
+    }
+    if (!isShedByUpstream)
+        setWaiting(0);
+    fixture.start(fixture.request("/order/1", "few"));
+    fixture.caller_.finish(fixture.success());
+    CHECK(fixture.status() == 200);
+}
+
+TEST_CASE("a request that may have run costs its token", "[request]")
+{
+    Fixture fixture;
+    fixture.fleet_.setReady(true);
+    std::map<unsigned, int> statuses;
+    for (int i = 0; i < 20; ++i) {
+        fixture.start(fixture.request("/order/1", "few"));
+        if (fixture.answers_.size() <= static_cast<std::size_t>(i))
+            fixture.caller_.finish(fixture.failure(500));
+        ++statuses[fixture.status()];
+    }
+    CHECK(statuses[500] > 0);
+    CHECK(statuses[500] < 12);
+    CHECK(statuses[429] > 0);
+}
