--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -26,6 +26,8 @@
     // Longest fault; also the calm in which everything must come back.
     constexpr auto longestFault = 2500ms;
     constexpr auto calmTime = 7s;
+    // For every gateway to get a response of each upstream.
+    constexpr auto noticeTime = 1500ms;
 
     auto now() -> Time { return std::chrono::steady_clock::now(); }
 
@@ -50,6 +52,7 @@
             endFaults();
             play(calmTime, false);
             checkCalm();
+            checkNotices();
             finishCallers();
             world_.checkAll();
         }
@@ -116,7 +119,7 @@
         auto injectFault() -> void
         {
             ++faults_;
-            switch (world_.random(10)) {
+            switch (world_.random(11)) {
             case 0:
                 return harmGateway(SIGKILL);
             case 1:
@@ -134,6 +137,8 @@
                 return harmStore();
             case 8:
                 return harmStoreLink();
+            case 9:
+                return restoreStore();
             default:
                 return changeDeclaration();
             }
@@ -189,6 +194,23 @@
             undoLater([this] { world_.store_.setMood(standin::StoreMood::Well); });
         }
 
+        // The operator and the upstreams write again what the copy lacks, each at a time of its own.
+        auto restoreStore() -> void
+        {
+            world_.store_.copy();
+            undoLater([this] {
+                world_.restoreStore();
+                undoLater([this] { world_.declare(); });
+                for (const auto& server : world_.servers_) {
+                    undoLater([this, server] {
+                        const auto& live = world_.servers_;
+                        if (std::find(live.begin(), live.end(), server) != live.end())
+                            world_.writeAgain(*server);
+                    });
+                }
+            });
+        }
+
         auto harmStoreLink() -> void
         {
             auto& slot = anyGateway();
@@ -232,6 +254,25 @@
             }
         }
 
+        // In calm, an upstream that says that it leaves, or asks for a pause, gets hardly more than one request of each gateway.
+        auto checkNotices() -> void
+        {
+            auto& leaving = *world_.servers_.front();
+            leaving.isLeaving_ = true;
+            auto& pausing = *world_.servers_.back();
+            pausing.isPausing_ = true;
+            play(noticeTime, false);
+            const auto arrivals = leaving.arrivals_;
+            const auto turnedAway = pausing.arrivals_;
+            play(noticeTime, false);
+            const auto gateways = static_cast<int>(world_.gateways_.size());
+            if (leaving.arrivals_ - arrivals > gateways)
+                world_.violations_.add(fmt::format("{} requests reached an upstream that was leaving", leaving.arrivals_ - arrivals));
+            if (pausing.arrivals_ - turnedAway > 2 * gateways)
+                world_.violations_.add(fmt::format("{} requests reached an upstream that had asked for a pause", pausing.arrivals_ - turnedAway));
+            pausing.isPausing_ = false;
+        }
+
         auto request(const GatewaySlot& slot, const std::string& workspace) -> int
         {
             const auto attempt = fmt::format("calm-{}", ++world_.lastAttempt_);
--- a/soak/world.h
+++ b/soak/world.h
@@ -31,6 +31,13 @@
 
 struct Server {
     std::string id_;
+    // As it registers in the store.
+    nlohmann::json spec_;
+    // Says in all its responses that it is leaving.
+    bool isLeaving_ = false;
+    // Turns all requests away and asks for a pause of several seconds.
+    bool isPausing_ = false;
+    int arrivals_ = 0;
     std::unique_ptr<standin::LoopServer> upstream_;
     std::unique_ptr<FaultProxy> proxy_;
 };
@@ -79,8 +86,11 @@
     // The server says that it leaves, and ends a moment later.
     auto retireServer(std::size_t index) -> void;
     auto declare() -> void;
+    // The store returns from its last copy; what has ended since expires there.
+    auto restoreStore() -> void;
+    auto writeAgain(const Server& server) -> void;
     auto random(std::size_t below) -> std::size_t { return random_() % below; }
-    auto runOne(const Server& server, const std::string& request) -> standin::ScriptedBytes;
+    auto runOne(Server& server, const std::string& request) -> standin::ScriptedBytes;
     auto checkAll() -> void;
 
     asio::io_context& loop_;
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -27,6 +27,7 @@
     auto address() const -> const SocketAddress& { return address_; }
     auto put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void;
     auto remove(const std::string& kind, const std::string& name) -> void;
+    auto removeIfListed(const std::string& kind, const std::string& name) -> void;
     auto setMood(StoreMood mood) -> void { mood_ = mood; }
     // Forgets what has changed so far, and cuts the watches that wait.
     auto forgetHistory() -> void;
@@ -42,6 +43,8 @@
     auto swallowWatches(const std::string& kind, std::size_t count) -> void { swallowed_[kind] = count; }
     auto isSwallowed(const std::string& kind) const -> bool { return swallowed_.contains(kind) && swallowed_.at(kind) == 0; }
     auto calls() const -> std::size_t { return calls_; }
+    // First pages of lists that were answered.
+    auto lists() const -> std::size_t { return lists_; }
     // Watches that wait for a change.
     auto watches() const -> std::size_t { return watching_.size(); }
     auto objects(const std::string& kind) const -> std::size_t;
@@ -63,6 +66,7 @@
     auto read(const std::shared_ptr<Connection>& connection) -> void;
     auto answer(const std::shared_ptr<Connection>& connection) -> void;
     auto answerGet(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& query) -> void;
+    auto waitForChange(const std::shared_ptr<Connection>& connection, std::chrono::milliseconds longest) -> void;
     auto answerWatch(const std::shared_ptr<Connection>& connection) -> bool;
     auto answerPost(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& body) -> void;
     auto reply(const std::shared_ptr<Connection>& connection, int status, const nlohmann::json& body) -> void;
@@ -78,6 +82,7 @@
     std::size_t page_ = 50;
     std::function<void(const std::string&)> pageAction_;
     std::size_t calls_ = 0;
+    std::size_t lists_ = 0;
     std::map<std::string, std::size_t> swallowed_;
     std::map<std::string, std::size_t> created_;
     Kinds kinds_;
