Instances that cannot reach the store learn from the others which upstreams are cold

While any live instance has lost discovery, three of those that have it name the cold upstreams in their heartbeats, at most 40, at once when one becomes cold; an instance that has lost discovery itself spares stalled upstreams whatever the others say. Ruled out: health requests by the minority (they wait in a full queue for longer than an upstream bears).

--- a/src/gateway/cold_detector.cpp
+++ b/src/gateway/cold_detector.cpp
@@ -10,6 +10,10 @@
     constexpr Duration probeInterval = 200ms;
     // Longer than any declared cold time; values from upstreams and peers are capped, as anything beyond is an error.
     constexpr Duration maxColdTime = 60s;
+    // Instances that name an upstream to the others: several, as some may not reach the store themselves.
+    constexpr std::size_t maxReporters = 3;
+    // Keeps a heartbeat within one packet.
+    constexpr std::size_t maxNotices = 40;
 }
 
 ColdDetector::ColdDetector(const Clock& clock, UpstreamSet& upstreams, const FleetView& fleet)
@@ -61,9 +65,18 @@
 {
     const auto now = clock_.now();
     std::vector<ColdNotice> notices;
-    for (const auto& [id, until] : reportedUntil_) {
-        if (until > now)
+    const auto add = [&notices, now](const std::string& id, MonotonicTime until) {
+        if (until > now && notices.size() < maxNotices)
             notices.push_back({ id, std::chrono::ceil<std::chrono::milliseconds>(until - now) });
+    };
+    for (const auto& [id, until] : reportedUntil_)
+        add(id, until);
+    // While a part of the fleet has lost discovery, the others tell it what discovery tells them.
+    if (fleet_.isOwnSourceLost() || !fleet_.isAnyPeerSourceLost())
+        return notices;
+    for (const auto& [id, upstream] : upstreams_.byId()) {
+        if (upstream->coldUntil_ > now && !reportedUntil_.contains(id) && fleet_.coldSenderCount(id, maxReporters))
+            add(id, upstream->coldUntil_);
     }
     return notices;
 }
--- a/src/gateway/cold_detector.h
+++ b/src/gateway/cold_detector.h
@@ -20,7 +20,8 @@
     auto recordProbeResult(const std::string& upstream, Duration coldLeft) -> void;
     // Handles notices from another instance.
     auto applyNotices(const std::vector<ColdNotice>& notices) -> void;
-    // Upstreams that this instance has found cold and that still are, for the other instances.
+    // Upstreams that are cold, for the other instances: those that this instance has found, and those that discovery names
+    // while other instances have lost it.
     auto activeNotices() const -> std::vector<ColdNotice>;
 
 private:
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -165,6 +165,11 @@
     return lost * 2 >= liveCount;
 }
 
+auto FleetView::isAnyPeerSourceLost() const -> bool
+{
+    return std::any_of(members_.begin(), members_.end(), [this](const auto& item) { return item.second.report_.isSourceLost_ && isLive(item.second); });
+}
+
 auto FleetView::coordinatorOf(std::string_view key) const -> std::optional<Coordinator>
 {
     const auto object = stableHash(key);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -91,6 +91,9 @@
     auto setSourceLost(bool lost) -> void { isSourceLost_ = lost; }
     // Whether the upstream feed is lost at at least half of the live instances, this one included.
     auto isSourceLost() const -> bool;
+    auto isOwnSourceLost() const -> bool { return isSourceLost_; }
+    // Whether the upstream feed is lost at any other live instance.
+    auto isAnyPeerSourceLost() const -> bool;
     // Removes instances whose reservation has ended.
     auto removeSilent() -> void;
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -101,7 +101,7 @@
 // longer than the upstream survives its usual load, but overdue responses are noticed at once.
 auto Placer::isStalled(const Upstream& upstream, const PlacementQuery& query) const -> bool
 {
-    if (upstream.sentAt_.empty() || query.coldPerSecond_ <= 0 || !fleet_.isSourceLost())
+    if (upstream.sentAt_.empty() || query.coldPerSecond_ <= 0 || !(fleet_.isOwnSourceLost() || fleet_.isSourceLost()))
         return false;
     return clock_.now() - *upstream.sentAt_.begin() > query.typicalResponseTime_ * stalledFactor;
 }
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -237,6 +237,9 @@
         sendHeartbeat(ticks_ % farHeartbeatTicks == 0 ? Reach::All : Reach::Near);
         noteFleet();
     }
+    // An upstream bears little while it is cold: instances that cannot hear of it from the store are told at once.
+    else if (coldWatch_.activeNotices().size() > sentColdNotices_)
+        sendHeartbeat(Reach::All);
     renewFeeds();
     if (pulse_.isProbeDue(adapter_.source_->answers()))
         adapter_.source_->probe();
@@ -289,6 +292,7 @@
 {
     fleet_.setReady(isReady());
     auto report = ownReport();
+    sentColdNotices_ = report.coldNotices_.size();
     report.crashes_ = crashes_.counts();
     if (ticks_ % (heartbeatTicks * gossipHeartbeats) == 0)
         gossipPeers();
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -140,6 +140,7 @@
     std::uint64_t ticks_ = 0;
     std::size_t inFlight_ = 0;
     std::size_t readyPeers_ = 0;
+    std::size_t sentColdNotices_ = 0;
     bool isStopping_ = false;
     bool isEnded_ = false;
     MonotonicTime stoppingAt_ {};
--- a/tests/gateway_cold_detector_test.cpp
+++ b/tests/gateway_cold_detector_test.cpp
@@ -188,3 +188,50 @@
     instance.detector_.applyNotices({ { "u", 10ms } });
     CHECK(instance.upstream().coldUntil_ == start + 60s);
 }
+
+// Five of twelve instances could not reach the store: fewer than half, so nobody probed, and the five went on with their
+// usual load to upstreams that became cold.
+TEST_CASE("instances that cannot reach the store learn from the others which upstreams are cold", "[cold-watch]")
+{
+    constexpr std::size_t count = 12;
+    Fleet fleet(count);
+    for (int i = 0; i < 5; ++i)
+        fleet.sourceLost_.insert(fmt::format("e{}", i));
+    fleet.exchangeHeartbeats();
+    auto cold = entry("u");
+    cold.coldLeft_ = 3s;
+    for (const auto& instance : fleet.instances_) {
+        if (!fleet.sourceLost_.contains(instance->fleet_.self()))
+            instance->upstreams_.put(cold);
+    }
+    fleet.exchangeHeartbeats();
+    const auto knowing = [&] {
+        return std::count_if(fleet.instances_.begin(), fleet.instances_.end(), [&](const auto& instance) { return instance->upstream().coldUntil_ > fleet.clock_.now(); });
+    };
+    CHECK(knowing() == count);
+    SECTION("for as long as it is cold")
+    {
+        fleet.clock_.advance(1500ms);
+        fleet.exchangeHeartbeats();
+        fleet.clock_.advance(1400ms);
+        CHECK(knowing() == count);
+        fleet.clock_.advance(200ms);
+        CHECK(knowing() == 0);
+    }
+    SECTION("from a few of them only")
+    {
+        const auto senders = std::count_if(fleet.instances_.begin(), fleet.instances_.end(), [](const auto& instance) { return !instance->detector_.activeNotices().empty(); });
+        CHECK(senders <= 3);
+    }
+}
+
+TEST_CASE("nobody names cold upstreams while all instances reach the store", "[cold-watch]")
+{
+    Fleet fleet(5);
+    auto cold = entry("u");
+    cold.coldLeft_ = 3s;
+    for (const auto& instance : fleet.instances_) {
+        instance->upstreams_.put(cold);
+        CHECK(instance->detector_.activeNotices().empty());
+    }
+}
