Returned tokens keep to their own grant; peers' crash counts stay whole

Found while reading the change again. The report that names peers had no crash counts, so its receivers forgot the sender's until the heartbeat that follows at once; it has them now. Comments in the field's terms.

--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -149,7 +149,7 @@
     auto& state = found->second;
     if (verdict.source_ == TokenSource::Local)
         state.localBucket_.putBack(1, localCapacity(state));
-    else if (verdict.source_ == TokenSource::Granted && clock_.now() < state.grantExpiresAt_)
+    else if (verdict.source_ == TokenSource::Granted && verdict.expiresAt_ == state.grantExpiresAt_ && clock_.now() < verdict.expiresAt_)
         state.granted_ = std::min<double>(maxTokensPerAsk, state.granted_ + 1);
 }
 
@@ -169,11 +169,11 @@
     state.limit_ = { workspace.ratePerSecond_, workspace.burst_ };
     recordArrival(state);
     if (takeGranted(state))
-        return done({ true, TokenSource::Granted, {} });
+        return done({ true, TokenSource::Granted, {}, state.grantExpiresAt_ });
     if (takeLocal(state))
-        return done({ true, TokenSource::Local, {} });
+        return done({ true, TokenSource::Local, {}, {} });
     if (clock_.now() < state.deniedUntil_)
-        return done({ false, TokenSource::Denied, recordDenial(state, state.deniedUntil_ - clock_.now()) });
+        return done({ false, TokenSource::Denied, recordDenial(state, state.deniedUntil_ - clock_.now()), {} });
     state.waiting_.push_back(std::move(done));
     if (state.pendingAsk_ == 0)
         ask(workspace.name_, state);
@@ -240,14 +240,14 @@
     while (!waiting.empty() && takeGranted(state)) {
         const auto done = std::move(waiting.front());
         waiting.pop_front();
-        done({ true, TokenSource::Granted, {} });
+        done({ true, TokenSource::Granted, {}, state.grantExpiresAt_ });
     }
     if (expectsMoreTokens) {
         state.waiting_.insert(state.waiting_.begin(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
         return;
     }
     for (const auto& done : waiting)
-        done({ false, TokenSource::Denied, recordDenial(state, retryAfter) });
+        done({ false, TokenSource::Denied, recordDenial(state, retryAfter), {} });
 }
 
 // Assumes that the overload lasts as long again as it has lasted so far; callers that retry sooner would be denied
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -37,6 +37,8 @@
     bool admitted_ = true;
     TokenSource source_ = TokenSource::Unlimited;
     Duration retryAfter_ {};
+    // When a granted token expires.
+    MonotonicTime expiresAt_ {};
 };
 
 class TokenBucket {
@@ -70,7 +72,8 @@
 
     // Calls done at once, or after the coordinator has answered.
     auto admit(const DeclaredWorkspace& workspace, VerdictCallback done) -> void;
-    // Takes back the token of an admitted request that has not run and never will. A granted token keeps its expiry.
+    // Takes back the token of an admitted request that has not run and never will. A granted token keeps its expiry; it
+    // is lost if a later grant has replaced its own.
     auto returnToken(const std::string& workspace, const RateVerdict& verdict) -> void;
     auto onGrant(const RateGrant& grant) -> void;
     // Answers a token request as the coordinator. A repeated request gets the same grant, and tokens are taken once.
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -19,8 +19,8 @@
     // To other regions, whose bytes are priced, every so many: two in the shortest such time.
     constexpr std::uint64_t farHeartbeatTicks = 4;
     constexpr std::uint64_t statusTicks = 25;
-    // Each instance names others that it hears to a few of them every so many heartbeats. Their number does not grow with
-    // the fleet, so neither do the bytes.
+    // Every so many heartbeats, an instance sends the addresses of some live peers to a few of them. Their number, and so the
+    // bytes, do not grow with the fleet.
     constexpr std::uint64_t gossipHeartbeats = 10;
     constexpr std::size_t gossipTargets = 3;
     // Addresses in one datagram.
@@ -237,7 +237,7 @@
         sendHeartbeat(ticks_ % farHeartbeatTicks == 0 ? Reach::All : Reach::Near);
         noteFleet();
     }
-    // An upstream bears little while it is cold: instances that cannot hear of it from the store are told at once.
+    // A cold upstream bears little, so instances that cannot read of it in the store are notified at once.
     else if (coldWatch_.activeNotices().size() > sentColdNotices_)
         sendHeartbeat(Reach::All);
     renewFeeds();
@@ -306,6 +306,7 @@
 {
     const auto round = stableHash(settings_.name_, ticks_);
     auto report = ownReport();
+    report.crashes_ = crashes_.counts();
     datagrams_.send(encodeDatagram(report), fleet_.sampleLostPeers(round, gossipTargets));
     report.knownPeers_ = fleet_.sampleLivePeers(round, maxNamedPeers);
     datagrams_.send(encodeDatagram(report), fleet_.sampleLivePeers(stableHash("targets", round), gossipTargets));
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -87,8 +87,9 @@
     enum class Reach { All,
         Near };
     auto sendHeartbeat(Reach reach) -> void;
-    // Names some of the instances that this one hears to a few of them, so that all come to know each other.
+    // Sends the addresses of some live peers to a few of them, so that all come to know each other.
     auto gossipPeers() -> void;
+    // Sends the addresses of all live peers to an instance that has just started.
     auto answerNewcomer(const MemberReport& newcomer) -> void;
     auto ownReport() const -> MemberReport;
     auto onDatagram(std::string_view bytes, const SocketAddress& from) -> void;
