--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/departed_upstreams.h
@@ -1,4 +1,4 @@
-// What is remembered of upstreams that discovery has removed, in case an entry of the same start appears again.
+// Keeps the state of removed upstreams for a while, for entries of the same start that reappear.
 #pragma once
 
 #include "base/clock.h"
--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/discovery_state.cpp
@@ -158,7 +158,7 @@
     log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
 }
 
-// What is missing in the copy may only not have been written again yet.
+// Upstreams and evacuations that the copy lacks get time to be written again.
 auto DiscoveryState::storeRestored(Feed feed, std::uint64_t era) -> void
 {
     log_.write(EventId::StoreRestored, { { "feed", feedName(feed) }, { "era", era }, { "version", index_ ? index_->declaration().version_ : 0 }, { "upstreams", upstreams_.size() } });
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 namespace {
-    // Regions lose each other for an hour now and then.
+    // Longer than a partition between regions, which can last an hour.
     constexpr Duration lostPeerRetention = 3h;
 
     // The addresses with the highest rendezvous weight for the round: each round has other ones, and all come in turn.
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -65,8 +65,8 @@
     auto replaceAll(const std::vector<UpstreamEntry>& entries, Duration removalGrace) -> void;
     auto put(const UpstreamEntry& entry) -> void;
     auto remove(const std::string& id, Duration removalGrace) -> void;
-    // The store has returned from a copy, so lists may have entries that are older than what is known. For a few seconds
-    // such entries are withheld; after that, what is still listed is in use.
+    // Withholds listed entries that are older than the known state, for a few seconds after the store has returned from a
+    // copy. Entries that are still listed after that are used.
     auto recordRestore() -> void;
     // Removes missing upstreams whose grace period has ended, and releases entries that were withheld long enough.
     auto removeExpired() -> void;
@@ -98,7 +98,7 @@
     auto pauseLeft(const Upstream& upstream) const -> Duration;
 
 private:
-    // Whether a listed entry is older than what is known of its upstream.
+    // Whether a listed entry is older than the known state of its upstream.
     auto isOutdated(const UpstreamEntry& entry) const -> bool;
     auto makeUpstream(const UpstreamEntry& entry) const -> UpstreamPtr;
     auto rebuildServices() -> void;
@@ -112,7 +112,7 @@
     std::map<std::string, ServiceUpstreams> byService_;
     std::map<std::string, Duration> coldDurations_;
     DepartedUpstreams departed_;
-    // Listed entries that are older than what is known, while the store may still list what has gone since the copy.
+    // Outdated entries listed after a restore, by id.
     std::map<std::string, UpstreamEntry> withheld_;
     MonotonicTime withholdUntil_ {};
     std::set<std::string> evacuated_;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -237,7 +237,7 @@
         sendHeartbeat(ticks_ % farHeartbeatTicks == 0 ? Reach::All : Reach::Near);
         noteFleet();
     }
-    // A cold upstream bears little, so instances that cannot read of it in the store are notified at once.
+    // A cold upstream crashes under its usual load, so instances without discovery are notified at once.
     else if (coldWatch_.activeNotices().size() > sentColdNotices_)
         sendHeartbeat(Reach::All);
     renewFeeds();
--- a/tests/feed_relay_test.cpp
+++ b/tests/feed_relay_test.cpp
@@ -223,7 +223,7 @@
     }
 }
 
-// The watcher has noticed a restore of the store, the follower only hears of it from the watcher. The revision that the
+// The watcher has noticed a restore of the store; the follower learns of it only from the watcher. The revision that the
 // follower knows has been given out again for another change.
 TEST_CASE("a follower lists anew after its watcher has noticed a restore", "[feed-relay][store-restore]")
 {
@@ -321,3 +321,30 @@
     CHECK(fixture.farStore_.lists() == lists);
     CHECK(runUntil(fixture.loop_, [&] { return fixture.followerSink_.regained_ >= 3; }));
 }
+
+// The same revisions go back without a newer era, as at a server that lags: its list must not replace newer objects.
+TEST_CASE("a list that is older than the feed's position is rejected", "[feed-relay]")
+{
+    asio::io_context loop;
+    PlatformStore store(loop);
+    store.hideEra();
+    store.put("config", "main", declared(1));
+    store.put("servers", "i-0", listed({ "127.0.0.1", 7001 }));
+    store.put("servers", "i-1", listed({ "127.0.0.1", 7001 }));
+    KeptBeliefs recorded;
+    const NamedPeers peers;
+    platform::StoreSource source(loop, store.address(), 300ms);
+    source.start(recorded, { "e1", { "127.0.0.1", 7000 } }, peers);
+    REQUIRE(runUntil(loop, [&] { return recorded.isComplete() && store.watches() == 3; }));
+    store.copy();
+    store.remove("servers", "i-1");
+    REQUIRE(runUntil(loop, [&] { return !recorded.upstreams_.contains("i-1") && store.watches() == 3; }));
+    const auto known = source.position(Feed::Upstreams).current_;
+    const auto lists = store.lists();
+    store.restore();
+    REQUIRE(runUntil(loop, [&] { return recorded.lost_ > 0 && store.lists() > lists; }));
+    CHECK_FALSE(recorded.upstreams_.contains("i-1"));
+    CHECK(recorded.everListed_.count("i-1") == 1);
+    CHECK(source.position(Feed::Upstreams).current_ == known);
+    source.stop();
+}
--- a/tests/store_restore_test.cpp
+++ b/tests/store_restore_test.cpp
@@ -61,7 +61,7 @@
     CHECK(runUntil(fixture.loop_, [&] { return fixture.recorded_.versions_.back() == 2 && !fixture.recorded_.upstreams_.contains("i-1"); }));
 }
 
-// The dangerous case: a watch from the known revision would be accepted, and what the new era did up to it never told.
+// The store accepts a watch from the known revision, and would never send the changes of the new era up to it.
 TEST_CASE("a revision that is given out again for another change is not taken for the known one", "[store-restore]")
 {
     SourceFixture fixture;
