--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/discovery_state.cpp
@@ -26,9 +26,9 @@
         return "";
     }
 
-    auto describeUpstream(const UpstreamEntry& entry) -> LogFields
+    auto describeUpstream(const UpstreamEntry& entry, bool isLeaving) -> LogFields
     {
-        return { { "upstream", entry.id_ }, { "service", entry.service_ }, { "address", formatSocketAddress(entry.address_) }, { "domain", entry.domain_ }, { "draining", entry.state_ == UpstreamState::Draining }, { "cold_ms", entry.coldLeft_ / 1ms } };
+        return { { "upstream", entry.id_ }, { "started", entry.startTimeMs_ }, { "leaving", isLeaving }, { "service", entry.service_ }, { "address", formatSocketAddress(entry.address_) }, { "domain", entry.domain_ }, { "draining", entry.state_ == UpstreamState::Draining }, { "cold_ms", entry.coldLeft_ / 1ms } };
     }
 }
 
@@ -83,7 +83,7 @@
 auto DiscoveryState::upstreamUpdated(const UpstreamEntry& entry) -> void
 {
     upstreams_.put(entry);
-    log_.write(EventId::UpstreamsChanged, describeUpstream(entry));
+    log_.write(EventId::UpstreamsChanged, describeUpstream(entry, upstreams_.byId().at(entry.id_)->isLeaving_));
 }
 
 auto DiscoveryState::upstreamRemoved(const std::string& id) -> void
--- a/tests/upstream_notice_read_test.cpp
+++ b/tests/upstream_notice_read_test.cpp
@@ -1,4 +1,5 @@
 // Reading what an upstream says about itself in a response.
+#include "gateway/discovery_state.h"
 #include "gateway/notice_recorder.h"
 #include "standin/kept_log.h"
 
@@ -77,6 +78,29 @@
     CHECK_FALSE(readNotice(response(200, "", "yes"), names()).isLeaving_);
 }
 
+TEST_CASE("the log tells whether an upstream was still listed when it said that it leaves, and whether a listed one has said so", "[upstream-notice]")
+{
+    ManualClock clock;
+    UpstreamSet upstreams(clock, {});
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    standin::KeptLog log;
+    DiscoveryState discovery(clock, upstreams, fleet, log);
+    const auto headers = names();
+    NoticeRecorder recorder(upstreams, headers, log);
+    const UpstreamEntry entry { "a", 1, "core", { "127.0.0.1", 9000 }, "north-a", 4, UpstreamState::Ready, 0s, 1 };
+    discovery.upstreamUpdated(entry);
+    CHECK(log.lines().back().fields_.at("started") == 1);
+    CHECK(log.lines().back().fields_.at("leaving") == false);
+    const auto held = upstreams.byId().at("a");
+    recorder.record(*held, response(200, "", "1"));
+    CHECK(log.lines().back().fields_.at("listed") == true);
+    discovery.upstreamUpdated(entry);
+    CHECK(log.lines().back().fields_.at("leaving") == true);
+    discovery.upstreamRemoved("a");
+    recorder.record(*held, response(503, "2"));
+    CHECK(log.lines().back().fields_.at("listed") == false);
+}
+
 TEST_CASE("notices are logged once for a leaving upstream and once for each pause", "[upstream-notice]")
 {
     ManualClock clock;
@@ -89,6 +113,7 @@
         recorder.record(upstream, response(200, "", "1"));
     CHECK(upstream.isLeaving_);
     CHECK(log.count(EventId::UpstreamLeaving) == 1);
+    CHECK(log.lines().front().fields_.at("listed") == true);
     recorder.record(upstream, response(503, "2"));
     CHECK(upstreams.pauseLeft(upstream) == Duration(2s));
     recorder.record(upstream, response(503, "later"));
