What upstreams have said is remembered for each start of an id

Callers saw: requests reached an upstream that had said that it leaves, once an entry of another start of its id had been listed in between. Cause: one departed start was kept for each id, so the later one displaced the notices of the earlier. Class: identity cut short (the id in place of id and start). Whether a feed delivers that order is only suspected: within an era positions order the entries; a copy of the store lists older starts, and after the five seconds for which they are withheld they are used. Change: up to 16 starts are kept for an id, for two minutes each. Ruled out: to refuse older starts for good (start times come from the upstreams' own clocks).

--- a/src/gateway/departed_upstreams.cpp
+++ b/src/gateway/departed_upstreams.cpp
@@ -1,5 +1,7 @@
 #include "gateway/departed_upstreams.h"
 
+#include <algorithm>
+
 namespace sapphirepass {
 
 using namespace std::chrono_literals;
@@ -7,6 +9,8 @@
 namespace {
     // Longer than the age of any copy that the store returns from, and than upstreams serve on after their removal.
     constexpr Duration retention = 2min;
+    // Bounds the memory for an id whose entry changes its start with each report.
+    constexpr std::size_t maxStarts = 16;
 }
 
 DepartedUpstreams::DepartedUpstreams(const Clock& clock)
@@ -16,14 +20,20 @@
 
 auto DepartedUpstreams::record(DepartedUpstream departed) -> void
 {
-    const auto id = departed.entry_.id_;
-    byId_[id] = { std::move(departed), clock_.now() };
+    auto& starts = byId_[departed.entry_.id_];
+    std::erase_if(starts, [&departed](const auto& known) { return isSameStart(known.departed_.entry_, departed.entry_); });
+    if (starts.size() >= maxStarts)
+        starts.erase(starts.begin());
+    starts.push_back({ std::move(departed), clock_.now() });
 }
 
 auto DepartedUpstreams::find(const UpstreamEntry& entry) const -> const DepartedUpstream*
 {
     const auto found = byId_.find(entry.id_);
-    return found != byId_.end() && isSameStart(found->second.departed_.entry_, entry) ? &found->second.departed_ : nullptr;
+    if (found == byId_.end())
+        return nullptr;
+    const auto start = std::find_if(found->second.begin(), found->second.end(), [&entry](const auto& known) { return isSameStart(known.departed_.entry_, entry); });
+    return start == found->second.end() ? nullptr : &start->departed_;
 }
 
 // A live upstream raises its sequence number with each report, so its next entry has a higher one.
@@ -32,14 +42,18 @@
     const auto found = byId_.find(entry.id_);
     if (found == byId_.end())
         return false;
-    const auto& known = found->second.departed_.entry_;
-    return isSameStart(known, entry) ? entry.sequence_ <= known.sequence_ : entry.startTimeMs_ < known.startTimeMs_;
+    return std::any_of(found->second.begin(), found->second.end(), [&entry](const auto& start) {
+        const auto& known = start.departed_.entry_;
+        return isSameStart(known, entry) ? entry.sequence_ <= known.sequence_ : entry.startTimeMs_ < known.startTimeMs_;
+    });
 }
 
 auto DepartedUpstreams::removeExpired() -> void
 {
     const auto now = clock_.now();
-    std::erase_if(byId_, [now](const auto& item) { return now - item.second.at_ > retention; });
+    for (auto& [id, starts] : byId_)
+        std::erase_if(starts, [now](const auto& start) { return now - start.at_ > retention; });
+    std::erase_if(byId_, [](const auto& item) { return item.second.empty(); });
 }
 
 } // namespace sapphirepass
--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/departed_upstreams.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sapphirepass {
 
@@ -36,9 +37,11 @@
         DepartedUpstream departed_;
         MonotonicTime at_ {};
     };
+    // In the order of their removal.
+    using Starts = std::vector<Record>;
 
     const Clock& clock_;
-    std::map<std::string, Record> byId_;
+    std::map<std::string, Starts> byId_;
 };
 
 } // namespace sapphirepass
--- a/tests/upstream_start_test.cpp
+++ b/tests/upstream_start_test.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-TEST_CASE("a notice holds for its start after another start of the id was listed", "[upstream-start][knownred]")
+TEST_CASE("a notice holds for its start after another start of the id was listed", "[upstream-start]")
 {
     Fixture fixture;
     fixture.upstreams_.put(entry(1, 1));
