An entry without a whole start time names no upstream

Callers saw: requests reached an upstream that had said that it leaves, after its entry was overwritten by one without born. Suspected, not reported. Cause: born was optional and counted as start 0, so the entry passed for another start that has never said anything; a fraction was cut. Class: identity taken from a field that may be missing. Change: such an entry is invalid: the upstream is removed until it writes a whole one.

--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -87,6 +87,8 @@
     SECTION("slots are a text") { changed["info"]["slots"] = "4"; }
     SECTION("no slots") { changed["info"]["slots"] = 0; }
     SECTION("born is a text") { changed["born"] = "today"; }
+    SECTION("born is a fraction") { changed["born"] = 1764806400123.5; }
+    SECTION("no born") { changed.erase("born"); }
     SECTION("cold for ever") { changed["status"]["cold_left_s"] = 1e30; }
     SECTION("nothing") { changed = json(); }
     CHECK_FALSE(isOk(platform::decodeUpstream("i-1", changed)));
