Limits that upstreams name are read, kept with their start, logged and counted

Change: the header is read from every response of a known request (the lowest of several; one that can't be read changes nothing), kept with the start beside leaving and pause, and logged when it changes; the first response without it to a later request ends it, a late one brings nothing back. No decision uses it yet. Ruled out: late responses and health answers as a source, as their request's time is not known.

--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -28,6 +28,8 @@
     std::string coldLeft_;
     // "1" in all responses of an upstream that is leaving.
     std::string leaving_;
+    // Requests per second that an upstream takes from all instances together.
+    std::string limit_;
 
     auto operator<=>(const HeaderNames&) const = default;
 };
--- a/src/gateway/notice_recorder.h
+++ b/src/gateway/notice_recorder.h
@@ -11,9 +11,13 @@
 public:
     NoticeRecorder(UpstreamSet& upstreams, const HeaderNames& names, DecisionLog& log);
 
-    auto record(Upstream& upstream, const UpstreamResponse& response) -> void;
+    // sentAt is when the request was sent that the response answers. A response to an unknown request tells nothing about
+    // the limit of its upstream, as it may be older than what is known.
+    auto record(Upstream& upstream, const UpstreamResponse& response, std::optional<MonotonicTime> sentAt) -> void;
 
 private:
+    auto recordLimit(Upstream& upstream, const UpstreamNotice& notice, MonotonicTime sentAt) -> void;
+
     UpstreamSet& upstreams_;
     const HeaderNames& names_;
     DecisionLog& log_;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -233,7 +233,7 @@
 
 auto RequestHandler::onResponse(UpstreamResponse response) -> void
 {
-    context_.noticeRecorder_.record(*lastAttempt_.upstream_, response);
+    context_.noticeRecorder_.record(*lastAttempt_.upstream_, response, lastAttempt_.at_);
     if (const auto load = readLoad(response, context_.headerNames_))
         context_.upstreams_.noteLoad(*lastAttempt_.upstream_, *load);
     const auto status = response.result_int();
--- a/src/gateway/start_notices.h
+++ b/src/gateway/start_notices.h
@@ -3,8 +3,19 @@
 
 #include "base/clock.h"
 
+#include <optional>
+
 namespace sapphirepass {
 
+struct NamedLimit {
+    // Requests per second that the upstream takes from all instances together; empty if it names none.
+    std::optional<double> perSecond_;
+    // When the request was sent whose response told so.
+    MonotonicTime observedAt_ {};
+
+    auto operator<=>(const NamedLimit&) const = default;
+};
+
 // Shared by all entries of the start, removed ones included: a response may arrive after the entry was removed, and the same
 // start may register again.
 struct StartNotices {
@@ -12,6 +23,7 @@
     bool isLeaving_ = false;
     // The upstream has asked this instance for a pause.
     MonotonicTime pausedUntil_ {};
+    NamedLimit limit_;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstream_notice.h
@@ -1,4 +1,5 @@
-// What an upstream says about itself in a response: that it is leaving, or that it wants no requests for a while.
+// What an upstream says about itself in a response: that it is leaving, that it wants no requests for a while, or how many it
+// takes.
 #pragma once
 
 #include "gateway/header_names.h"
@@ -15,6 +16,10 @@
     std::optional<Duration> pause_;
     // A pause was given but could not be read.
     bool isPauseInvalid_ = false;
+    // Requests per second that the upstream takes from all instances together.
+    std::optional<double> limit_;
+    // A limit was named but could not be read.
+    bool isLimitInvalid_ = false;
 
     auto operator<=>(const UpstreamNotice&) const = default;
 };
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -231,6 +231,21 @@
     until = std::max(until, clock_.now() + pause);
 }
 
+auto UpstreamSet::recordLimit(Upstream& upstream, const NamedLimit& limit) -> bool
+{
+    auto& known = upstream.notices_->limit_;
+    if (limit.observedAt_ < known.observedAt_ || (limit.observedAt_ == known.observedAt_ && !limit.perSecond_))
+        return false;
+    const bool changes = limit.perSecond_ != known.perSecond_;
+    known = limit;
+    return changes;
+}
+
+auto UpstreamSet::limitedCount() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(byId_.begin(), byId_.end(), [](const auto& item) { return item.second->notices_->limit_.perSecond_.has_value(); }));
+}
+
 auto UpstreamSet::pauseLeft(const Upstream& upstream) const -> Duration
 {
     return std::max<Duration>(Duration::zero(), upstream.notices_->pausedUntil_ - clock_.now());
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -91,6 +91,11 @@
     auto recordLeaving(Upstream& upstream) -> void { upstream.notices_->isLeaving_ = true; }
     // The upstream gets no requests, probes included, for this long. Never shortens an earlier pause.
     auto recordPause(Upstream& upstream, Duration pause) -> void;
+    // Keeps the limit that the upstream named, or that it names none, unless a later observation is known: a late response
+    // must not bring an old limit back. Returns whether the limit has changed.
+    auto recordLimit(Upstream& upstream, const NamedLimit& limit) -> bool;
+    // Upstreams that currently name a limit.
+    auto limitedCount() const -> std::size_t;
     // Time until the pause of the upstream ends; zero if it is not paused.
     auto pauseLeft(const Upstream& upstream) const -> Duration;
 
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -96,9 +96,9 @@
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , notices_(upstreams_, adapter_.headers_, log_)
-    , pool_(loop, clock, adapter_.headers_, [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response); })
+    , pool_(loop, clock, adapter_.headers_, [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); })
     , coldProber_(
-          loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
+          loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, notices_, log_, metrics_ }
     , frontHandler_(*this)
     , publicPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) {
@@ -200,6 +200,7 @@
     metrics_.set({ "gateway_declaration_version", {} }, asMetric(context_.index_ ? context_.index_->declaration().version_ : 0));
     metrics_.set({ "gateway_upstreams_known", {} }, asMetric(upstreams_.size()));
     metrics_.set({ "gateway_upstreams_cold", {} }, asMetric(upstreams_.coldCount()));
+    metrics_.set({ "gateway_upstreams_limited", {} }, asMetric(upstreams_.limitedCount()));
     metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.allReadyMembers().size()));
     metrics_.set({ "gateway_log_lines_dropped_total", {} }, asMetric(log_.dropped()));
     for (const auto& [feed, name] : { std::pair(Feed::Declaration, "declaration"), std::pair(Feed::Upstreams, "upstreams"), std::pair(Feed::Evacuations, "evacuations") })
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms", "Leaving" };
+const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms", "Leaving", "Limit" };
 
 auto success(const std::string& id, const std::string& body, const std::string& more = "") -> std::string
 {
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms", "Leaving" };
+const HeaderNames names { "Try-Id", "Left-Ms", "Object", "Key", "Workspace", "Only-At", "Proof", "Not-Run", "Load", "Cold-Ms", "Leaving", "Limit" };
 
 auto route(const std::string& name, const std::string& prefix, RepeatRule repeat) -> DeclaredRoute
 {
--- a/tests/upstream_notice_read_test.cpp
+++ b/tests/upstream_notice_read_test.cpp
@@ -15,6 +15,7 @@
 {
     HeaderNames result;
     result.leaving_ = "Leaving";
+    result.limit_ = "Limit";
     return result;
 }
 
@@ -72,7 +73,10 @@
         CHECK(readNotice(response(status, "5"), names()) == UpstreamNotice {});
         CHECK(readNotice(response(status, "", "1"), names()).isLeaving_);
     }
-    CHECK(readNotice(response(503, "5", "1"), names()) == UpstreamNotice { true, 5s, false });
+    const auto both = readNotice(response(503, "5", "1"), names());
+    CHECK(both.isLeaving_);
+    CHECK(both.pause_ == 5s);
+    CHECK_FALSE(both.isPauseInvalid_);
     CHECK(readNotice(response(421, "5", "1"), names()) == UpstreamNotice {});
     CHECK_FALSE(readNotice(response(200, "", "0"), names()).isLeaving_);
     CHECK_FALSE(readNotice(response(200, "", "yes"), names()).isLeaving_);
@@ -92,12 +96,12 @@
     CHECK(log.lines().back().fields_.at("started") == 1);
     CHECK(log.lines().back().fields_.at("leaving") == false);
     const auto held = upstreams.byId().at("a");
-    recorder.record(*held, response(200, "", "1"));
+    recorder.record(*held, response(200, "", "1"), std::nullopt);
     CHECK(log.lines().back().fields_.at("listed") == true);
     discovery.upstreamUpdated(entry);
     CHECK(log.lines().back().fields_.at("leaving") == true);
     discovery.upstreamRemoved("a");
-    recorder.record(*held, response(503, "2"));
+    recorder.record(*held, response(503, "2"), std::nullopt);
     CHECK(log.lines().back().fields_.at("listed") == false);
 }
 
@@ -110,14 +114,118 @@
     NoticeRecorder recorder(upstreams, headers, log);
     Upstream upstream;
     for (int i = 0; i < 3; ++i)
-        recorder.record(upstream, response(200, "", "1"));
+        recorder.record(upstream, response(200, "", "1"), std::nullopt);
     CHECK(upstream.notices_->isLeaving_);
     CHECK(log.count(EventId::UpstreamLeaving) == 1);
     CHECK(log.lines().front().fields_.at("listed") == true);
-    recorder.record(upstream, response(503, "2"));
+    recorder.record(upstream, response(503, "2"), std::nullopt);
     CHECK(upstreams.pauseLeft(upstream) == Duration(2s));
-    recorder.record(upstream, response(503, "later"));
+    recorder.record(upstream, response(503, "later"), std::nullopt);
     CHECK(log.count(EventId::UpstreamPaused) == 1);
     CHECK(log.count(EventId::UpstreamPauseInvalid) == 1);
     CHECK(upstreams.pauseLeft(upstream) == Duration(2s));
 }
+
+TEST_CASE("a limit is read from any response, the lowest of several", "[upstream-limit]")
+{
+    struct Row {
+        std::vector<std::string> texts_;
+        std::optional<double> limit_;
+        bool isInvalid_;
+    };
+    const auto row = GENERATE(values<Row>({
+        { {}, std::nullopt, false },
+        { { "4.9" }, 4.9, false },
+        { { " 12\t" }, 12, false },
+        { { "0" }, 0, false },
+        { { "0.05" }, 0.05, false },
+        { { "99999999999999999999999999" }, 1e6, false },
+        { { std::string(400, '9') }, 1e6, false },
+        { { "7", "3", "5" }, 3, false },
+        { { "many", "3" }, 3, true },
+        { { "-1" }, std::nullopt, true },
+        { { "" }, std::nullopt, true },
+        { { "3/s" }, std::nullopt, true },
+        { { "1e3" }, std::nullopt, true },
+        { { "nan" }, std::nullopt, true },
+    }));
+    CAPTURE(row.texts_);
+    for (const unsigned status : { 200U, 404U, 429U, 500U, 503U }) {
+        auto named = response(status, "");
+        for (const auto& text : row.texts_)
+            named.insert("Limit", text);
+        const auto notice = readNotice(named, names());
+        CHECK(notice.limit_ == row.limit_);
+        CHECK(notice.isLimitInvalid_ == row.isInvalid_);
+    }
+}
+
+TEST_CASE("a limit rises, falls and ends by the latest request, and only for its start", "[upstream-limit]")
+{
+    ManualClock clock;
+    UpstreamSet upstreams(clock, {});
+    standin::KeptLog log;
+    const auto headers = names();
+    NoticeRecorder recorder(upstreams, headers, log);
+    const auto listedAs = [&](std::int64_t start) { upstreams.put({ "a", start, "core", { "127.0.0.1", 9000 }, "north-a", 4, UpstreamState::Ready, 0s, 1 }); };
+    const auto current = [&] { return upstreams.byId().at("a"); };
+    const auto limit = [&] { return current()->notices_->limit_.perSecond_; };
+    const auto receive = [&](const std::string& text, Duration sentAfter) {
+        auto named = response(200, "");
+        if (!text.empty())
+            named.set("Limit", text);
+        recorder.record(*current(), named, clock.now() + sentAfter);
+    };
+    listedAs(1);
+    receive("", 0s);
+    CHECK(log.count(EventId::UpstreamLimitChanged) == 0);
+    receive("4.9", 1s);
+    CHECK(limit() == 4.9);
+    CHECK(log.lines().back().fields_.at("per_s") == 4.9);
+    receive("1.5", 2s);
+    CHECK(limit() == 1.5);
+    SECTION("a late response brings no old limit back")
+    {
+        receive("4.9", 1500ms);
+        CHECK(limit() == 1.5);
+        receive("", 1500ms);
+        CHECK(limit() == 1.5);
+    }
+    SECTION("a response to an unknown request tells nothing")
+    {
+        recorder.record(*current(), response(200, ""), std::nullopt);
+        CHECK(limit() == 1.5);
+    }
+    SECTION("a limit that can't be read changes nothing")
+    {
+        receive("some", 3s);
+        CHECK(limit() == 1.5);
+        CHECK(log.count(EventId::UpstreamLimitInvalid) == 1);
+    }
+    SECTION("another upstream's response tells nothing")
+    {
+        recorder.record(*current(), response(421, ""), clock.now() + 3s);
+        CHECK(limit() == 1.5);
+    }
+    SECTION("a response without one ends it, once")
+    {
+        receive("", 3s);
+        receive("", 4s);
+        CHECK(limit() == std::nullopt);
+        CHECK(log.count(EventId::UpstreamLimitChanged) == 3);
+        CHECK_FALSE(log.lines().back().fields_.contains("per_s"));
+        CHECK(upstreams.limitedCount() == 0);
+    }
+    SECTION("removal and return of the entry keep it")
+    {
+        upstreams.remove("a", 0s);
+        listedAs(1);
+        CHECK(limit() == 1.5);
+        CHECK(upstreams.limitedCount() == 1);
+    }
+    SECTION("a new start has none")
+    {
+        listedAs(2);
+        CHECK(limit() == std::nullopt);
+    }
+}
--- a/tests/upstream_start_test.cpp
+++ b/tests/upstream_start_test.cpp
@@ -23,14 +23,14 @@
     {
         UpstreamResponse response;
         response.set("Leaving", "1");
-        recorder_.record(upstream, response);
+        recorder_.record(upstream, response, std::nullopt);
     }
     auto receivePause(Upstream& upstream) -> void
     {
         UpstreamResponse response;
         response.result(503);
         response.set(http::field::retry_after, "5");
-        recorder_.record(upstream, response);
+        recorder_.record(upstream, response, std::nullopt);
     }
 
     ManualClock clock_;
