Rate limiter: buckets by name instead of workspaces

Cause: the limit that an upstream names is a limit over all instances like the rate of a workspace, and a second mechanism for it is not wanted. Change: RateLimiter, its messages and its state are keyed by the name of a bucket; RateLimit is a type of its own. Wire names stay.

--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -96,7 +96,7 @@
     {
         auto message = builder.initAsk();
         message.setNumber(ask.number_);
-        message.setWorkspace(ask.workspace_);
+        message.setWorkspace(ask.bucket_);
         message.setWanted(ask.wanted_);
     }
 
@@ -104,7 +104,7 @@
     {
         auto message = builder.initGrant();
         message.setNumber(grant.number_);
-        message.setWorkspace(grant.workspace_);
+        message.setWorkspace(grant.bucket_);
         message.setGranted(grant.granted_);
         message.setRetryAfterMs(static_cast<std::uint32_t>(grant.retryAfter_.count()));
     }
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -34,7 +34,7 @@
     // Time constant of the measured arrival rate.
     constexpr double arrivalTimeConstantSeconds = 1.0;
     constexpr Duration minRetryAfter = 100ms;
-    // A workspace counts as within its rate again after this time without a denial.
+    // A bucket counts as within its rate again after this time without a denial.
     constexpr Duration overRateReset = 1s;
     constexpr Duration maxRetryAfter = 2s;
 }
@@ -90,18 +90,18 @@
 auto RateLimiter::setLimits(const std::vector<DeclaredWorkspace>& workspaces) -> void
 {
     for (const auto& workspace : workspaces)
-        states_[workspace.name_].limit_ = { workspace.ratePerSecond_, workspace.burst_ };
+        setLimit(workspace.name_, { workspace.ratePerSecond_, workspace.burst_ });
 }
 
 // Within a window, buckets hand out their capacity plus what refills; together this must not exceed the window's limit.
-auto RateLimiter::fleetCapacity(const Limit& limit) const -> double
+auto RateLimiter::fleetCapacity(const RateLimit& limit) const -> double
 {
-    const double tolerated = (limit.ratePerSecond_ * inSeconds(tolerance_.window_) + limit.burst_) * tolerance_.excessRatio_ + tolerance_.slack_;
+    const double tolerated = (limit.perSecond_ * inSeconds(tolerance_.window_) + limit.burst_) * tolerance_.excessRatio_ + tolerance_.slack_;
     return (limit.burst_ + tolerated) * capacityFraction;
 }
 
 // A local bucket of fewer than two tokens would deny requests that arrive in pairs; in that case all tokens are shared.
-auto RateLimiter::localFraction(const Limit& limit) const -> double
+auto RateLimiter::localFraction(const RateLimit& limit) const -> double
 {
     const double share = fleetCapacity(limit) * evenSplitFraction / static_cast<double>(fleet_.memberCount());
     return share >= 2 ? evenSplitFraction : 0;
@@ -109,28 +109,28 @@
 
 // A partitioned instance has no coordinator to ask. Few instances are partitioned, so one token each stays within the
 // limit.
-auto RateLimiter::isOnOwnTokens(const WorkspaceState& state) const -> bool
+auto RateLimiter::isOnOwnTokens(const BucketState& state) const -> bool
 {
     return localFraction(state.limit_) == 0 && !fleet_.hasQuorum();
 }
 
-auto RateLimiter::localCapacity(const WorkspaceState& state) const -> double
+auto RateLimiter::localCapacity(const BucketState& state) const -> double
 {
     const bool isAlone = isOnOwnTokens(state);
     const double fraction = isAlone ? evenSplitFraction : localFraction(state.limit_);
     return std::max(isAlone ? 1.0 : 0.0, fleetCapacity(state.limit_) * fraction / static_cast<double>(fleet_.memberCount()));
 }
 
-auto RateLimiter::takeLocal(WorkspaceState& state) -> bool
+auto RateLimiter::takeLocal(BucketState& state) -> bool
 {
     const double fraction = isOnOwnTokens(state) ? evenSplitFraction : localFraction(state.limit_);
     const double capacity = localCapacity(state);
-    const double perSecond = state.limit_.ratePerSecond_ * fraction / static_cast<double>(fleet_.memberCount());
+    const double perSecond = state.limit_.perSecond_ * fraction / static_cast<double>(fleet_.memberCount());
     state.localBucket_.refill(clock_.now(), perSecond, capacity, capacity * initialFillFraction);
     return state.localBucket_.take(1);
 }
 
-auto RateLimiter::takeGranted(WorkspaceState& state) -> bool
+auto RateLimiter::takeGranted(BucketState& state) -> bool
 {
     if (clock_.now() >= state.grantExpiresAt_)
         state.granted_ = 0;
@@ -141,9 +141,9 @@
 }
 
 // Under overload a workspace would otherwise lose its rate to requests that are then refused as the upstreams are full.
-auto RateLimiter::returnToken(const std::string& workspace, const RateVerdict& verdict) -> void
+auto RateLimiter::returnToken(const std::string& bucket, const RateVerdict& verdict) -> void
 {
-    const auto found = states_.find(workspace);
+    const auto found = states_.find(bucket);
     if (found == states_.end() || !verdict.admitted_)
         return;
     auto& state = found->second;
@@ -153,7 +153,7 @@
         state.granted_ = std::min<double>(maxTokensPerAsk, state.granted_ + 1);
 }
 
-auto RateLimiter::recordArrival(WorkspaceState& state) -> void
+auto RateLimiter::recordArrival(BucketState& state) -> void
 {
     const auto now = clock_.now();
     const double elapsed = state.lastArrivalAt_ == MonotonicTime {} ? arrivalTimeConstantSeconds : inSeconds(now - state.lastArrivalAt_);
@@ -161,12 +161,12 @@
     state.lastArrivalAt_ = now;
 }
 
-auto RateLimiter::admit(const DeclaredWorkspace& workspace, VerdictCallback done) -> void
+auto RateLimiter::admit(const std::string& bucket, const RateLimit& limit, VerdictCallback done) -> void
 {
-    if (workspace.ratePerSecond_ <= 0)
+    if (limit.perSecond_ <= 0)
         return done({});
-    auto& state = states_[workspace.name_];
-    state.limit_ = { workspace.ratePerSecond_, workspace.burst_ };
+    auto& state = states_[bucket];
+    state.limit_ = limit;
     recordArrival(state);
     if (takeGranted(state))
         return done({ true, TokenSource::Granted, {}, state.grantExpiresAt_ });
@@ -176,48 +176,48 @@
         return done({ false, TokenSource::Denied, recordDenial(state, state.deniedUntil_ - clock_.now()), {} });
     state.waiting_.push_back(std::move(done));
     if (state.pendingAsk_ == 0)
-        ask(workspace.name_, state);
+        ask(bucket, state);
 }
 
-auto RateLimiter::wanted(const WorkspaceState& state) const -> int
+auto RateLimiter::wanted(const BucketState& state) const -> int
 {
     const auto expectedArrivals = static_cast<int>(std::lround(state.arrivalsPerSecond_ * askHorizonSeconds));
     return std::clamp(expectedArrivals, static_cast<int>(std::min<std::size_t>(state.waiting_.size(), maxTokensPerAsk)), maxTokensPerAsk);
 }
 
-auto RateLimiter::ask(const std::string& workspace, WorkspaceState& state) -> void
+auto RateLimiter::ask(const std::string& bucket, BucketState& state) -> void
 {
-    const auto coordinator = fleet_.coordinatorOf(workspace);
+    const auto coordinator = fleet_.coordinatorOf(bucket);
     if (!coordinator || !fleet_.hasQuorum())
         return settleWaiting(state, false, minRetryAfter);
     state.pendingAsk_ = ++lastAskNumber_;
     state.wanted_ = wanted(state);
-    const RateAsk message { state.pendingAsk_, workspace, static_cast<std::uint16_t>(state.wanted_) };
+    const RateAsk message { state.pendingAsk_, bucket, static_cast<std::uint16_t>(state.wanted_) };
     if (coordinator->name_ == fleet_.self())
         return onGrant(onAsk(message));
     state.askAttempts_ = 1;
     askSender_.sendAsk(*coordinator, message);
-    state.askTimer_ = timers_.after(askTimeout, [this, workspace] { retryAsk(workspace); });
+    state.askTimer_ = timers_.after(askTimeout, [this, bucket] { retryAsk(bucket); });
 }
 
-auto RateLimiter::retryAsk(const std::string& workspace) -> void
+auto RateLimiter::retryAsk(const std::string& bucket) -> void
 {
-    auto& state = states_[workspace];
-    const auto coordinator = fleet_.coordinatorOf(workspace);
+    auto& state = states_[bucket];
+    const auto coordinator = fleet_.coordinatorOf(bucket);
     if (!coordinator || coordinator->name_ == fleet_.self() || state.askAttempts_ >= maxAskAttempts) {
         state.pendingAsk_ = 0;
         return settleWaiting(state, false, minRetryAfter);
     }
     ++state.askAttempts_;
     // Repeated under the same number: the coordinator grants it once, and a second answer is ignored.
-    askSender_.sendAsk(*coordinator, { state.pendingAsk_, workspace, static_cast<std::uint16_t>(state.wanted_) });
-    state.askTimer_ = timers_.after(askTimeout, [this, workspace] { retryAsk(workspace); });
+    askSender_.sendAsk(*coordinator, { state.pendingAsk_, bucket, static_cast<std::uint16_t>(state.wanted_) });
+    state.askTimer_ = timers_.after(askTimeout, [this, bucket] { retryAsk(bucket); });
 }
 
 // Grants for an earlier request are ignored: their tokens are lost rather than used twice.
 auto RateLimiter::onGrant(const RateGrant& grant) -> void
 {
-    const auto found = states_.find(grant.workspace_);
+    const auto found = states_.find(grant.bucket_);
     if (found == states_.end() || grant.number_ == 0 || found->second.pendingAsk_ != grant.number_)
         return;
     auto& state = found->second;
@@ -231,10 +231,10 @@
     if (!isFullGrant)
         state.deniedUntil_ = clock_.now() + denialBackoff;
     else if (!state.waiting_.empty())
-        ask(grant.workspace_, state);
+        ask(grant.bucket_, state);
 }
 
-auto RateLimiter::settleWaiting(WorkspaceState& state, bool expectsMoreTokens, Duration retryAfter) -> void
+auto RateLimiter::settleWaiting(BucketState& state, bool expectsMoreTokens, Duration retryAfter) -> void
 {
     auto waiting = std::exchange(state.waiting_, {});
     while (!waiting.empty() && takeGranted(state)) {
@@ -252,7 +252,7 @@
 
 // Assumes that the overload lasts as long again as it has lasted so far; callers that retry sooner would be denied
 // again.
-auto RateLimiter::recordDenial(WorkspaceState& state, Duration minDelay) -> Duration
+auto RateLimiter::recordDenial(BucketState& state, Duration minDelay) -> Duration
 {
     const auto now = clock_.now();
     if (state.lastDenialAt_ == MonotonicTime {} || now - state.lastDenialAt_ > overRateReset)
@@ -261,11 +261,11 @@
     return std::clamp(std::max(minDelay, now - state.overRateSince_), minRetryAfter, maxRetryAfter);
 }
 
-auto RateLimiter::takeShared(WorkspaceState& state, int wanted) -> int
+auto RateLimiter::takeShared(BucketState& state, int wanted) -> int
 {
     const double fraction = 1 - localFraction(state.limit_);
     const double capacity = fleetCapacity(state.limit_) * fraction;
-    state.sharedBucket_.refill(clock_.now(), state.limit_.ratePerSecond_ * fraction, capacity, capacity * initialFillFraction);
+    state.sharedBucket_.refill(clock_.now(), state.limit_.perSecond_ * fraction, capacity, capacity * initialFillFraction);
     const int granted = std::min(wanted, static_cast<int>(state.sharedBucket_.tokens()));
     return granted > 0 && state.sharedBucket_.take(granted) ? granted : 0;
 }
@@ -285,9 +285,9 @@
 // Grants nothing while partitioned, as another instance may have become the coordinator for the rest of the fleet.
 auto RateLimiter::onAsk(const RateAsk& ask) -> RateGrant
 {
-    RateGrant grant { ask.number_, ask.workspace_, 0, std::chrono::duration_cast<std::chrono::milliseconds>(minRetryAfter) };
-    const auto found = states_.find(ask.workspace_);
-    const auto coordinator = fleet_.coordinatorOf(ask.workspace_);
+    RateGrant grant { ask.number_, ask.bucket_, 0, std::chrono::duration_cast<std::chrono::milliseconds>(minRetryAfter) };
+    const auto found = states_.find(ask.bucket_);
+    const auto coordinator = fleet_.coordinatorOf(ask.bucket_);
     if (found == states_.end() || !fleet_.hasQuorum() || !coordinator || coordinator->name_ != fleet_.self())
         return grant;
     if (const auto past = findPastGrant(ask))
@@ -295,8 +295,8 @@
     auto& state = found->second;
     grant.granted_ = static_cast<std::uint16_t>(takeShared(state, std::min<int>(ask.wanted_, maxTokensPerAsk)));
     const double missing = std::max(0.0, 1 - state.sharedBucket_.tokens());
-    if (grant.granted_ == 0 && state.limit_.ratePerSecond_ > 0)
-        grant.retryAfter_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::min<Duration>(2s, fromSeconds(missing / state.limit_.ratePerSecond_)));
+    if (grant.granted_ == 0 && state.limit_.perSecond_ > 0)
+        grant.retryAfter_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::min<Duration>(2s, fromSeconds(missing / state.limit_.perSecond_)));
     pastGrants_.push_back({ clock_.now(), grant });
     return grant;
 }
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -13,7 +13,7 @@
 
 namespace sapphirepass {
 
-// How far a workspace may exceed its rate and burst within a window.
+// How far a limit may be exceeded within a window.
 struct RateTolerance {
     Duration window_ {};
     // As a fraction of the requests allowed in the window.
@@ -53,16 +53,16 @@
     MonotonicTime refilledAt_ {};
 };
 
-// Sends token requests to the coordinators of workspaces on other instances.
+// Sends token requests to coordinators on other instances.
 class RateAskSender {
 public:
     virtual ~RateAskSender() = default;
     virtual auto sendAsk(const Coordinator& coordinator, const RateAsk& ask) -> void = 0;
 };
 
-// Protects upstreams from workspaces that exceed their rate. A fraction of each rate is split evenly over the instances
-// and used without messages. The rest is in a shared bucket on one instance, the workspace's coordinator, from which
-// the others request a few tokens at a time (RateAsk, RateGrant).
+// Holds limits over all instances. A fraction of each rate is split evenly over the instances and used without messages.
+// The rest is in a shared bucket on one instance, the bucket's coordinator, from which the others request a few tokens at a
+// time (RateAsk, RateGrant).
 class RateLimiter {
 public:
     using VerdictCallback = std::function<void(RateVerdict)>;
@@ -70,28 +70,26 @@
     // Token requests are numbered from firstAskNumber, which must differ between all starts of all instances.
     RateLimiter(const Clock& clock, TimerService& timers, const FleetView& fleet, RateAskSender& askSender, RateTolerance tolerance, std::uint64_t firstAskNumber);
 
-    // Calls done at once, or after the coordinator has answered.
-    auto admit(const DeclaredWorkspace& workspace, VerdictCallback done) -> void;
+    // Calls done at once, or after the coordinator has answered. A rate of 0 is no limit.
+    auto admit(const std::string& bucket, const RateLimit& limit, VerdictCallback done) -> void;
+    auto admit(const DeclaredWorkspace& workspace, VerdictCallback done) -> void { admit(workspace.name_, { workspace.ratePerSecond_, workspace.burst_ }, std::move(done)); }
     // Takes back the token of an admitted request that has not run and never will. A granted token keeps its expiry; it
     // is lost if a later grant has replaced its own.
-    auto returnToken(const std::string& workspace, const RateVerdict& verdict) -> void;
+    auto returnToken(const std::string& bucket, const RateVerdict& verdict) -> void;
     auto onGrant(const RateGrant& grant) -> void;
     // Answers a token request as the coordinator. A repeated request gets the same grant, and tokens are taken once.
     auto onAsk(const RateAsk& ask) -> RateGrant;
-    // Limits of the current declaration, for token requests that arrive before a request of the workspace.
+    // The limit for token requests that arrive before a request of this instance.
+    auto setLimit(const std::string& bucket, const RateLimit& limit) -> void { states_[bucket].limit_ = limit; }
     auto setLimits(const std::vector<DeclaredWorkspace>& workspaces) -> void;
 
 private:
-    struct Limit {
-        double ratePerSecond_ = 0;
-        double burst_ = 0;
-    };
     struct PastGrant {
         MonotonicTime at_ {};
         RateGrant grant_;
     };
-    struct WorkspaceState {
-        Limit limit_;
+    struct BucketState {
+        RateLimit limit_;
         TokenBucket localBucket_;
         // Used only while this instance is the coordinator.
         TokenBucket sharedBucket_;
@@ -113,31 +111,31 @@
         std::unique_ptr<PendingTimer> askTimer_;
     };
 
-    // Capacity of all buckets of a workspace together.
-    auto fleetCapacity(const Limit& limit) const -> double;
+    // Capacity of the shared bucket and all local ones together.
+    auto fleetCapacity(const RateLimit& limit) const -> double;
     // The fraction of a rate that is split evenly over the instances.
-    auto localFraction(const Limit& limit) const -> double;
-    auto isOnOwnTokens(const WorkspaceState& state) const -> bool;
-    auto localCapacity(const WorkspaceState& state) const -> double;
-    auto takeLocal(WorkspaceState& state) -> bool;
-    auto takeGranted(WorkspaceState& state) -> bool;
-    auto recordArrival(WorkspaceState& state) -> void;
-    auto ask(const std::string& workspace, WorkspaceState& state) -> void;
-    auto retryAsk(const std::string& workspace) -> void;
-    auto takeShared(WorkspaceState& state, int wanted) -> int;
+    auto localFraction(const RateLimit& limit) const -> double;
+    auto isOnOwnTokens(const BucketState& state) const -> bool;
+    auto localCapacity(const BucketState& state) const -> double;
+    auto takeLocal(BucketState& state) -> bool;
+    auto takeGranted(BucketState& state) -> bool;
+    auto recordArrival(BucketState& state) -> void;
+    auto ask(const std::string& bucket, BucketState& state) -> void;
+    auto retryAsk(const std::string& bucket) -> void;
+    auto takeShared(BucketState& state, int wanted) -> int;
     auto findPastGrant(const RateAsk& ask) -> std::optional<RateGrant>;
     // Admits waiting requests with granted tokens; denies the rest unless more tokens are expected.
-    auto settleWaiting(WorkspaceState& state, bool expectsMoreTokens, Duration retryAfter) -> void;
+    auto settleWaiting(BucketState& state, bool expectsMoreTokens, Duration retryAfter) -> void;
     // Returns the delay after which the denied caller should retry.
-    auto recordDenial(WorkspaceState& state, Duration minDelay) -> Duration;
-    auto wanted(const WorkspaceState& state) const -> int;
+    auto recordDenial(BucketState& state, Duration minDelay) -> Duration;
+    auto wanted(const BucketState& state) const -> int;
 
     const Clock& clock_;
     TimerService& timers_;
     const FleetView& fleet_;
     RateAskSender& askSender_;
     RateTolerance tolerance_;
-    std::map<std::string, WorkspaceState> states_;
+    std::map<std::string, BucketState> states_;
     std::uint64_t lastAskNumber_;
     std::deque<PastGrant> pastGrants_;
 };
--- a/src/gateway/rate_type.h
+++ b/src/gateway/rate_type.h
@@ -1,4 +1,4 @@
-// Messages between instances about the shared token bucket of a workspace.
+// A limit on requests per second over all instances, and the messages between instances about its shared token bucket.
 #pragma once
 
 #include "base/clock.h"
@@ -9,10 +9,18 @@
 
 namespace sapphirepass {
 
-// Requests tokens from the coordinator of a workspace.
+struct RateLimit {
+    double perSecond_ = 0;
+    double burst_ = 0;
+
+    auto operator<=>(const RateLimit&) const = default;
+};
+
+// Requests tokens from the coordinator of a bucket.
 struct RateAsk {
     std::uint64_t number_ = 0;
-    std::string workspace_;
+    // Name of the bucket; that of its workspace, for the rate of a workspace.
+    std::string bucket_;
     std::uint16_t wanted_ = 0;
 
     auto operator<=>(const RateAsk&) const = default;
@@ -21,7 +29,7 @@
 struct RateGrant {
     // Number of the RateAsk that this answers.
     std::uint64_t number_ = 0;
-    std::string workspace_;
+    std::string bucket_;
     std::uint16_t granted_ = 0;
     // When tokens may be available again, if none were granted.
     std::chrono::milliseconds retryAfter_ {};
