--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -2,11 +2,14 @@
 
 #include "wire/datagram.capnp.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
+#include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <limits>
 
 namespace sapphirepass {
 
@@ -25,6 +28,39 @@
         return { reader.getHost().cStr(), reader.getPort() };
     }
 
+    auto readNotice(wire::UpstreamLimit::Reader reader) -> LimitNotice
+    {
+        LimitNotice notice { reader.getUpstream().cStr(), reader.getStartMs(), std::nullopt, std::chrono::milliseconds(reader.getAgeMs()) };
+        if (reader.getIsNamed())
+            notice.perSecond_ = reader.getPerSecond();
+        return notice;
+    }
+
+    auto write(wire::UpstreamLimit::Builder builder, const LimitNotice& notice) -> void
+    {
+        constexpr std::int64_t maxAgeMs = std::numeric_limits<std::uint32_t>::max();
+        builder.setUpstream(notice.upstream_);
+        builder.setStartMs(notice.startTimeMs_);
+        builder.setIsNamed(notice.perSecond_.has_value());
+        builder.setPerSecond(notice.perSecond_.value_or(0));
+        builder.setAgeMs(static_cast<std::uint32_t>(std::clamp<std::int64_t>(notice.age_.count(), 0, maxAgeMs)));
+    }
+
+    auto isValid(const LimitNotice& notice) -> bool
+    {
+        return !notice.upstream_.empty() && std::isfinite(notice.perSecond_.value_or(0)) && notice.perSecond_.value_or(0) >= 0;
+    }
+
+    auto readAsk(wire::RateAsk::Reader reader) -> RateAsk
+    {
+        return { reader.getNumber(), reader.getWorkspace().cStr(), reader.getWanted() };
+    }
+
+    auto readGrant(wire::RateGrant::Reader reader) -> RateGrant
+    {
+        return { reader.getNumber(), reader.getWorkspace().cStr(), reader.getGranted(), std::chrono::milliseconds(reader.getRetryAfterMs()) };
+    }
+
     auto readReport(wire::Heartbeat::Reader reader) -> MemberReport
     {
         MemberReport report;
@@ -50,12 +86,14 @@
         report.wantsPeers_ = reader.getWantsPeers();
         for (const auto cold : reader.getColds())
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
+        for (const auto limit : reader.getLimits())
+            report.limitNotices_.push_back(readNotice(limit));
         return report;
     }
 
     auto isValid(const MemberReport& report) -> bool
     {
-        return !report.name_.empty() && report.phase_ <= MemberPhase::Stopping && parseSocketAddress(formatSocketAddress(report.peer_)).has_value();
+        return !report.name_.empty() && report.phase_ <= MemberPhase::Stopping && parseSocketAddress(formatSocketAddress(report.peer_)).has_value() && std::all_of(report.limitNotices_.begin(), report.limitNotices_.end(), [](const auto& notice) { return isValid(notice); });
     }
 
     auto write(wire::PeerDatagram::Builder builder, const MemberReport& report) -> void
@@ -90,23 +128,41 @@
             colds[i].setUpstream(report.coldNotices_[i].upstream_);
             colds[i].setLeftMs(static_cast<std::uint32_t>(report.coldNotices_[i].left_.count()));
         }
+        auto limits = heartbeat.initLimits(static_cast<unsigned>(report.limitNotices_.size()));
+        for (unsigned i = 0; i < limits.size(); ++i)
+            write(limits[i], report.limitNotices_[i]);
     }
 
-    auto write(wire::PeerDatagram::Builder builder, const RateAsk& ask) -> void
+    auto write(wire::RateAsk::Builder builder, const RateAsk& ask) -> void
+    {
+        builder.setNumber(ask.number_);
+        builder.setWorkspace(ask.bucket_);
+        builder.setWanted(ask.wanted_);
+    }
+
+    auto write(wire::RateGrant::Builder builder, const RateGrant& grant) -> void
+    {
+        builder.setNumber(grant.number_);
+        builder.setWorkspace(grant.bucket_);
+        builder.setGranted(grant.granted_);
+        builder.setRetryAfterMs(static_cast<std::uint32_t>(grant.retryAfter_.count()));
+    }
+
+    auto write(wire::PeerDatagram::Builder builder, const RateAsk& ask) -> void { write(builder.initAsk(), ask); }
+    auto write(wire::PeerDatagram::Builder builder, const RateGrant& grant) -> void { write(builder.initGrant(), grant); }
+
+    auto write(wire::PeerDatagram::Builder builder, const LimitAsk& ask) -> void
     {
-        auto message = builder.initAsk();
-        message.setNumber(ask.number_);
-        message.setWorkspace(ask.bucket_);
-        message.setWanted(ask.wanted_);
+        auto message = builder.initLimitAsk();
+        write(message.initAsk(), ask.ask_);
+        write(message.initLimit(), ask.notice_);
     }
 
-    auto write(wire::PeerDatagram::Builder builder, const RateGrant& grant) -> void
+    auto write(wire::PeerDatagram::Builder builder, const LimitGrant& grant) -> void
     {
-        auto message = builder.initGrant();
-        message.setNumber(grant.number_);
-        message.setWorkspace(grant.bucket_);
-        message.setGranted(grant.granted_);
-        message.setRetryAfterMs(static_cast<std::uint32_t>(grant.retryAfter_.count()));
+        auto message = builder.initLimitGrant();
+        write(message.initGrant(), grant.grant_);
+        write(message.initLimit(), grant.notice_);
     }
 
     auto read(wire::PeerDatagram::Reader reader) -> Result<PeerDatagram, DatagramError>
@@ -118,13 +174,17 @@
                 return DatagramError { "invalid heartbeat: empty name, unknown phase or invalid peer address" };
             return PeerDatagram(std::move(report));
         }
-        case wire::PeerDatagram::ASK: {
-            const auto ask = reader.getAsk();
-            return PeerDatagram(RateAsk { ask.getNumber(), ask.getWorkspace().cStr(), ask.getWanted() });
+        case wire::PeerDatagram::ASK:
+            return PeerDatagram(readAsk(reader.getAsk()));
+        case wire::PeerDatagram::GRANT:
+            return PeerDatagram(readGrant(reader.getGrant()));
+        case wire::PeerDatagram::LIMIT_ASK: {
+            const LimitAsk ask { readAsk(reader.getLimitAsk().getAsk()), readNotice(reader.getLimitAsk().getLimit()) };
+            return isValid(ask.notice_) ? Result<PeerDatagram, DatagramError>(PeerDatagram(ask)) : DatagramError { "invalid limit" };
         }
-        case wire::PeerDatagram::GRANT: {
-            const auto grant = reader.getGrant();
-            return PeerDatagram(RateGrant { grant.getNumber(), grant.getWorkspace().cStr(), grant.getGranted(), std::chrono::milliseconds(grant.getRetryAfterMs()) });
+        case wire::PeerDatagram::LIMIT_GRANT: {
+            const LimitGrant grant { readGrant(reader.getLimitGrant().getGrant()), readNotice(reader.getLimitGrant().getLimit()) };
+            return isValid(grant.notice_) ? Result<PeerDatagram, DatagramError>(PeerDatagram(grant)) : DatagramError { "invalid limit" };
         }
         }
         return DatagramError { "unknown datagram type" };
--- a/src/gateway/datagram_codec.h
+++ b/src/gateway/datagram_codec.h
@@ -3,6 +3,7 @@
 
 #include "base/result.h"
 #include "gateway/fleet_view.h"
+#include "gateway/limit_notice.h"
 #include "gateway/rate_type.h"
 
 #include <string>
@@ -17,7 +18,7 @@
     auto operator<=>(const DatagramError&) const = default;
 };
 
-using PeerDatagram = std::variant<MemberReport, RateAsk, RateGrant>;
+using PeerDatagram = std::variant<MemberReport, RateAsk, RateGrant, LimitAsk, LimitGrant>;
 
 auto encodeDatagram(const PeerDatagram& datagram) -> std::string;
 auto decodeDatagram(std::string_view bytes) -> Result<PeerDatagram, DatagramError>;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/socket_address.h"
 #include "gateway/discovery_source.h"
+#include "gateway/limit_notice.h"
 
 #include <array>
 #include <compare>
@@ -56,6 +57,8 @@
     // The sender's upstream feed is lost.
     bool isSourceLost_ = false;
     std::vector<ColdNotice> coldNotices_;
+    // Limits of the upstreams that the sender coordinates.
+    std::vector<LimitNotice> limitNotices_;
     // The sender has just started and asks for the addresses of the other instances.
     bool wantsPeers_ = false;
 
--- /dev/null
+++ b/src/gateway/limit_notice.h
@@ -0,0 +1,38 @@
+// The limit that an upstream has named, as one instance tells another.
+#pragma once
+
+#include "gateway/rate_type.h"
+
+#include <optional>
+
+namespace sapphirepass {
+
+struct LimitNotice {
+    std::string upstream_;
+    // The start of the upstream that named it.
+    std::int64_t startTimeMs_ = 0;
+    // Requests per second from all instances together; empty if the upstream names none any more.
+    std::optional<double> perSecond_;
+    // Since the request was sent whose response told so.
+    std::chrono::milliseconds age_ {};
+
+    auto operator<=>(const LimitNotice&) const = default;
+};
+
+// Requests tokens for an upstream; only tells the limit if none are wanted.
+struct LimitAsk {
+    RateAsk ask_;
+    LimitNotice notice_;
+
+    auto operator<=>(const LimitAsk&) const = default;
+};
+
+// The grant, and the limit that the coordinator knows.
+struct LimitGrant {
+    RateGrant grant_;
+    LimitNotice notice_;
+
+    auto operator<=>(const LimitGrant&) const = default;
+};
+
+} // namespace sapphirepass
--- a/src/gateway/notice_recorder.cpp
+++ b/src/gateway/notice_recorder.cpp
@@ -4,10 +4,11 @@
 
 using namespace std::chrono_literals;
 
-NoticeRecorder::NoticeRecorder(UpstreamSet& upstreams, const HeaderNames& names, DecisionLog& log)
+NoticeRecorder::NoticeRecorder(UpstreamSet& upstreams, const HeaderNames& names, DecisionLog& log, LimitListener onLimitChanged)
     : upstreams_(upstreams)
     , names_(names)
     , log_(log)
+    , onLimitChanged_(std::move(onLimitChanged))
 {
 }
 
@@ -44,6 +45,8 @@
     if (notice.limit_)
         fields["per_s"] = *notice.limit_;
     log_.write(EventId::UpstreamLimitChanged, std::move(fields));
+    if (onLimitChanged_)
+        onLimitChanged_(upstream);
 }
 
 } // namespace sapphirepass
--- a/src/gateway/notice_recorder.h
+++ b/src/gateway/notice_recorder.h
@@ -5,11 +5,16 @@
 #include "gateway/upstream_notice.h"
 #include "gateway/upstream_set.h"
 
+#include <functional>
+
 namespace sapphirepass {
 
 class NoticeRecorder {
 public:
-    NoticeRecorder(UpstreamSet& upstreams, const HeaderNames& names, DecisionLog& log);
+    using LimitListener = std::function<void(const Upstream& upstream)>;
+
+    // onLimitChanged is called after the limit of an upstream has changed.
+    NoticeRecorder(UpstreamSet& upstreams, const HeaderNames& names, DecisionLog& log, LimitListener onLimitChanged = {});
 
     // sentAt is when the request was sent that the response answers. A response to an unknown request tells nothing about
     // the limit of its upstream, as it may be older than what is known.
@@ -21,6 +26,7 @@
     UpstreamSet& upstreams_;
     const HeaderNames& names_;
     DecisionLog& log_;
+    LimitListener onLimitChanged_;
 };
 
 } // namespace sapphirepass
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -43,6 +43,11 @@
     // Maps a hash to the range [0, 1).
     auto toUnitInterval(std::uint64_t number) -> double { return static_cast<double>(number >> 11U) / static_cast<double>(1ULL << 53U); }
 
+    auto contains(const std::vector<std::string>& ids, const std::string& id) -> bool
+    {
+        return std::find(ids.begin(), ids.end(), id) != ids.end();
+    }
+
     auto shareIn(const std::map<std::string, double>& sharesByRegion, const std::string& region) -> double
     {
         const auto found = sharesByRegion.find(region);
@@ -83,7 +88,9 @@
 {
     if (!mayRunOn(upstream, query) || upstreams_.pauseLeft(upstream) > Duration::zero())
         return false;
-    if (std::find(query.tried_.begin(), query.tried_.end(), upstream.entry_.id_) != query.tried_.end())
+    if (contains(query.tried_, upstream.entry_.id_) || contains(query.limited_, upstream.entry_.id_))
+        return false;
+    if (query.skipsLimited_ && upstream.notices_->limit_.perSecond_)
         return false;
     return isWithinColdRate(upstream, query) && !isStalled(upstream, query);
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -22,6 +22,10 @@
     const std::map<std::string, double>* homeRegionShares_ = nullptr;
     // Ids of upstreams that the request has already been sent to.
     std::vector<std::string> tried_;
+    // Ids of upstreams that take no further request now by the limit that they name.
+    std::vector<std::string> limited_;
+    // No upstream that names a limit is considered.
+    bool skipsLimited_ = false;
     // Requests per second that a cold upstream can take; 0 for no limit.
     double coldPerSecond_ = 0;
     Duration typicalResponseTime_ {};
@@ -58,6 +62,8 @@
     auto place(const PlacementQuery& query) -> PlacementResult;
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
+    // Whether the request may still be sent to the upstream, some time after it was placed there.
+    auto mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     // Must be called before a placed request is sent; if the upstream is cold, this sets when it may get the next one.
     auto recordColdSend(Upstream& upstream, const PlacementQuery& query) const -> void;
 
@@ -82,7 +88,6 @@
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
     auto mayRunOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
-    auto mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto isWithinColdRate(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     // Whether a request has been outstanding for so long that the upstream may have become cold without being reported.
     auto isStalled(const Upstream& upstream, const PlacementQuery& query) const -> bool;
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -93,6 +93,13 @@
         setLimit(workspace.name_, { workspace.ratePerSecond_, workspace.burst_ });
 }
 
+auto RateLimiter::removeBucket(const std::string& bucket) -> void
+{
+    const auto found = states_.find(bucket);
+    if (found != states_.end() && found->second.waiting_.empty())
+        states_.erase(found);
+}
+
 // Within a window, buckets hand out their capacity plus what refills; together this must not exceed the window's limit.
 auto RateLimiter::fleetCapacity(const RateLimit& limit) const -> double
 {
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -1,4 +1,4 @@
-// Limits each workspace to its rate and burst across the fleet.
+// Limits over all instances, such as the rate of a workspace.
 #pragma once
 
 #include "gateway/declaration_type.h"
@@ -81,6 +81,8 @@
     auto onAsk(const RateAsk& ask) -> RateGrant;
     // The limit for token requests that arrive before a request of this instance.
     auto setLimit(const std::string& bucket, const RateLimit& limit) -> void { states_[bucket].limit_ = limit; }
+    // Forgets a bucket, unless requests wait for its tokens.
+    auto removeBucket(const std::string& bucket) -> void;
     auto setLimits(const std::vector<DeclaredWorkspace>& workspaces) -> void;
 
 private:
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -21,6 +21,8 @@
     constexpr int maxFailedConnects = 4;
     // Requests that start later than this fraction of their remaining time mostly finish too late.
     constexpr double maxWaitFraction = 0.6;
+    // A request asks at most this many coordinators for room, as each answer takes a round trip.
+    constexpr std::size_t maxLimitedUpstreams = 3;
     // An upstream that takes this many times the typical response time counts as failing.
     constexpr int unansweredFactor = 2;
     // Retry-After until a declaration is known: about the time of the first reads after a restart.
@@ -31,6 +33,13 @@
     auto view(boost::beast::string_view text) -> std::string_view { return { text.data(), text.size() }; }
     auto milliseconds(Duration duration) -> std::int64_t { return duration / 1ms; }
 
+    // Between one and two times the wait, so that callers that were refused together do not return together.
+    auto spread(Duration wait, std::uint64_t requestHash) -> Duration
+    {
+        constexpr std::uint64_t steps = 1'000;
+        return wait + wait * static_cast<std::int64_t>(requestHash % steps) / static_cast<std::int64_t>(steps);
+    }
+
     // The regions in both lists; an empty list means all regions.
     auto commonRegions(const std::vector<std::string>& route, const std::vector<std::string>& workspace) -> std::vector<std::string>
     {
@@ -166,11 +175,42 @@
     query_.maxQueueWait_ = std::chrono::duration_cast<Duration>(timeLeft() * maxWaitFraction);
     const auto result = context_.placer_.place(query_);
     if (const auto* placement = std::get_if<Placement>(&result))
-        send(*placement);
+        sendWithinLimit(*placement);
     else
         finishUnplaced(std::get<PlacementRefusal>(result));
 }
 
+auto RequestHandler::sendWithinLimit(const Placement& placement) -> void
+{
+    if (!UpstreamLimiter::isLimited(*placement.upstream_))
+        return send(placement);
+    const auto self = weak_from_this();
+    context_.upstreamLimiter_.admit(*placement.upstream_, [self, placement, &limiter = context_.upstreamLimiter_](const RateVerdict& verdict) {
+        if (const auto handler = self.lock())
+            handler->onLimitVerdict(placement, verdict);
+        else
+            limiter.returnToken(*placement.upstream_, verdict);
+    });
+}
+
+// The upstream may have left, been removed or paused while the coordinator was asked.
+auto RequestHandler::onLimitVerdict(const Placement& placement, const RateVerdict& verdict) -> void
+{
+    const bool isUsable = !isDone_ && context_.placer_.mayPlaceOn(*placement.upstream_, query_);
+    if (verdict.admitted_ && isUsable)
+        return send(placement);
+    context_.upstreamLimiter_.returnToken(*placement.upstream_, verdict);
+    if (isDone_)
+        return;
+    if (!verdict.admitted_) {
+        context_.metrics_.increment({ "gateway_upstream_limit_denials_total", {} });
+        query_.limited_.push_back(placement.upstream_->entry_.id_);
+        query_.skipsLimited_ = query_.limited_.size() >= maxLimitedUpstreams;
+        limitRetryAfter_ = std::min(verdict.retryAfter_, limitRetryAfter_.value_or(verdict.retryAfter_));
+    }
+    tryUpstream();
+}
+
 auto RequestHandler::send(const Placement& placement) -> void
 {
     lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_ };
@@ -293,10 +333,14 @@
 auto RequestHandler::finishUnplaced(PlacementRefusal refusal) -> void
 {
     const auto pause = refusal == PlacementRefusal::NoUpstream ? context_.placer_.shortestPause(query_) : std::nullopt;
-    const std::string_view reason = refusal == PlacementRefusal::Full ? "all-full" : pause ? "all-paused"
-                                                                                           : "no-upstream";
+    const bool isLimited = refusal == PlacementRefusal::NoUpstream && limitRetryAfter_;
+    const std::string_view reason = refusal == PlacementRefusal::Full ? "all-full" : isLimited ? "all-limited"
+        : pause                                                                                ? "all-paused"
+                                                                                               : "no-upstream";
     if (mayHaveRun_)
         return finishWithProblem(502, reason, Executed::Unknown);
+    if (isLimited)
+        return finishWithProblem(503, reason, Executed::No, std::max<Duration>(minRetryAfter, spread(*limitRetryAfter_, query_.requestHash_)));
     finishWithProblem(503, reason, Executed::No, std::max<Duration>(minRetryAfter, pause.value_or(query_.typicalResponseTime_)));
 }
 
@@ -379,6 +423,8 @@
         fields["load_age_ms"] = milliseconds(context_.clock_.now() - lastAttempt_.upstream_->loadAt_);
         fields["sends"] = sends_;
     }
+    if (!query_.limited_.empty())
+        fields["limited"] = query_.limited_;
     context_.log_.write(success ? EventId::RequestAnswered : EventId::RequestEnded, std::move(fields));
 }
 
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -14,6 +14,7 @@
 #include "gateway/timer_service.h"
 #include "gateway/traffic_splitter.h"
 #include "gateway/upstream_caller.h"
+#include "gateway/upstream_limiter.h"
 
 namespace sapphirepass {
 
@@ -27,6 +28,7 @@
     UpstreamSet& upstreams_;
     Placer& placer_;
     RateLimiter& rateLimiter_;
+    UpstreamLimiter& upstreamLimiter_;
     RetryLimiter& retryLimiter_;
     CrashTracker& crashTracker_;
     TrafficSplitter& trafficSplitter_;
@@ -65,6 +67,9 @@
     auto prepare() -> void;
     auto startDeadline() -> void;
     auto tryUpstream() -> void;
+    // Sends the request if the limit that the upstream names has room for it; otherwise places it elsewhere.
+    auto sendWithinLimit(const Placement& placement) -> void;
+    auto onLimitVerdict(const Placement& placement, const RateVerdict& verdict) -> void;
     auto send(const Placement& placement) -> void;
     auto onOutcome(AttemptOutcome outcome) -> void;
     auto onTransportError(const TransportError& error) -> void;
@@ -101,6 +106,8 @@
     MonotonicTime endsAt_ {};
     std::uint64_t fingerprint_ = 0;
     RateVerdict rateVerdict_;
+    // Shortest wait for a token of an upstream that had no room within its limit.
+    std::optional<Duration> limitRetryAfter_;
     int sends_ = 0;
     int failedConnects_ = 0;
     bool mayHaveRun_ = false;
--- a/src/loop/cold_prober.cpp
+++ b/src/loop/cold_prober.cpp
@@ -19,10 +19,11 @@
     }
 }
 
-ColdProber::ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, HealthAnswer onAnswer, std::function<void(const std::string&, Duration)> onCold)
+ColdProber::ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, Admission admission, HealthAnswer onAnswer, std::function<void(const std::string&, Duration)> onCold)
     : loop_(loop)
     , headers_(headers)
     , watch_(watch)
+    , admission_(std::move(admission))
     , onHealthAnswer_(std::move(onAnswer))
     , onCold_(std::move(onCold))
 {
@@ -35,7 +36,7 @@
     for (const auto& upstream : watch_.takeDueProbes()) {
         const auto* service = index.service(upstream->entry_.service_);
         if (service != nullptr && !service->healthPath_.empty())
-            ask(upstream, service->healthPath_);
+            admission_(upstream, [this, upstream, path = service->healthPath_] { ask(upstream, path); });
     }
 }
 
--- a/src/loop/cold_prober.h
+++ b/src/loop/cold_prober.h
@@ -13,8 +13,11 @@
     // Gets every health answer of an upstream.
     using HealthAnswer = std::function<void(const UpstreamPtr& upstream, const HttpResponse& response)>;
 
+    // Calls send if the upstream may be probed now, at once or a moment later.
+    using Admission = std::function<void(const UpstreamPtr& upstream, std::function<void()> send)>;
+
     // onCold is called when an upstream was found cold.
-    ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, HealthAnswer onAnswer, std::function<void(const std::string& upstream, Duration left)> onCold);
+    ColdProber(asio::io_context& loop, const HeaderNames& headers, ColdDetector& watch, Admission admission, HealthAnswer onAnswer, std::function<void(const std::string& upstream, Duration left)> onCold);
 
     // Sends what is due. Called now and then.
     auto tick(const DeclarationIndex& index) -> void;
@@ -34,6 +37,7 @@
     asio::io_context& loop_;
     const HeaderNames& headers_;
     ColdDetector& watch_;
+    Admission admission_;
     HealthAnswer onHealthAnswer_;
     std::function<void(const std::string&, Duration)> onCold_;
     std::map<std::string, Probe> probes_;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -93,13 +93,14 @@
     , coldWatch_(clock, upstreams_, fleet_)
     , placer_(clock, upstreams_, fleet_, settings_.region_)
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
+    , upstreamLimits_(clock, alarms_, fleet_, upstreams_, *this, log_, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
-    , notices_(upstreams_, adapter_.headers_, log_)
+    , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
     , pool_(loop, clock, adapter_.headers_, [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); })
     , coldProber_(
-          loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, pool_, notices_, log_, metrics_ }
+          loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
+    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, notices_, log_, metrics_ }
     , frontHandler_(*this)
     , publicPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) {
         answer(answerPublic(request));
@@ -228,6 +229,7 @@
 {
     ++ticks_;
     upstreams_.removeExpired();
+    upstreamLimits_.removeExpired();
     beliefs_.releaseKeptEvacuations();
     fleet_.setSourceLost(beliefs_.outageDuration(Feed::Upstreams) > Duration::zero());
     if (context_.index_)
@@ -285,6 +287,7 @@
         report.lastChangeRevisions_.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed).lastChange_;
     report.isSourceLost_ = beliefs_.outageDuration(Feed::Upstreams) > Duration::zero();
     report.coldNotices_ = coldWatch_.activeNotices();
+    report.limitNotices_ = upstreamLimits_.activeNotices();
     report.wantsPeers_ = beliefs_.needsPeerList();
     return report;
 }
@@ -329,6 +332,27 @@
     datagrams_.send(encodeDatagram(ask), { keeper.peer_ });
 }
 
+auto Gateway::sendLimitAsk(const Coordinator& coordinator, const LimitAsk& ask) -> void
+{
+    datagrams_.send(encodeDatagram(ask), { coordinator.peer_ });
+}
+
+auto Gateway::answerLimitAsk(const LimitAsk& ask, const SocketAddress& from) -> void
+{
+    const auto grant = upstreamLimits_.onAsk(ask);
+    if (ask.ask_.wanted_ > 0)
+        datagrams_.send(encodeDatagram(grant), { from });
+}
+
+// A probe that the upstream's limit has no room for is left out: the next one is due soon.
+auto Gateway::admitProbe(const UpstreamPtr& upstream, const std::function<void()>& send) -> void
+{
+    upstreamLimits_.admit(*upstream, [send](const RateVerdict& verdict) {
+        if (verdict.admitted_)
+            send();
+    });
+}
+
 auto Gateway::onDatagram(std::string_view bytes, const SocketAddress& from) -> void
 {
     const auto decoded = decodeDatagram(bytes);
@@ -341,14 +365,19 @@
         onReport(*report);
     else if (const auto* ask = std::get_if<RateAsk>(&datagram))
         datagrams_.send(encodeDatagram(rates_.onAsk(*ask)), { from });
+    else if (const auto* grant = std::get_if<RateGrant>(&datagram))
+        rates_.onGrant(*grant);
+    else if (const auto* limitAsk = std::get_if<LimitAsk>(&datagram))
+        answerLimitAsk(*limitAsk, from);
     else
-        rates_.onGrant(std::get<RateGrant>(datagram));
+        upstreamLimits_.onGrant(std::get<LimitGrant>(datagram));
 }
 
 auto Gateway::onReport(const MemberReport& report) -> void
 {
     fleet_.updateMember(report);
     coldWatch_.applyNotices(report.coldNotices_);
+    upstreamLimits_.applyNotices(report.limitNotices_);
     if (!report.knownPeers_.empty())
         beliefs_.peerListReceived();
     if (report.wantsPeers_)
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -30,7 +30,7 @@
     std::unique_ptr<DiscoverySource> source_;
 };
 
-class Gateway final : private RateAskSender {
+class Gateway final : private RateAskSender, private LimitAskSender {
 public:
     Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter);
 
@@ -95,6 +95,9 @@
     auto onDatagram(std::string_view bytes, const SocketAddress& from) -> void;
     auto onReport(const MemberReport& report) -> void;
     auto sendAsk(const Coordinator& keeper, const RateAsk& ask) -> void override;
+    auto sendLimitAsk(const Coordinator& coordinator, const LimitAsk& ask) -> void override;
+    auto answerLimitAsk(const LimitAsk& ask, const SocketAddress& from) -> void;
+    auto admitProbe(const UpstreamPtr& upstream, const std::function<void()>& send) -> void;
     auto onDeclaration() -> void;
     auto seedPeers() const -> std::vector<SocketAddress>;
     auto renewFeeds() -> void;
@@ -120,6 +123,7 @@
     ColdDetector coldWatch_;
     Placer placer_;
     RateLimiter rates_;
+    UpstreamLimiter upstreamLimits_;
     RetryLimiter retries_;
     CrashTracker crashes_;
     TrafficSplitter split_;
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -19,6 +19,15 @@
   leftMs @1 :UInt32;
 }
 
+# See src/gateway/limit_notice.h.
+struct UpstreamLimit {
+  upstream @0 :Text;
+  startMs @1 :Int64;
+  isNamed @2 :Bool;
+  perSecond @3 :Float64;
+  ageMs @4 :UInt32;
+}
+
 struct Heartbeat {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -38,6 +47,7 @@
   eras @13 :List(UInt64);
   # The sender has just started and knows no other instances; it is answered with their addresses.
   wantsPeers @14 :Bool;
+  limits @15 :List(UpstreamLimit);
 }
 
 struct RateAsk {
@@ -53,10 +63,22 @@
   retryAfterMs @3 :UInt32;
 }
 
+struct LimitAsk {
+  ask @0 :RateAsk;
+  limit @1 :UpstreamLimit;
+}
+
+struct LimitGrant {
+  grant @0 :RateGrant;
+  limit @1 :UpstreamLimit;
+}
+
 struct PeerDatagram {
   union {
     heartbeat @0 :Heartbeat;
     ask @1 :RateAsk;
     grant @2 :RateGrant;
+    limitAsk @3 :LimitAsk;
+    limitGrant @4 :LimitGrant;
   }
 }
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -19,9 +19,12 @@
 CAPNP_DECLARE_SCHEMA(d48eca613d84d69b);
 CAPNP_DECLARE_SCHEMA(9b098ece84c22746);
 CAPNP_DECLARE_SCHEMA(b1b066e62197077c);
+CAPNP_DECLARE_SCHEMA(b4490938ad03d7e1);
 CAPNP_DECLARE_SCHEMA(aa7ec1c83d57622d);
 CAPNP_DECLARE_SCHEMA(fa08a84e24f86d01);
 CAPNP_DECLARE_SCHEMA(cc9baa8e38a35541);
+CAPNP_DECLARE_SCHEMA(de8bf9c7a2270802);
+CAPNP_DECLARE_SCHEMA(a63e052d4cf36903);
 CAPNP_DECLARE_SCHEMA(c0841eb68f929dcc);
 
 }  // namespace schemas
@@ -75,6 +78,21 @@
   };
 };
 
+struct UpstreamLimit {
+  UpstreamLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b4490938ad03d7e1, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -83,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -120,6 +138,36 @@
   };
 };
 
+struct LimitAsk {
+  LimitAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de8bf9c7a2270802, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LimitGrant {
+  LimitGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a63e052d4cf36903, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerDatagram {
   PeerDatagram() = delete;
 
@@ -130,6 +178,8 @@
     HEARTBEAT,
     ASK,
     GRANT,
+    LIMIT_ASK,
+    LIMIT_GRANT,
   };
 
   struct _capnpPrivate {
@@ -395,6 +445,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class UpstreamLimit::Reader {
+public:
+  typedef UpstreamLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream() const;
+  inline  ::capnp::Text::Reader getUpstream() const;
+
+  inline  ::int64_t getStartMs() const;
+
+  inline bool getIsNamed() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamLimit::Builder {
+public:
+  typedef UpstreamLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstream();
+  inline  ::capnp::Text::Builder getUpstream();
+  inline void setUpstream( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initUpstream(unsigned int size);
+  inline void adoptUpstream(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownUpstream();
+
+  inline  ::int64_t getStartMs();
+  inline void setStartMs( ::int64_t value);
+
+  inline bool getIsNamed();
+  inline void setIsNamed(bool value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamLimit::Pipeline {
+public:
+  typedef UpstreamLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -453,6 +604,9 @@
 
   inline bool getWantsPeers() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -572,6 +726,13 @@
   inline bool getWantsPeers();
   inline void setWantsPeers(bool value);
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -788,6 +949,192 @@
 };
 #endif  // !CAPNP_LITE
 
+class LimitAsk::Reader {
+public:
+  typedef LimitAsk Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAsk() const;
+  inline  ::sapphirepass::wire::RateAsk::Reader getAsk() const;
+
+  inline bool hasLimit() const;
+  inline  ::sapphirepass::wire::UpstreamLimit::Reader getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitAsk::Builder {
+public:
+  typedef LimitAsk Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAsk();
+  inline  ::sapphirepass::wire::RateAsk::Builder getAsk();
+  inline void setAsk( ::sapphirepass::wire::RateAsk::Reader value);
+  inline  ::sapphirepass::wire::RateAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::sapphirepass::wire::RateAsk>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::RateAsk> disownAsk();
+
+  inline bool hasLimit();
+  inline  ::sapphirepass::wire::UpstreamLimit::Builder getLimit();
+  inline void setLimit( ::sapphirepass::wire::UpstreamLimit::Reader value);
+  inline  ::sapphirepass::wire::UpstreamLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit> disownLimit();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitAsk::Pipeline {
+public:
+  typedef LimitAsk Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::sapphirepass::wire::RateAsk::Pipeline getAsk();
+  inline  ::sapphirepass::wire::UpstreamLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LimitGrant::Reader {
+public:
+  typedef LimitGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGrant() const;
+  inline  ::sapphirepass::wire::RateGrant::Reader getGrant() const;
+
+  inline bool hasLimit() const;
+  inline  ::sapphirepass::wire::UpstreamLimit::Reader getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LimitGrant::Builder {
+public:
+  typedef LimitGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGrant();
+  inline  ::sapphirepass::wire::RateGrant::Builder getGrant();
+  inline void setGrant( ::sapphirepass::wire::RateGrant::Reader value);
+  inline  ::sapphirepass::wire::RateGrant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::sapphirepass::wire::RateGrant>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::RateGrant> disownGrant();
+
+  inline bool hasLimit();
+  inline  ::sapphirepass::wire::UpstreamLimit::Builder getLimit();
+  inline void setLimit( ::sapphirepass::wire::UpstreamLimit::Reader value);
+  inline  ::sapphirepass::wire::UpstreamLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit> disownLimit();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LimitGrant::Pipeline {
+public:
+  typedef LimitGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::sapphirepass::wire::RateGrant::Pipeline getGrant();
+  inline  ::sapphirepass::wire::UpstreamLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerDatagram::Reader {
 public:
   typedef PeerDatagram Reads;
@@ -818,6 +1165,14 @@
   inline bool hasGrant() const;
   inline  ::sapphirepass::wire::RateGrant::Reader getGrant() const;
 
+  inline bool isLimitAsk() const;
+  inline bool hasLimitAsk() const;
+  inline  ::sapphirepass::wire::LimitAsk::Reader getLimitAsk() const;
+
+  inline bool isLimitGrant() const;
+  inline bool hasLimitGrant() const;
+  inline  ::sapphirepass::wire::LimitGrant::Reader getLimitGrant() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -871,6 +1226,22 @@
   inline void adoptGrant(::capnp::Orphan< ::sapphirepass::wire::RateGrant>&& value);
   inline ::capnp::Orphan< ::sapphirepass::wire::RateGrant> disownGrant();
 
+  inline bool isLimitAsk();
+  inline bool hasLimitAsk();
+  inline  ::sapphirepass::wire::LimitAsk::Builder getLimitAsk();
+  inline void setLimitAsk( ::sapphirepass::wire::LimitAsk::Reader value);
+  inline  ::sapphirepass::wire::LimitAsk::Builder initLimitAsk();
+  inline void adoptLimitAsk(::capnp::Orphan< ::sapphirepass::wire::LimitAsk>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::LimitAsk> disownLimitAsk();
+
+  inline bool isLimitGrant();
+  inline bool hasLimitGrant();
+  inline  ::sapphirepass::wire::LimitGrant::Builder getLimitGrant();
+  inline void setLimitGrant( ::sapphirepass::wire::LimitGrant::Reader value);
+  inline  ::sapphirepass::wire::LimitGrant::Builder initLimitGrant();
+  inline void adoptLimitGrant(::capnp::Orphan< ::sapphirepass::wire::LimitGrant>&& value);
+  inline ::capnp::Orphan< ::sapphirepass::wire::LimitGrant> disownLimitGrant();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1023,6 +1394,96 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamLimit::Reader::hasUpstream() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamLimit::Builder::hasUpstream() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamLimit::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamLimit::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamLimit::Builder::setUpstream( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamLimit::Builder::initUpstream(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamLimit::Builder::adoptUpstream(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamLimit::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t UpstreamLimit::Reader::getStartMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamLimit::Builder::getStartMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setStartMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamLimit::Reader::getIsNamed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamLimit::Builder::getIsNamed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setIsNamed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double UpstreamLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double UpstreamLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t UpstreamLimit::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamLimit::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamLimit::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1476,6 +1937,40 @@
       ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setLimits( ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1614,6 +2109,162 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LimitAsk::Reader::hasAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LimitAsk::Builder::hasAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::RateAsk::Reader LimitAsk::Reader::getAsk() const {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::RateAsk::Builder LimitAsk::Builder::getAsk() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::sapphirepass::wire::RateAsk::Pipeline LimitAsk::Pipeline::getAsk() {
+  return  ::sapphirepass::wire::RateAsk::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void LimitAsk::Builder::setAsk( ::sapphirepass::wire::RateAsk::Reader value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::RateAsk::Builder LimitAsk::Builder::initAsk() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LimitAsk::Builder::adoptAsk(
+    ::capnp::Orphan< ::sapphirepass::wire::RateAsk>&& value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::RateAsk> LimitAsk::Builder::disownAsk() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LimitAsk::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LimitAsk::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::UpstreamLimit::Reader LimitAsk::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::UpstreamLimit::Builder LimitAsk::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::sapphirepass::wire::UpstreamLimit::Pipeline LimitAsk::Pipeline::getLimit() {
+  return  ::sapphirepass::wire::UpstreamLimit::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void LimitAsk::Builder::setLimit( ::sapphirepass::wire::UpstreamLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::UpstreamLimit::Builder LimitAsk::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LimitAsk::Builder::adoptLimit(
+    ::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit> LimitAsk::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool LimitGrant::Reader::hasGrant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LimitGrant::Builder::hasGrant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::RateGrant::Reader LimitGrant::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::RateGrant::Builder LimitGrant::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::sapphirepass::wire::RateGrant::Pipeline LimitGrant::Pipeline::getGrant() {
+  return  ::sapphirepass::wire::RateGrant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void LimitGrant::Builder::setGrant( ::sapphirepass::wire::RateGrant::Reader value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::RateGrant::Builder LimitGrant::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LimitGrant::Builder::adoptGrant(
+    ::capnp::Orphan< ::sapphirepass::wire::RateGrant>&& value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::RateGrant> LimitGrant::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::RateGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LimitGrant::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LimitGrant::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::UpstreamLimit::Reader LimitGrant::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::UpstreamLimit::Builder LimitGrant::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::sapphirepass::wire::UpstreamLimit::Pipeline LimitGrant::Pipeline::getLimit() {
+  return  ::sapphirepass::wire::UpstreamLimit::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void LimitGrant::Builder::setLimit( ::sapphirepass::wire::UpstreamLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::UpstreamLimit::Builder LimitGrant::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LimitGrant::Builder::adoptLimit(
+    ::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::UpstreamLimit> LimitGrant::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::UpstreamLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::sapphirepass::wire::PeerDatagram::Which PeerDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1785,6 +2436,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerDatagram::Reader::isLimitAsk() const {
+  return which() == PeerDatagram::LIMIT_ASK;
+}
+inline bool PeerDatagram::Builder::isLimitAsk() {
+  return which() == PeerDatagram::LIMIT_ASK;
+}
+inline bool PeerDatagram::Reader::hasLimitAsk() const {
+  if (which() != PeerDatagram::LIMIT_ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasLimitAsk() {
+  if (which() != PeerDatagram::LIMIT_ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::LimitAsk::Reader PeerDatagram::Reader::getLimitAsk() const {
+  KJ_IREQUIRE((which() == PeerDatagram::LIMIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::LimitAsk::Builder PeerDatagram::Builder::getLimitAsk() {
+  KJ_IREQUIRE((which() == PeerDatagram::LIMIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setLimitAsk( ::sapphirepass::wire::LimitAsk::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::LIMIT_ASK);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::LimitAsk::Builder PeerDatagram::Builder::initLimitAsk() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::LIMIT_ASK);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptLimitAsk(
+    ::capnp::Orphan< ::sapphirepass::wire::LimitAsk>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::LIMIT_ASK);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::LimitAsk> PeerDatagram::Builder::disownLimitAsk() {
+  KJ_IREQUIRE((which() == PeerDatagram::LIMIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerDatagram::Reader::isLimitGrant() const {
+  return which() == PeerDatagram::LIMIT_GRANT;
+}
+inline bool PeerDatagram::Builder::isLimitGrant() {
+  return which() == PeerDatagram::LIMIT_GRANT;
+}
+inline bool PeerDatagram::Reader::hasLimitGrant() const {
+  if (which() != PeerDatagram::LIMIT_GRANT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerDatagram::Builder::hasLimitGrant() {
+  if (which() != PeerDatagram::LIMIT_GRANT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sapphirepass::wire::LimitGrant::Reader PeerDatagram::Reader::getLimitGrant() const {
+  KJ_IREQUIRE((which() == PeerDatagram::LIMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sapphirepass::wire::LimitGrant::Builder PeerDatagram::Builder::getLimitGrant() {
+  KJ_IREQUIRE((which() == PeerDatagram::LIMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::setLimitGrant( ::sapphirepass::wire::LimitGrant::Reader value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::LIMIT_GRANT);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sapphirepass::wire::LimitGrant::Builder PeerDatagram::Builder::initLimitGrant() {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::LIMIT_GRANT);
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerDatagram::Builder::adoptLimitGrant(
+    ::capnp::Orphan< ::sapphirepass::wire::LimitGrant>&& value) {
+  _builder.setDataField<PeerDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerDatagram::LIMIT_GRANT);
+  ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sapphirepass::wire::LimitGrant> PeerDatagram::Builder::disownLimitGrant() {
+  KJ_IREQUIRE((which() == PeerDatagram::LIMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sapphirepass::wire::LimitGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -48,6 +48,14 @@
     auto sendAsk(const Coordinator&, const RateAsk&) -> void override { }
 };
 
+// Keeps token requests for upstreams, for the test to answer.
+class KeptLimitAsks final : public LimitAskSender {
+public:
+    auto sendLimitAsk(const Coordinator&, const LimitAsk& ask) -> void override { asks_.push_back(ask); }
+
+    std::vector<LimitAsk> asks_;
+};
+
 // Advances between two readings, as a real clock does.
 class AdvancingClock final : public Clock {
 public:
@@ -117,6 +125,22 @@
         return response;
     }
 
+    // The upstream has just named a limit.
+    auto limit(const std::string& id, double perSecond) -> void { upstreams_.recordLimit(*upstreams_.byId().at(id), { perSecond, clock_.now() }); }
+    // Another instance coordinates all upstreams, as this one is not ready.
+    auto addCoordinator() -> void
+    {
+        MemberReport report;
+        report.name_ = "e2";
+        report.phase_ = MemberPhase::Ready;
+        fleet_.updateMember(report);
+    }
+    auto grantLastAsk(std::uint16_t granted) -> void
+    {
+        const auto ask = limitAsks_.asks_.back();
+        limits_.onGrant({ { ask.ask_.number_, ask.ask_.bucket_, granted, 300ms }, ask.notice_ });
+    }
+
     auto status() const -> unsigned { return answers_.empty() ? 0 : answers_.back().result_int(); }
     auto calls() const -> std::size_t { return caller_.calls().size(); }
 
@@ -127,6 +151,8 @@
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
     Placer placer_ { advancing_, upstreams_, fleet_, "north" };
     NoAskSender askSender_;
+    KeptLimitAsks limitAsks_;
+    UpstreamLimiter limits_ { clock_, alarms_, fleet_, upstreams_, limitAsks_, log_, 1 };
     RateLimiter rates_ { clock_, alarms_, fleet_, askSender_, { 5s, 0.1, 0 }, 0 };
     RetryLimiter retries_ { clock_, fleet_, { 0.2, 64, 10s } };
     CrashTracker crashes_ { clock_, fleet_ };
@@ -136,7 +162,7 @@
     standin::KeptLog log_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { advancing_, alarms_, names, nullptr, upstreams_, placer_, rates_, retries_, crashes_, split_, workTimes_, caller_, notices_, log_, metrics_ };
+    RequestContext context_ { advancing_, alarms_, names, nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, notices_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
@@ -572,3 +598,86 @@
     CHECK(statuses[500] < 12);
     CHECK(statuses[429] > 0);
 }
+
+TEST_CASE("an upstream whose limit has no room is passed over", "[request][upstream-limit]")
+{
+    Fixture fixture(2);
+    fixture.fleet_.setReady(true);
+    fixture.limit("u0", 0);
+    for (int i = 0; i < 8; ++i) {
+        fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+        CHECK(fixture.caller_.calls().back().upstream_->entry_.id_ == "u1");
+        fixture.caller_.finish(fixture.success());
+    }
+    CHECK(fixture.status() == 200);
+}
+
+TEST_CASE("a request is refused at once with a wait when all upstreams have used their limits", "[request][upstream-limit]")
+{
+    Fixture fixture(5);
+    fixture.fleet_.setReady(true);
+    for (int i = 0; i < 5; ++i)
+        fixture.limit(fmt::format("u{}", i), 0.3);
+    fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+    CHECK(fixture.status() == 503);
+    CHECK(fixture.calls() == 0);
+    CHECK(fixture.answers_.back().body().find("all-limited") != std::string::npos);
+    CHECK(fixture.answers_.back().body().find("\"executed\":\"no\"") != std::string::npos);
+    const auto wait = std::stod(std::string(fixture.answers_.back()[http::field::retry_after]));
+    CHECK(wait >= 0.15);
+    CHECK(wait <= 4);
+}
+
+TEST_CASE("a request waits for a token and is then sent, or placed elsewhere", "[request][upstream-limit]")
+{
+    Fixture fixture(2);
+    fixture.addCoordinator();
+    fixture.limit("u0", 3);
+    fixture.limit("u1", 3);
+    const auto handler = fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+    REQUIRE(fixture.limitAsks_.asks_.size() == 1);
+    REQUIRE(fixture.calls() == 0);
+    const auto first = fixture.limitAsks_.asks_.back().notice_.upstream_;
+    SECTION("with a token")
+    {
+        fixture.grantLastAsk(1);
+        REQUIRE(fixture.calls() == 1);
+        CHECK(fixture.caller_.calls().back().upstream_->entry_.id_ == first);
+    }
+    SECTION("without one, the next upstream is asked")
+    {
+        fixture.grantLastAsk(0);
+        REQUIRE(fixture.limitAsks_.asks_.size() == 2);
+        CHECK(fixture.limitAsks_.asks_.back().notice_.upstream_ != first);
+        fixture.grantLastAsk(1);
+        REQUIRE(fixture.calls() == 1);
+        CHECK(fixture.caller_.calls().back().upstream_->entry_.id_ != first);
+    }
+    SECTION("the upstream has left meanwhile")
+    {
+        fixture.upstreams_.recordLeaving(*fixture.upstreams_.byId().at(first));
+        fixture.grantLastAsk(1);
+        CHECK(fixture.calls() == 0);
+        fixture.grantLastAsk(1);
+        REQUIRE(fixture.calls() == 1);
+        CHECK(fixture.caller_.calls().back().upstream_->entry_.id_ != first);
+    }
+    SECTION("the caller has left meanwhile: the token serves the next request")
+    {
+        handler->cancel();
+        fixture.grantLastAsk(1);
+        CHECK(fixture.calls() == 0);
+        fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+        CHECK(fixture.calls() == 1);
+    }
+    SECTION("no answer comes")
+    {
+        fixture.alarms_.advance(300ms);
+        fixture.alarms_.advance(300ms);
+        CHECK(fixture.calls() == 0);
+        fixture.alarms_.advance(300ms);
+        fixture.alarms_.advance(300ms);
+        CHECK(fixture.status() == 503);
+        CHECK(fixture.answers_.back().body().find("\"executed\":\"no\"") != std::string::npos);
+    }
+}
--- a/tests/upstream_limit_test.cpp
+++ b/tests/upstream_limit_test.cpp
@@ -63,7 +63,7 @@
 
 }
 
-TEST_CASE("two instances together send an upstream no more than the limit that it names, and the rest elsewhere", "[upstream-limit][knownred]")
+TEST_CASE("two instances together send an upstream no more than the limit that it names, and the rest elsewhere", "[upstream-limit]")
 {
     const auto limit = GENERATE(as<std::string> {}, "4.9", "0.5", "0");
     CAPTURE(limit);
@@ -75,7 +75,7 @@
     CHECK(fixture.answered_ == 2 * manyRequests);
 }
 
-TEST_CASE("while the only upstream names a limit, requests beyond it are refused at once with a wait", "[upstream-limit][knownred]")
+TEST_CASE("while the only upstream names a limit, requests beyond it are refused at once with a wait", "[upstream-limit]")
 {
     LimitedUpstream fixture("0.5");
     fixture.store_.remove("servers", "i-2");
