Soak: upstreams name limits, in calm and amid faults

Every fourth upstream takes 20 requests a second from all gateways; in calm one names 4 and must get at most what the rule allows, and something. Responses that turn a request away carry the same notices as others.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -28,6 +28,8 @@
     constexpr auto calmTime = 7s;
     // For every gateway to get a response of each upstream.
     constexpr auto noticeTime = 1500ms;
+    constexpr auto limitTime = 4s;
+    constexpr int limitPerSecond = 4;
 
     auto now() -> Time { return std::chrono::steady_clock::now(); }
 
@@ -52,6 +54,7 @@
             endFaults();
             play(calmTime, false);
             checkCalm();
+            checkLimit();
             checkNotices();
             finishCallers();
             world_.checkAll();
@@ -254,6 +257,23 @@
             }
         }
 
+        // In calm, an upstream that names a limit gets no more than the rule allows from the gateways together.
+        auto checkLimit() -> void
+        {
+            auto& limited = *world_.servers_.front();
+            limited.limitPerSecond_ = limitPerSecond;
+            play(noticeTime, false);
+            const auto arrivals = limited.arrivals_;
+            play(limitTime, false);
+            const auto taken = limited.arrivals_ - arrivals;
+            const auto allowed = limitPerSecond * 3 / 2 * static_cast<int>(limitTime / 1s) + 5;
+            if (taken > allowed)
+                world_.violations_.add(fmt::format("{} requests reached an upstream that had named a limit; {} allowed", taken, allowed));
+            if (taken == 0)
+                world_.violations_.add("an upstream that had named a limit got nothing");
+            limited.limitPerSecond_ = 0;
+        }
+
         // In calm, an upstream that says that it leaves, or asks for a pause, gets hardly more than one request of each gateway.
         auto checkNotices() -> void
         {
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -79,6 +79,8 @@
 {
     auto server = std::make_shared<Server>();
     server->id_ = fmt::format("u{}", ++lastServer_);
+    // Every fourth one is in need.
+    server->limitPerSecond_ = lastServer_ % 4 == 0 ? 20 : 0;
     auto* raw = server.get();
     server->upstream_ = std::make_unique<standin::LoopServer>(loop_, [this, raw](int, const std::string& request) { return runOne(*raw, request); });
     server->proxy_ = std::make_unique<FaultProxy>(loop_, server->upstream_->address());
@@ -114,8 +116,11 @@
     if (headerOf(request, "Expected-Instance") != server.id_)
         return { "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n" };
     ++server.arrivals_;
+    std::string notices = server.isLeaving_ ? "Server-Leaving: 1\r\n" : "";
+    if (server.limitPerSecond_ > 0)
+        notices += fmt::format("Server-Limit: {}\r\n", server.limitPerSecond_);
     if (server.isPausing_)
-        return { fmt::format("HTTP/1.1 503 -\r\nAttempt-Id: {}\r\nNot-Executed: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n", attempt) };
+        return { fmt::format("HTTP/1.1 503 -\r\nAttempt-Id: {}\r\nNot-Executed: 1\r\nRetry-After: 30\r\n{}Content-Length: 0\r\n\r\n", attempt, notices) };
     const auto found = attempts_.find(attempt);
     if (found == attempts_.end()) {
         violations_.add("an upstream ran an attempt that nobody sent");
@@ -132,7 +137,7 @@
         violations_.add("an upstream was shown a key");
     ++record.runs_;
     const auto body = bodyOf(attempt);
-    return { fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: made\r\n{}Keep-Alive: timeout=4\r\nContent-Length: {}\r\n\r\n{}", attempt, server.isLeaving_ ? "Server-Leaving: 1\r\n" : "", body.size(), body), standin::AfterBytes::Keep, std::chrono::milliseconds(10 + random(40)) };
+    return { fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: made\r\n{}Keep-Alive: timeout=4\r\nContent-Length: {}\r\n\r\n{}", attempt, notices, body.size(), body), standin::AfterBytes::Keep, std::chrono::milliseconds(10 + random(40)) };
 }
 
 auto World::checkAll() -> void
--- a/soak/world.h
+++ b/soak/world.h
@@ -37,6 +37,8 @@
     bool isLeaving_ = false;
     // Turns all requests away and asks for a pause of several seconds.
     bool isPausing_ = false;
+    // Requests a second that it takes from all gateways, as it says in its responses; 0 for no limit.
+    int limitPerSecond_ = 0;
     int arrivals_ = 0;
     std::unique_ptr<standin::LoopServer> upstream_;
     std::unique_ptr<FaultProxy> proxy_;
