A coordinator that does not answer holds up one request a second, not each

Cause: token requests for a limited upstream are repeated once and given up after 240 ms; until a lost coordinator counts as silent (2 s), every request whose first choice is that upstream would wait so long and then go elsewhere. Found by reading. Change: a verdict tells that no coordinator answered; the upstream's bucket is then left alone for a second, its requests go to the next upstream at once. Rates of workspaces are not changed: there the alternative is a refusal.

--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -73,6 +73,8 @@
         return "local";
     case TokenSource::Denied:
         return "denied";
+    case TokenSource::Unanswered:
+        return "unanswered";
     }
     return "";
 }
@@ -196,7 +198,7 @@
 {
     const auto coordinator = fleet_.coordinatorOf(bucket);
     if (!coordinator || !fleet_.hasQuorum())
-        return settleWaiting(state, false, minRetryAfter);
+        return settleWaiting(state, false, minRetryAfter, TokenSource::Unanswered);
     state.pendingAsk_ = ++lastAskNumber_;
     state.wanted_ = wanted(state);
     const RateAsk message { state.pendingAsk_, bucket, static_cast<std::uint16_t>(state.wanted_) };
@@ -213,7 +215,7 @@
     const auto coordinator = fleet_.coordinatorOf(bucket);
     if (!coordinator || coordinator->name_ == fleet_.self() || state.askAttempts_ >= maxAskAttempts) {
         state.pendingAsk_ = 0;
-        return settleWaiting(state, false, minRetryAfter);
+        return settleWaiting(state, false, minRetryAfter, TokenSource::Unanswered);
     }
     ++state.askAttempts_;
     // Repeated under the same number: the coordinator grants it once, and a second answer is ignored.
@@ -241,7 +243,7 @@
         ask(grant.bucket_, state);
 }
 
-auto RateLimiter::settleWaiting(BucketState& state, bool expectsMoreTokens, Duration retryAfter) -> void
+auto RateLimiter::settleWaiting(BucketState& state, bool expectsMoreTokens, Duration retryAfter, TokenSource denial) -> void
 {
     auto waiting = std::exchange(state.waiting_, {});
     while (!waiting.empty() && takeGranted(state)) {
@@ -254,7 +256,7 @@
         return;
     }
     for (const auto& done : waiting)
-        done({ false, TokenSource::Denied, recordDenial(state, retryAfter), {} });
+        done({ false, denial, recordDenial(state, retryAfter), {} });
 }
 
 // Assumes that the overload lasts as long again as it has lasted so far; callers that retry sooner would be denied
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -28,7 +28,9 @@
     Granted,
     // This instance's part of the even split.
     Local,
-    Denied };
+    Denied,
+    // The coordinator did not answer, or none is known.
+    Unanswered };
 
 // For the log.
 auto tokenSourceName(TokenSource source) -> std::string_view;
@@ -127,7 +129,7 @@
     auto takeShared(BucketState& state, int wanted) -> int;
     auto findPastGrant(const RateAsk& ask) -> std::optional<RateGrant>;
     // Admits waiting requests with granted tokens; denies the rest unless more tokens are expected.
-    auto settleWaiting(BucketState& state, bool expectsMoreTokens, Duration retryAfter) -> void;
+    auto settleWaiting(BucketState& state, bool expectsMoreTokens, Duration retryAfter, TokenSource denial = TokenSource::Denied) -> void;
     // Returns the delay after which the denied caller should retry.
     auto recordDenial(BucketState& state, Duration minDelay) -> Duration;
     auto wanted(const BucketState& state) const -> int;
--- a/src/gateway/upstream_limiter.cpp
+++ b/src/gateway/upstream_limiter.cpp
@@ -18,6 +18,8 @@
     constexpr Duration bucketRetention = 1min;
     // How long the end of a limit is told to the others: several heartbeats, of which some may be lost.
     constexpr Duration endedRetention = 5s;
+    // Pause after a coordinator did not answer: requests would else wait for it, one after the other, until it counts as lost.
+    constexpr Duration silencePause = 1s;
     // Keeps a heartbeat within one packet.
     constexpr std::size_t maxNotices = 20;
 
@@ -89,7 +91,20 @@
     if (!isLimited(upstream))
         return done({});
     const auto& bucket = bucketOf(upstream.entry_.id_, upstream.entry_.startTimeMs_);
-    tokens_.admit(bucketName(bucket.upstream_, bucket.startTimeMs_), rateOf(bucket.limit_), std::move(done));
+    if (clock_.now() < bucket.silentUntil_)
+        return done({ false, TokenSource::Unanswered, bucket.silentUntil_ - clock_.now(), {} });
+    const auto name = bucketName(bucket.upstream_, bucket.startTimeMs_);
+    tokens_.admit(name, rateOf(bucket.limit_), [this, name, done = std::move(done)](const RateVerdict& verdict) {
+        onVerdict(name, verdict);
+        done(verdict);
+    });
+}
+
+auto UpstreamLimiter::onVerdict(const std::string& name, const RateVerdict& verdict) -> void
+{
+    const auto found = buckets_.find(name);
+    if (found != buckets_.end() && verdict.source_ == TokenSource::Unanswered)
+        found->second.silentUntil_ = clock_.now() + silencePause;
 }
 
 auto UpstreamLimiter::returnToken(const Upstream& upstream, const RateVerdict& verdict) -> void
--- a/src/gateway/upstream_limiter.h
+++ b/src/gateway/upstream_limiter.h
@@ -44,11 +44,14 @@
         // The latest limit known; of an upstream that is not listed here, from the others' token requests.
         NamedLimit limit_;
         MonotonicTime usedAt_ {};
+        // Its coordinator has not answered; it is asked again then.
+        MonotonicTime silentUntil_ {};
     };
 
     auto sendAsk(const Coordinator& coordinator, const RateAsk& ask) -> void override;
     // Takes over the limit if it is later than the known one; returns the bucket with the latest.
     auto record(const LimitNotice& notice) -> Bucket&;
+    auto onVerdict(const std::string& name, const RateVerdict& verdict) -> void;
     auto bucketOf(const std::string& upstream, std::int64_t startTimeMs) -> Bucket&;
     // The upstream as it is listed under this start; null if it is not.
     auto findListed(const std::string& upstream, std::int64_t startTimeMs) const -> UpstreamPtr;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -678,6 +678,11 @@
         fixture.alarms_.advance(300ms);
         fixture.alarms_.advance(300ms);
         CHECK(fixture.status() == 503);
+        // Both coordinators are silent; the next request does not wait for them.
+        const auto asks = fixture.limitAsks_.asks_.size();
+        fixture.start(fixture.request("/order/2", "secret", http::verb::post));
+        CHECK(fixture.answers_.size() == 2);
+        CHECK(fixture.limitAsks_.asks_.size() == asks);
         CHECK(fixture.answers_.back().body().find("\"executed\":\"no\"") != std::string::npos);
     }
 }
