Responses without end are given up within the memory of the instance

Cause: each response could grow to 32 MB, with no bound over all connections; a chunk extension or trailers grew in the read buffer without any bound; interim responses and responses to other requests were read until the request's deadline. Change: ResponseBudget bounds the bytes of all responses that arrive by a quarter of the process's memory (new setting, from the platform's field); each may hold as many as are still free, so that small ones always find room. A head, chunk header or trailer that goes on for 64 KB, more than 32 responses before the awaited one, and more than 8 MB of the store's or 16 KB of a health answer are given up as well. The connection is closed, the request is handled like any broken answer, counted by reason. Weighed: a fixed smaller bound for each response (refuses large ones that would fit, and fails for many at once), giving up the largest when the total is full (needs a list of all, and callbacks between channels).

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -250,6 +250,8 @@
     const bool sent = error.kind_ != TransportErrorKind::NotSent;
     context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, error.kind_ == TransportErrorKind::InvalidResponse ? AttemptHealth::Failed : AttemptHealth::Lost);
     context_.log_.write(EventId::AttemptLost, { { "request", metadata_.attempt_ }, { "upstream", lastAttempt_.upstream_->entry_.id_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - lastAttempt_.at_) } });
+    if (error.kind_ == TransportErrorKind::InvalidResponse)
+        context_.metrics_.increment({ "gateway_responses_invalid_total", fmt::format("reason=\"{}\"", error.reason_) });
     query_.tried_.push_back(lastAttempt_.upstream_->entry_.id_);
     if (!sent) {
         --sends_;
--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -9,14 +9,15 @@
 
 namespace {
     constexpr std::size_t readBytes = 32 * 1024;
-    // The platform's answers hold a list of about a megabyte at most.
-    constexpr std::uint64_t mostAnswerBytes = 8 * 1024 * 1024;
+    // A status line, header, chunk header or trailer that is longer can't be read. Complete ones are read as they arrive.
+    constexpr std::size_t maxUnparsedBytes = 64 * 1024;
 }
 
-CallChannel::CallChannel(asio::io_context& loop, SocketAddress server)
+CallChannel::CallChannel(asio::io_context& loop, SocketAddress server, std::uint64_t maxBodyBytes)
     : socket_(loop)
     , timer_(loop)
     , server_(std::move(server))
+    , maxBodyBytes_(maxBodyBytes)
 {
 }
 
@@ -71,7 +72,7 @@
     isSent_ = true;
     parser_.emplace();
     parser_->eager(true);
-    parser_->body_limit(mostAnswerBytes);
+    parser_->body_limit(maxBodyBytes_);
     asio::async_write(socket_, asio::buffer(bytes_), [self = shared_from_this(), number = number_](NetError error, std::size_t) {
         if (error && number == self->number_ && self->done_)
             self->fail(error.message());
@@ -95,7 +96,7 @@
     if (const auto failure = parseArrived(*parser_, buffer_))
         return fail(failure.message());
     if (!parser_->is_done())
-        return readMore();
+        return buffer_.size() > maxUnparsedBytes ? fail("header too large") : readMore();
     timer_.cancel();
     if (!parser_->keep_alive() || buffer_.size() > 0) {
         isConnected_ = false;
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -30,9 +30,13 @@
 
 class CallChannel : public std::enable_shared_from_this<CallChannel> {
 public:
+    // The platform's answers hold a list of about a megabyte at most.
+    static constexpr std::uint64_t defaultMaxBodyBytes = 8 * 1024 * 1024;
+
     using Done = std::function<void(CallResult)>;
 
-    CallChannel(asio::io_context& loop, SocketAddress server);
+    // Answers with longer bodies are given up.
+    CallChannel(asio::io_context& loop, SocketAddress server, std::uint64_t maxBodyBytes = defaultMaxBodyBytes);
 
     // Calls go to another server from now on; the connection to the one before ends.
     auto setServer(const SocketAddress& server) -> void;
@@ -51,6 +55,7 @@
     Tcp::socket socket_;
     asio::steady_timer timer_;
     SocketAddress server_;
+    std::uint64_t maxBodyBytes_;
     std::optional<HttpRequest> request_;
     std::string bytes_;
     Done done_;
--- a/src/loop/cold_prober.cpp
+++ b/src/loop/cold_prober.cpp
@@ -10,6 +10,9 @@
     // A health request waits for a slot like any other; what comes later says little.
     constexpr Duration probeLimit = 800ms;
 
+    // A health answer says what it says in its head.
+    constexpr std::uint64_t maxAnswerBytes = 16 * 1024;
+
     auto coldLeftIn(const HttpResponse& response, const std::string& header) -> Duration
     {
         const auto value = response[header];
@@ -54,7 +57,7 @@
     if (!probe.channel_ || probe.address_ != entry.address_) {
         if (probe.channel_)
             probe.channel_->stop();
-        probe = { std::make_shared<CallChannel>(loop_, entry.address_), entry.address_ };
+        probe = { std::make_shared<CallChannel>(loop_, entry.address_, maxAnswerBytes), entry.address_ };
     }
     if (probe.isWaiting_)
         return;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -45,6 +45,16 @@
         return {};
     }
 
+    // A quarter of the memory for the bytes of responses: strings that grow take twice as much at times, and the rest serves
+    // everything else.
+    constexpr std::size_t responseMemoryParts = 4;
+    constexpr std::size_t guaranteedResponseBytes = 16 * 1024;
+
+    auto responseBounds(const GatewaySettings& settings) -> ResponseBounds
+    {
+        return { static_cast<std::size_t>(settings.memoryMb_) * 1024 * 1024 / responseMemoryParts, guaranteedResponseBytes };
+    }
+
     auto asMetric(std::uint64_t value) -> std::int64_t { return static_cast<std::int64_t>(value); }
 }
 
@@ -97,7 +107,7 @@
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
-    , pool_(loop, clock, adapter_.headers_, [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); })
+    , pool_(loop, clock, adapter_.headers_, responseBounds(settings_), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); })
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, notices_, log_, metrics_ }
@@ -196,6 +206,7 @@
     metrics_.set({ "gateway_connections_open", {} }, asMetric(front_.openCount()));
     metrics_.set({ "gateway_upstream_connections_opened_total", {} }, asMetric(pool_.counts().opened_));
     metrics_.set({ "gateway_upstream_connections_reused_total", {} }, asMetric(pool_.counts().reused_));
+    metrics_.set({ "gateway_response_bytes_held", {} }, asMetric(pool_.heldBytes()));
     metrics_.set({ "gateway_store_calls_total", {} }, asMetric(adapter_.source_->calls()));
     metrics_.set({ "gateway_upstream_health_requests_total", {} }, asMetric(coldProber_.count()));
     metrics_.set({ "gateway_declaration_version", {} }, asMetric(context_.index_ ? context_.index_->declaration().version_ : 0));
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -16,8 +16,9 @@
     // A connection across regions takes a tenth of this; an upstream that needs longer is as good as gone.
     constexpr Duration connectLimit = 400ms;
     constexpr std::size_t readBytes = 16 * 1024;
-    // Larger answers are not kept in memory.
-    constexpr std::uint64_t mostAnswerBytes = 32 * 1024 * 1024;
+    // A status line, header, chunk header or trailer that is longer can't be read. Complete ones are read as they arrive.
+    constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+    constexpr int maxSkippedResponses = 32;
     // Part of the stated idle time in which a connection is reused, so that its close never crosses a request.
     constexpr double idlePart = 0.5;
     // Where the upstream states no time.
@@ -42,12 +43,14 @@
     }
 }
 
-UpstreamChannel::UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse)
+UpstreamChannel::UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBudget& budget, LateResponse onLateResponse)
     : socket_(loop)
     , timer_(loop)
     , clock_(clock)
     , names_(names)
     , onLateResponse_(std::move(onLateResponse))
+    , budget_(budget)
+    , held_(budget)
 {
 }
 
@@ -84,6 +87,7 @@
 
 auto UpstreamChannel::writeRequest() -> void
 {
+    skippedResponses_ = 0;
     newParser();
     head_ = renderHead(*request_);
     isWriting_ = true;
@@ -103,7 +107,7 @@
 {
     parser_.emplace();
     parser_->eager(true);
-    parser_->body_limit(mostAnswerBytes);
+    parser_->body_limit(budget_.maxResponse());
     if (request_->method() == http::verb::head)
         parser_->skip(true);
 }
@@ -135,11 +139,29 @@
 {
     if (const auto error = parseArrived(*parser_, buffer_))
         return lose(TransportErrorKind::InvalidResponse, error.message());
+    if (auto excess = findExcess(); !excess.empty())
+        return lose(TransportErrorKind::InvalidResponse, std::move(excess));
     if (!parser_->is_done())
         return readMore();
     onWholeResponse();
 }
 
+auto UpstreamChannel::findExcess() -> std::string
+{
+    if (!held_.set(parser_->get().body().size() + buffer_.size()))
+        return "response-too-large";
+    if (!parser_->is_done() && buffer_.size() > maxUnparsedBytes)
+        return "header-too-large";
+    return skippedResponses_ > maxSkippedResponses ? "too-many-responses" : "";
+}
+
+auto UpstreamChannel::skipResponse() -> void
+{
+    ++skippedResponses_;
+    newParser();
+    parseBuffer();
+}
+
 // An answer without a length ends with its connection, if that ends in order.
 auto UpstreamChannel::onEnd(NetError error) -> void
 {
@@ -159,10 +181,8 @@
     const auto& response = parser_->get();
     const auto status = response.result_int();
     const bool ended = !isOpen_ || parser_->need_eof();
-    if (status / 100 == 1) {
-        newParser();
-        return parseBuffer();
-    }
+    if (status / 100 == 1)
+        return skipResponse();
     const boost::beast::string_view name { names_.attempt_.data(), names_.attempt_.size() };
     const auto echoed = response[name];
     // Late answers to earlier requests come first; what the id names belongs to this one.
@@ -171,8 +191,7 @@
         onLateResponse_(response);
         if (ended)
             return lose(TransportErrorKind::InvalidResponse, "answer-of-another-request");
-        newParser();
-        return parseBuffer();
+        return skipResponse();
     }
     if (echoed.empty() && status / 100 == 2)
         return lose(TransportErrorKind::InvalidResponse, "answer-without-id");
@@ -205,6 +224,7 @@
     const auto done = std::move(done_);
     done_ = nullptr;
     request_.reset();
+    held_.release();
     if (isReusable) {
         readMore();
     } else {
@@ -220,6 +240,7 @@
 {
     done_ = nullptr;
     isOpen_ = false;
+    held_.release();
     timer_.cancel();
     closeQuietly(socket_);
 }
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/header_names.h"
+#include "gateway/response_budget.h"
 #include "gateway/upstream_caller.h"
 #include "loop/net_type.h"
 
@@ -16,7 +17,7 @@
     // Gets responses to earlier requests, which are passed over otherwise.
     using LateResponse = std::function<void(const HttpResponse&)>;
 
-    UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse);
+    UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBudget& budget, LateResponse onLateResponse);
 
     auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
     auto send(std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
@@ -38,7 +39,10 @@
     auto parseBuffer() -> void;
     auto onEnd(NetError error) -> void;
     auto newParser() -> void;
+    // Whether what has arrived of the response is too large, or it goes on without getting anywhere. Empty if not.
+    auto findExcess() -> std::string;
     auto onWholeResponse() -> void;
+    auto skipResponse() -> void;
     auto lose(TransportErrorKind kind, std::string reason) -> void;
     auto tell(AttemptOutcome outcome, bool isReusable) -> void;
     auto keptFor(const HttpResponse& response) const -> Duration;
@@ -48,6 +52,8 @@
     const Clock& clock_;
     const HeaderNames& names_;
     LateResponse onLateResponse_;
+    ResponseBudget& budget_;
+    ResponseHold held_;
     std::shared_ptr<const OutgoingRequest> request_;
     std::string head_;
     Done done_;
@@ -58,6 +64,8 @@
     bool isWriting_ = false;
     // An answer to another request came on it: it carries no further one.
     bool isTainted_ = false;
+    // Interim responses and those to earlier requests that came before the one awaited.
+    int skippedResponses_ = 0;
     MonotonicTime idleUntil_ {};
 };
 
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -27,10 +27,11 @@
     };
 }
 
-UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse)
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse)
     : loop_(loop)
     , clock_(clock)
     , names_(names)
+    , budget_(bounds)
     , onLateResponse_(std::move(onLateResponse))
 {
 }
@@ -61,7 +62,7 @@
     auto channel = takeIdle(upstream);
     const bool reused = channel != nullptr;
     if (!reused)
-        channel = std::make_shared<UpstreamChannel>(loop_, clock_, names_, [this, upstream](const HttpResponse& response) { onLateResponse_(*upstream, response); });
+        channel = std::make_shared<UpstreamChannel>(loop_, clock_, names_, budget_, [this, upstream](const HttpResponse& response) { onLateResponse_(*upstream, response); });
     auto attempt = std::make_unique<ChannelAttempt>(channel);
     const auto onDone = [this, upstream, channel, over = attempt->overFlag(), done = std::move(done)](AttemptOutcome outcome, bool isReusable) {
         *over = true;
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/header_names.h"
+#include "gateway/response_budget.h"
 #include "gateway/upstream_caller.h"
 #include "loop/net_type.h"
 
@@ -22,7 +23,7 @@
     // Gets responses to requests whose attempts are over.
     using LateResponse = std::function<void(Upstream&, const HttpResponse&)>;
 
-    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, LateResponse onLateResponse);
+    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse);
     ~UpstreamPool() override;
     UpstreamPool(const UpstreamPool&) = delete;
     auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
@@ -31,6 +32,8 @@
     // Closes connections that have been idle for too long or whose upstream is retired.
     auto sweep() -> void;
     auto counts() const -> const PoolCounts& { return counts_; }
+    // Bytes of responses that are arriving.
+    auto heldBytes() const -> std::size_t { return budget_.held(); }
     auto idleCount() const -> std::size_t;
     // Takes a channel back whose last answer allows another request.
     auto keep(const UpstreamPtr& upstream, std::shared_ptr<UpstreamChannel> channel) -> void;
@@ -43,6 +46,7 @@
     asio::io_context& loop_;
     const Clock& clock_;
     const HeaderNames& names_;
+    ResponseBudget budget_;
     LateResponse onLateResponse_;
     std::map<UpstreamPtr, Idle> idle_;
     PoolCounts counts_;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -48,6 +48,7 @@
         Row { "retries", valueField<&Settings::retryRatio_>("ratio", optional, "retries per request, 0 to 10", Bounds { 0, 10 }) },
         Row { "retries", valueField<&Settings::retrySlack_>("slack", optional, "retries, 0 to 1000000", Bounds { 0, 1'000'000 }) },
         Row { "retries", valueField<&Settings::retryWindow_>("window", optional, shortTimeExpected, shortTime) },
+        Row { "memory", valueField<&Settings::memoryMb_>("process-mb", optional, "megabytes, 32 to 1000000", Bounds { 32, 1'000'000 }) },
         Row { "log", valueField<&Settings::logBytesPerSecond_>("bytes-per-second", optional, "bytes, 1024 to 10000000", Bounds { 1'024, 10'000'000 }) },
         Row { "log", valueField<&Settings::logSuccessSample_>("success-sample", optional, "one of so many, 1 to 1000000", Bounds { 1, 1'000'000 }) },
     };
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -43,6 +43,8 @@
     std::int64_t logBytesPerSecond_ = 24 * 1024;
     // One ordinary success of so many is logged.
     std::int64_t logSuccessSample_ = 100;
+    // Memory that the process may use.
+    std::int64_t memoryMb_ = 256;
     // Region of each failure domain.
     std::map<std::string, std::string> domains_;
 
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -51,7 +51,7 @@
 
     asio::io_context loop_;
     SystemClock clock_;
-    UpstreamPool pool_ { loop_, clock_, names, [this](Upstream&, const HttpResponse&) { ++lateResponses_; } };
+    UpstreamPool pool_ { loop_, clock_, names, { 1'000'000, 0 }, [this](Upstream&, const HttpResponse&) { ++lateResponses_; } };
     int lateResponses_ = 0;
     UpstreamPtr upstream_ = std::make_shared<Upstream>();
     LoopServer server_;
@@ -165,7 +165,7 @@
 {
     asio::io_context loop;
     SystemClock clock;
-    UpstreamPool pool(loop, clock, names, [](Upstream&, const HttpResponse&) {});
+    UpstreamPool pool(loop, clock, names, { 1'000'000, 0 }, [](Upstream&, const HttpResponse&) {});
     const auto upstream = std::make_shared<Upstream>();
     upstream->entry_.address_ = freeAddress(loop);
     std::optional<AttemptOutcome> outcome;
