Only what discovery tells is named to others as cold

Since, while some instances have lost the store, the others name them cold upstreams; they named their own suspicions too (two lost responses in a row count as a crash), so that one instance's lost responses put an upstream on the pace of a cold one at every instance. Told back and forth, cold times also grew by the time of each message. Change: the time that discovery itself has told is kept apart, and only that is named to others. Measured: the two new cases failed before (45 checks), 33 cases on cold upstreams, placing and restores pass now.

--- a/src/gateway/cold_detector.cpp
+++ b/src/gateway/cold_detector.cpp
@@ -75,8 +75,8 @@
     if (fleet_.isOwnSourceLost() || !fleet_.isAnyPeerSourceLost())
         return notices;
     for (const auto& [id, upstream] : upstreams_.byId()) {
-        if (upstream->coldUntil_ > now && !reportedUntil_.contains(id) && fleet_.coldSenderCount(id, maxReporters))
-            add(id, upstream->coldUntil_);
+        if (!reportedUntil_.contains(id) && fleet_.coldSenderCount(id, maxReporters))
+            add(id, upstream->listedColdUntil_);
     }
     return notices;
 }
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -96,6 +96,7 @@
             retire(*slot);
         slot = makeUpstream(entry);
     }
+    slot->listedColdUntil_ = now + entry.coldLeft_;
     if (!sameStart && entry.coldLeft_ > Duration::zero())
         slot->coldUntil_ = now + entry.coldLeft_;
     else
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -34,6 +34,8 @@
     ReportedLoad load_;
     MonotonicTime loadAt_ {};
     MonotonicTime coldUntil_ {};
+    // The part of it that discovery has told this instance itself, without what it has seen or heard from others.
+    MonotonicTime listedColdUntil_ {};
     // Outlier ejection after lost connections: until then, only used if no healthy upstream is left.
     MonotonicTime ejectedUntil_ {};
     int consecutiveLosses_ = 0;
--- a/tests/gateway_cold_detector_test.cpp
+++ b/tests/gateway_cold_detector_test.cpp
@@ -225,6 +225,52 @@
     }
 }
 
+// Lost responses made every instance hold back from upstreams that were warm.
+TEST_CASE("what an instance only suspects to be cold is not named to the others", "[cold-watch]")
+{
+    Fleet fleet(12);
+    fleet.sourceLost_.insert("e0");
+    fleet.exchangeHeartbeats();
+    for (const auto& instance : fleet.instances_)
+        instance->upstreams_.setColdDuration("s", 3s);
+    auto& suspecting = *fleet.instances_[GENERATE(range(1, 12))];
+    suspecting.upstreams_.noteAttempt(suspecting.upstream(), AttemptHealth::Lost);
+    suspecting.upstreams_.noteAttempt(suspecting.upstream(), AttemptHealth::Lost);
+    REQUIRE(suspecting.upstream().coldUntil_ > fleet.clock_.now());
+    fleet.exchangeHeartbeats();
+    for (const auto& instance : fleet.instances_) {
+        if (instance.get() != &suspecting)
+            CHECK(instance->upstream().coldUntil_ <= fleet.clock_.now());
+    }
+}
+
+TEST_CASE("the time for which an upstream is cold does not grow as instances tell it to each other", "[cold-watch]")
+{
+    Fleet fleet(12);
+    fleet.sourceLost_.insert("e0");
+    fleet.exchangeHeartbeats();
+    auto cold = entry("u");
+    cold.coldLeft_ = 3s;
+    for (const auto& instance : fleet.instances_) {
+        if (!fleet.sourceLost_.contains(instance->fleet_.self()))
+            instance->upstreams_.put(cold);
+    }
+    // A notice takes some time, by which it seems to end later.
+    for (int i = 0; i < 14; ++i) {
+        std::vector<std::vector<ColdNotice>> sent;
+        for (const auto& instance : fleet.instances_)
+            sent.push_back(instance->detector_.activeNotices());
+        fleet.clock_.advance(200ms);
+        for (const auto& notices : sent) {
+            for (const auto& receiver : fleet.instances_)
+                receiver->detector_.applyNotices(notices);
+        }
+    }
+    fleet.clock_.advance(500ms);
+    for (const auto& instance : fleet.instances_)
+        CHECK(instance->upstream().coldUntil_ <= fleet.clock_.now());
+}
+
 TEST_CASE("nobody names cold upstreams while all instances reach the store", "[cold-watch]")
 {
     Fleet fleet(5);
--- a/tests/upstream_limiter_test.cpp
+++ b/tests/upstream_limiter_test.cpp
@@ -20,7 +20,7 @@
 constexpr Duration toldFor = 500ms;
 constexpr Duration window = 4s;
 
-const HeaderNames& headerNames()
+auto headerNames() -> const HeaderNames&
 {
     static const HeaderNames names = [] {
         HeaderNames result;
