Model check of restores: a response on the spot is told apart from an earlier one

Cause: of ten mutations of the sources one was not caught (notices copied instead of shared). The exploration takes two orders for the same that leave the same inputs; an attempt that is sent and answered in one step left no input for its sending, so the order that breaks passed for one that doesn't. Change: it does.

--- a/tests/restore_model_test.cpp
+++ b/tests/restore_model_test.cpp
@@ -133,7 +133,7 @@
             { "sync", [](const Model& m) { return m.follower_.known_ != m.listStore(); }, [](Model& m) { m.ask(m.listStore()); m.deliver(); } },
             { "sync from watcher", [](const Model& m) { return m.follower_.known_ != m.watcher_.known_; }, [](Model& m) { m.ask(m.watcher_.known_); m.deliver(); } },
             { "send", [](const Model& m) { return !m.follower_.held_ && m.follower_.isUsed(); }, [](Model& m) { m.follower_.held_ = m.follower_.current(); m.follower_.inputs_ += "s;"; } },
-            { "send, respond leaving", [](const Model& m) { return m.follower_.isUsed() && m.follower_.current()->entry_.startTimeMs_ == m.start_; }, [](Model& m) { m.follower_.held_ = m.follower_.current(); m.respondLeaving(); } },
+            { "send, respond leaving", [](const Model& m) { return m.follower_.isUsed() && m.follower_.current()->entry_.startTimeMs_ == m.start_; }, [](Model& m) { m.follower_.held_ = m.follower_.current(); m.follower_.inputs_ += "s;"; m.respondLeaving(); } },
             { "respond leaving", [](const Model& m) { return m.follower_.held_ && m.follower_.held_->entry_.startTimeMs_ == m.start_; }, [](Model& m) { m.respondLeaving(); } },
             { "time", [](const Model&) { return true; }, [](Model& m) { m.pass(6s); } },
         };
