--- a/src/gateway/limit_notice.h
+++ b/src/gateway/limit_notice.h
@@ -13,13 +13,13 @@
     std::int64_t startTimeMs_ = 0;
     // Requests per second from all instances together; empty if the upstream names none any more.
     std::optional<double> perSecond_;
-    // Since the request was sent whose response told so.
+    // Age of the observation, counted from the sending of its request.
     std::chrono::milliseconds age_ {};
 
     auto operator<=>(const LimitNotice&) const = default;
 };
 
-// Requests tokens for an upstream; only tells the limit if none are wanted.
+// Requests tokens for an upstream. If none are wanted, it only announces the limit.
 struct LimitAsk {
     RateAsk ask_;
     LimitNotice notice_;
--- a/src/gateway/notice_recorder.h
+++ b/src/gateway/notice_recorder.h
@@ -16,8 +16,8 @@
     // onLimitChanged is called after the limit of an upstream has changed.
     NoticeRecorder(UpstreamSet& upstreams, const HeaderNames& names, DecisionLog& log, LimitListener onLimitChanged = {});
 
-    // sentAt is when the request was sent that the response answers. A response to an unknown request tells nothing about
-    // the limit of its upstream, as it may be older than what is known.
+    // sentAt is the send time of the request that the response answers, empty if unknown. A response to an unknown request
+    // does not change the limit of its upstream, as it may be older than the known one.
     auto record(Upstream& upstream, const UpstreamResponse& response, std::optional<MonotonicTime> sentAt) -> void;
 
 private:
--- a/src/gateway/response_budget.h
+++ b/src/gateway/response_budget.h
@@ -15,8 +15,8 @@
     auto operator<=>(const ResponseBounds&) const = default;
 };
 
-// A response may hold as many bytes as are still free. So one alone gets half of the total, and many large ones get little
-// each, but there is always room for a small one (dynamic thresholds; Choudhury and Hahne, 1998).
+// Each response may hold as many bytes as are still free: one alone up to half of the total, many large ones little each, and
+// there is always room for a small one (dynamic thresholds; Choudhury and Hahne, 1998).
 class ResponseBudget {
 public:
     explicit ResponseBudget(ResponseBounds bounds)
--- a/src/gateway/start_notices.h
+++ b/src/gateway/start_notices.h
@@ -10,7 +10,7 @@
 struct NamedLimit {
     // Requests per second that the upstream takes from all instances together; empty if it names none.
     std::optional<double> perSecond_;
-    // When the request was sent whose response told so.
+    // Send time of the request whose response this was read from.
     MonotonicTime observedAt_ {};
 
     auto operator<=>(const NamedLimit&) const = default;
--- a/src/gateway/upstream_limiter.cpp
+++ b/src/gateway/upstream_limiter.cpp
@@ -8,17 +8,16 @@
 using namespace std::chrono_literals;
 
 namespace {
-    // Upstreams bear one and a half times their limit over four seconds, and five requests more. Half of what lies beyond
-    // the limit is left for tokens that are used late and for coordinators that change.
+    // Within 4 s an upstream may get half of its limit and five requests in excess. The buckets use half of this excess;
+    // the rest covers granted tokens that are used late and changes of the coordinator.
     constexpr RateTolerance tolerance { 4s, 0.25, 2.5 };
-    // An upstream that takes next to nothing still gets a request now and then: only a response shows that its limit has
-    // ended.
+    // Upstreams with a lower limit still get a request every few seconds, as only a response shows that the limit has ended.
     constexpr double minPerSecond = 0.25;
     // Buckets that were not used for this long are forgotten; longer than a token request takes.
     constexpr Duration bucketRetention = 1min;
-    // How long the end of a limit is told to the others: several heartbeats, of which some may be lost.
+    // How long the end of a limit is announced: several heartbeats, of which some may be lost.
     constexpr Duration endedRetention = 5s;
-    // Pause after a coordinator did not answer: requests would else wait for it, one after the other, until it counts as lost.
+    // Pause after a coordinator did not answer. Otherwise each request would wait for it until it counts as silent.
     constexpr Duration silencePause = 1s;
     // Keeps a heartbeat within one packet.
     constexpr std::size_t maxNotices = 20;
@@ -61,8 +60,8 @@
     return bucket;
 }
 
-// The age of a notice grows by its time in transit only at the receiver, so one that is passed back and forth would seem
-// ever newer. One that changes nothing therefore leaves the time of the known one as it is.
+// The age of a notice does not include its time in transit, so a notice that is passed back and forth appears ever newer.
+// A notice with the known limit therefore does not change the time of the observation.
 auto UpstreamLimiter::record(const LimitNotice& notice) -> Bucket&
 {
     auto& bucket = bucketOf(notice.upstream_, notice.startTimeMs_);
--- a/src/gateway/upstream_limiter.h
+++ b/src/gateway/upstream_limiter.h
@@ -15,8 +15,8 @@
     virtual auto sendLimitAsk(const Coordinator& coordinator, const LimitAsk& ask) -> void = 0;
 };
 
-// An upstream in need takes so many requests a second, whoever sends them. Its tokens are in a shared bucket on one
-// instance, as those of a workspace's rate are, so that the limit follows the load and holds for any number of instances.
+// An upstream can name a limit on the requests per second of all instances together. Its tokens are in a shared bucket on one
+// instance, as for the rate of a workspace, so the limit follows the load and holds for any number of instances.
 class UpstreamLimiter final : private RateAskSender {
 public:
     // Token requests are numbered from firstAskNumber, which must differ between all starts of all instances.
@@ -27,7 +27,7 @@
     auto admit(const Upstream& upstream, RateLimiter::VerdictCallback done) -> void;
     // Takes back the token of a request that was not sent.
     auto returnToken(const Upstream& upstream, const RateVerdict& verdict) -> void;
-    // Tells the coordinator of a limit that this instance has seen change.
+    // Notifies the coordinator of a changed limit that this instance has observed.
     auto announce(const Upstream& upstream) -> void;
     auto onAsk(const LimitAsk& ask) -> LimitGrant;
     auto onGrant(const LimitGrant& grant) -> void;
@@ -44,7 +44,7 @@
         // The latest limit known; of an upstream that is not listed here, from the others' token requests.
         NamedLimit limit_;
         MonotonicTime usedAt_ {};
-        // Its coordinator has not answered; it is asked again then.
+        // The coordinator has not answered; it is not asked again before this time.
         MonotonicTime silentUntil_ {};
     };
 
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -34,7 +34,7 @@
     ReportedLoad load_;
     MonotonicTime loadAt_ {};
     MonotonicTime coldUntil_ {};
-    // The part of it that discovery has told this instance itself, without what it has seen or heard from others.
+    // Cold time as listed by discovery, without own observations and notices of peers.
     MonotonicTime listedColdUntil_ {};
     // Outlier ejection after lost connections: until then, only used if no healthy upstream is left.
     MonotonicTime ejectedUntil_ {};
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -39,7 +39,7 @@
     auto parseBuffer() -> void;
     auto onEnd(NetError error) -> void;
     auto newParser() -> void;
-    // Whether what has arrived of the response is too large, or it goes on without getting anywhere. Empty if not.
+    // The reason to give up the response because of its size or of the responses before it; empty if there is none.
     auto findExcess() -> std::string;
     auto onWholeResponse() -> void;
     auto skipResponse() -> void;
--- a/tests/endless_response_test.cpp
+++ b/tests/endless_response_test.cpp
@@ -92,7 +92,7 @@
         }
         return answered() == connections && other.count("HTTP/1.1 ") == sent;
     }));
-    // Nothing is told to be whole or not to have run.
+    // No response is reported as complete or as not executed.
     for (const auto& caller : callers)
         CHECK(caller->received().starts_with("HTTP/1.1 502"));
     CHECK(other.count("HTTP/1.1 200") == sent);
--- a/tests/restore_model_test.cpp
+++ b/tests/restore_model_test.cpp
@@ -162,7 +162,7 @@
         return staleChange_ ? "an answer of an older era changed something" : "";
     }
 
-    // Nothing that is listed and works is left out, as it is and once everything is written again and heard.
+    // Checks that listed and working upstreams are used, both now and after all entries were written again.
     auto finalViolation() -> std::string
     {
         const auto expected = store_.upstream_;
@@ -206,7 +206,7 @@
         ask(listStore());
         deliver();
     }
-    // A planned end: everyone hears of the drain, then of the removal.
+    // A planned end: all instances receive the drain, then the removal.
     auto leave() -> void
     {
         isDraining_ = true;
