Stand-ins: ports that no outgoing connection can take

A stand-in asked the kernel for a free port of the range that outgoing connections get, and closed it; until the gateway listened, a connection of another test process could take it. Change: ports below that range, as the demo's, and none twice in a process.

--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -69,7 +69,7 @@
     settings.name_ = fmt::format("e{}", number);
     settings.store_ = slot->storeProxy_->address();
     for (auto* address : { &settings.front_, &settings.directory_, &settings.ready_, &settings.control_, &settings.peer_ })
-        *address = standin::freeAddress(loop_, ownHost(number));
+        *address = standin::freeAddress(ownHost(number));
     slot->process_ = std::make_unique<GatewayProcess>(GatewayPlan { binary_, folder_, std::move(settings) });
     slot->process_->start();
     gateways_.push_back(std::move(slot));
--- a/standin/free_ports.h
+++ b/standin/free_ports.h
@@ -2,11 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace sapphirepass::standin {
 
-// Distinct loopback ports. Another process may take one before it is used.
-auto freePorts(std::size_t count) -> std::vector<std::uint16_t>;
+// Ports of an address on loopback, none of which was returned before. Another process may take one before it is used.
+auto freePorts(std::size_t count, const std::string& host = "127.0.0.1") -> std::vector<std::uint16_t>;
 
 } // namespace sapphirepass::standin
--- a/standin/local_gateway.h
+++ b/standin/local_gateway.h
@@ -31,7 +31,7 @@
         settings_.domain_ = "north-a";
         settings_.domains_ = { { "north-a", "north" } };
         for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
-            *address = freeAddress(loop_);
+            *address = freeAddress();
         settings_.storeTimeout_ = testStoreTimeout;
         settings_.store_ = store_.address();
     }
@@ -67,7 +67,7 @@
     {
         settings_.name_ = name;
         for (auto* address : { &settings_.front_, &settings_.directory_, &settings_.ready_, &settings_.control_, &settings_.peer_ })
-            *address = freeAddress(fixture.loop_, host);
+            *address = freeAddress(host);
         // On another host heartbeats go to the same port as everywhere, found through a seed.
         if (host != "127.0.0.1") {
             settings_.peer_.port_ = fixture.settings_.peer_.port_;
--- a/standin/loop_peer.cpp
+++ b/standin/loop_peer.cpp
@@ -1,5 +1,7 @@
 #include "standin/loop_peer.h"
 
+#include "standin/free_ports.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -177,10 +179,9 @@
     return true;
 }
 
-auto freeAddress(asio::io_context& loop, const std::string& host) -> SocketAddress
+auto freeAddress(const std::string& host) -> SocketAddress
 {
-    const Tcp::acceptor probe(loop, Tcp::endpoint(asio::ip::make_address_v4(host), 0));
-    return { host, probe.local_endpoint().port() };
+    return { host, freePorts(1, host).front() };
 }
 
 } // namespace sapphirepass::standin
--- a/standin/loop_peer.h
+++ b/standin/loop_peer.h
@@ -94,7 +94,7 @@
 
 // Runs the loop until something holds; false if it hangs.
 auto runUntil(asio::io_context& loop, const std::function<bool()>& holds) -> bool;
-// An address on loopback with a port from the kernel.
-auto freeAddress(asio::io_context& loop, const std::string& host = "127.0.0.1") -> SocketAddress;
+// An address on loopback with a port that the kernel reports as free, and gives to no outgoing connection.
+auto freeAddress(const std::string& host = "127.0.0.1") -> SocketAddress;
 
 } // namespace sapphirepass::standin
--- a/tests/feed_relay_test.cpp
+++ b/tests/feed_relay_test.cpp
@@ -46,7 +46,7 @@
             for (const auto* id : { "i-0", "i-1", "i-2" })
                 store->put("servers", id, listed({ "127.0.0.1", 7001 }));
         }
-        address_ = freeAddress(loop_);
+        address_ = freeAddress();
         REQUIRE(listener_->listen(address_).empty());
         watcher_.start(watcherSink_, { "e1", { "127.0.0.1", 7000 } }, noPeers_);
         REQUIRE(runUntil(loop_, [this] { return watcherSink_.isComplete(); }));
@@ -300,7 +300,7 @@
     RelayFixture fixture;
     PeerPages secondPages(fixture.watcher_);
     CallerListener second(fixture.loop_, secondPages, fixture.clock_);
-    const auto secondAddress = freeAddress(fixture.loop_);
+    const auto secondAddress = freeAddress();
     REQUIRE(second.listen(secondAddress).empty());
     fixture.peers_.peers_ = { fixture.address_, secondAddress };
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.pages_.asked_ >= 6 && fixture.store_.watches() == 3; }));
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -167,7 +167,7 @@
     SystemClock clock;
     UpstreamPool pool(loop, clock, names, { 1'000'000, 0 }, [](Upstream&, const HttpResponse&) {});
     const auto upstream = std::make_shared<Upstream>();
-    upstream->entry_.address_ = freeAddress(loop);
+    upstream->entry_.address_ = freeAddress();
     std::optional<AttemptOutcome> outcome;
     const auto attempt = pool.call(upstream, std::make_shared<OutgoingRequest>(http::verb::get, "/x", 11), [&](AttemptOutcome told) { outcome = std::move(told); });
     REQUIRE(runUntil(loop, [&] { return outcome.has_value(); }));
@@ -228,7 +228,7 @@
     ManualClock clock_;
     HeldHandler handler_;
     CallerListener listener_ { loop_, handler_, clock_ };
-    SocketAddress address_ = freeAddress(loop_);
+    SocketAddress address_ = freeAddress();
 };
 
 const std::string get = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -387,7 +387,7 @@
     auto second = fixture.settings_;
     second.name_ = "e2";
     for (auto* address : { &second.front_, &second.directory_, &second.ready_, &second.control_, &second.peer_ })
-        *address = freeAddress(fixture.loop_);
+        *address = freeAddress();
     GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), 300ms) };
     Gateway other(fixture.loop_, fixture.clock_, second, std::move(adapter));
     REQUIRE(other.start().empty());
