Tests: a notice is compared in full again; two comments in plainer terms

Cause: read once more as a newcomer. When the notice got a limit, one comparison of the whole notice had become three checks that did not look at the new fields: less strict. Change: all fields are checked. Two comments of the simulation say what they measure.

--- a/tests/upstream_limiter_test.cpp
+++ b/tests/upstream_limiter_test.cpp
@@ -16,7 +16,7 @@
 constexpr Duration heartbeatInterval = 400ms;
 constexpr Duration responseTime = 150ms;
 constexpr Duration oneWay = 12ms;
-// The bound holds from this long after an instance has been told.
+// Requests of an instance count this long after it has received a response that names the limit.
 constexpr Duration toldFor = 500ms;
 constexpr Duration window = 4s;
 
@@ -103,7 +103,8 @@
     static auto nameOf(std::size_t number) -> std::string { return fmt::format("e{}", number); }
     static auto numberOf(const std::string& name) -> std::size_t { return std::stoul(name.substr(1)); }
 
-    // The most requests that told instances sent within a window that begins in the span, and where the rule is broken.
+    // By how much the counted requests of any window that begins at or after the given time exceed the allowed number;
+    // zero or less if none does.
     auto highestExcess(MonotonicTime from, double limit) const -> double
     {
         double excess = -1e9;
--- a/tests/upstream_notice_read_test.cpp
+++ b/tests/upstream_notice_read_test.cpp
@@ -77,6 +77,8 @@
     CHECK(both.isLeaving_);
     CHECK(both.pause_ == 5s);
     CHECK_FALSE(both.isPauseInvalid_);
+    CHECK_FALSE(both.limit_.has_value());
+    CHECK_FALSE(both.isLimitInvalid_);
     CHECK(readNotice(response(421, "5", "1"), names()) == UpstreamNotice {});
     CHECK_FALSE(readNotice(response(200, "", "0"), names()).isLeaving_);
     CHECK_FALSE(readNotice(response(200, "", "yes"), names()).isLeaving_);
