A request without a candidate logs and counts why each upstream was none

Callers got 503 no-upstream, and the logs could not tell whether upstreams were cold, stalled, paused or gone; lost attempts beyond the bound on lines were not counted by cause at all. The checks of a candidate now name the cause; a request that finds none logs the counts (excluded) and adds them to gateway_upstreams_excluded_total; gateway_attempts_lost_total counts lost attempts by cause. Decisions are unchanged.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -66,11 +66,31 @@
 {
 }
 
-auto Placer::mayRunOn(const Upstream& upstream, const PlacementQuery& query) const -> bool
+auto exclusionName(Exclusion exclusion) -> std::string_view
+{
+    switch (exclusion) {
+    case Exclusion::Ineligible:
+        return "ineligible";
+    case Exclusion::NotHome:
+        return "not-home";
+    case Exclusion::Paused:
+        return "paused";
+    case Exclusion::Tried:
+        return "tried";
+    case Exclusion::Limited:
+        return "limited";
+    case Exclusion::Cold:
+        return "cold";
+    case Exclusion::Stalled:
+        return "stalled";
+    }
+    return "";
+}
+
+auto Placer::isHome(const Upstream& upstream, const PlacementQuery& query) const -> bool
 {
     const auto* homeRegions = query.homeRegions_;
-    const bool isHome = homeRegions == nullptr || homeRegions->empty() || std::find(homeRegions->begin(), homeRegions->end(), upstream.region_) != homeRegions->end();
-    return isHome && upstreams_.isEligible(upstream);
+    return homeRegions == nullptr || homeRegions->empty() || std::find(homeRegions->begin(), homeRegions->end(), upstream.region_) != homeRegions->end();
 }
 
 auto Placer::shortestPause(const PlacementQuery& query) const -> std::optional<Duration>
@@ -78,21 +98,39 @@
     std::optional<Duration> shortest;
     for (const auto& upstream : upstreams_.ofService(query.service_)) {
         const auto left = upstreams_.pauseLeft(*upstream);
-        if (left > Duration::zero() && mayRunOn(*upstream, query))
+        if (left > Duration::zero() && isHome(*upstream, query) && upstreams_.isEligible(*upstream))
             shortest = std::min(left, shortest.value_or(left));
     }
     return shortest;
 }
 
-auto Placer::mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool
+auto Placer::exclusionOf(const Upstream& upstream, const PlacementQuery& query) const -> std::optional<Exclusion>
 {
-    if (!mayRunOn(upstream, query) || upstreams_.pauseLeft(upstream) > Duration::zero())
-        return false;
-    if (contains(query.tried_, upstream.entry_.id_) || contains(query.limited_, upstream.entry_.id_))
-        return false;
-    if (query.skipsLimited_ && upstream.notices_->limit_.perSecond_)
-        return false;
-    return isWithinColdRate(upstream, query) && !isStalled(upstream, query);
+    if (!upstreams_.isEligible(upstream))
+        return Exclusion::Ineligible;
+    if (!isHome(upstream, query))
+        return Exclusion::NotHome;
+    if (upstreams_.pauseLeft(upstream) > Duration::zero())
+        return Exclusion::Paused;
+    if (contains(query.tried_, upstream.entry_.id_))
+        return Exclusion::Tried;
+    if (contains(query.limited_, upstream.entry_.id_) || (query.skipsLimited_ && upstream.notices_->limit_.perSecond_))
+        return Exclusion::Limited;
+    if (!isWithinColdRate(upstream, query))
+        return Exclusion::Cold;
+    if (isStalled(upstream, query))
+        return Exclusion::Stalled;
+    return std::nullopt;
+}
+
+auto Placer::countExclusions(const PlacementQuery& query) const -> std::map<Exclusion, int>
+{
+    std::map<Exclusion, int> counts;
+    for (const auto& upstream : upstreams_.ofService(query.service_)) {
+        if (const auto exclusion = exclusionOf(*upstream, query))
+            ++counts[*exclusion];
+    }
+    return counts;
 }
 
 // A few instances share the request rate of a cold upstream; each spaces its requests evenly.
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -6,6 +6,9 @@
 #include "gateway/region_shares.h"
 #include "gateway/upstream_set.h"
 
+#include <map>
+#include <optional>
+#include <string_view>
 #include <variant>
 
 namespace sapphirepass {
@@ -54,6 +57,22 @@
 
 using PlacementResult = std::variant<Placement, PlacementRefusal>;
 
+// Why an upstream of the service is no candidate for a request.
+enum class Exclusion {
+    // Not ready, leaving, removed, or in an evacuated failure domain.
+    Ineligible,
+    // Outside the regions that may run the request.
+    NotHome,
+    Paused,
+    Tried,
+    Limited,
+    // Beyond the rate of a cold upstream, or another instance sends to it.
+    Cold,
+    Stalled,
+};
+
+auto exclusionName(Exclusion exclusion) -> std::string_view;
+
 class Placer {
 public:
     // ownRegion is the region of this instance and of its callers.
@@ -63,7 +82,9 @@
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
     // Whether the request may still be sent to the upstream, some time after it was placed there.
-    auto mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
+    auto mayPlaceOn(const Upstream& upstream, const PlacementQuery& query) const -> bool { return !exclusionOf(upstream, query); }
+    // Number of the service's upstreams that are no candidates for the request, by cause.
+    auto countExclusions(const PlacementQuery& query) const -> std::map<Exclusion, int>;
     // Must be called before a placed request is sent; if the upstream is cold, this sets when it may get the next one.
     auto recordColdSend(Upstream& upstream, const PlacementQuery& query) const -> void;
 
@@ -87,7 +108,8 @@
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
-    auto mayRunOn(const Upstream& upstream, const PlacementQuery& query) const -> bool;
+    auto exclusionOf(const Upstream& upstream, const PlacementQuery& query) const -> std::optional<Exclusion>;
+    auto isHome(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     auto isWithinColdRate(const Upstream& upstream, const PlacementQuery& query) const -> bool;
     // Whether a request has been outstanding for so long that the upstream may have become cold without being reported.
     auto isStalled(const Upstream& upstream, const PlacementQuery& query) const -> bool;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -248,6 +248,7 @@
 auto RequestHandler::onTransportError(const TransportError& error) -> void
 {
     const bool sent = error.kind_ != TransportErrorKind::NotSent;
+    context_.metrics_.increment({ "gateway_attempts_lost_total", fmt::format("sent=\"{}\",reason=\"{}\"", sent, error.reason_) });
     context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, error.kind_ == TransportErrorKind::InvalidResponse ? AttemptHealth::Failed : AttemptHealth::Lost);
     context_.log_.write(EventId::AttemptLost, { { "request", metadata_.attempt_ }, { "upstream", lastAttempt_.upstream_->entry_.id_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - lastAttempt_.at_) } });
     if (error.kind_ == TransportErrorKind::InvalidResponse)
@@ -332,8 +333,17 @@
     return context_.retryLimiter_.takeRetry(serviceName_);
 }
 
+auto RequestHandler::recordExclusions() -> void
+{
+    exclusions_ = context_.placer_.countExclusions(query_);
+    for (const auto& [exclusion, count] : exclusions_)
+        context_.metrics_.increment({ "gateway_upstreams_excluded_total", fmt::format("cause=\"{}\"", exclusionName(exclusion)) }, count);
+}
+
 auto RequestHandler::finishUnplaced(PlacementRefusal refusal) -> void
 {
+    if (refusal == PlacementRefusal::NoUpstream)
+        recordExclusions();
     const auto pause = refusal == PlacementRefusal::NoUpstream ? context_.placer_.shortestPause(query_) : std::nullopt;
     const bool isLimited = refusal == PlacementRefusal::NoUpstream && limitRetryAfter_;
     const std::string_view reason = refusal == PlacementRefusal::Full ? "all-full" : isLimited ? "all-limited"
@@ -425,6 +435,8 @@
         fields["load_age_ms"] = milliseconds(context_.clock_.now() - lastAttempt_.upstream_->loadAt_);
         fields["sends"] = sends_;
     }
+    for (const auto& [exclusion, count] : exclusions_)
+        fields["excluded"][std::string(exclusionName(exclusion))] = count;
     if (!query_.limited_.empty())
         fields["limited"] = query_.limited_;
     context_.log_.write(success ? EventId::RequestAnswered : EventId::RequestEnded, std::move(fields));
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -87,6 +87,8 @@
     auto recordEnd(unsigned status, std::string_view reason) -> void;
     auto timeLeft() const -> Duration { return endsAt_ - context_.clock_.now(); }
     auto releaseAttempt() -> void;
+    // Keeps why no upstream of the service was a candidate, for the log and the metrics.
+    auto recordExclusions() -> void;
     // Updates the health of an upstream whose response is no longer awaited.
     auto recordUnanswered() -> void;
 
@@ -108,6 +110,7 @@
     RateVerdict rateVerdict_;
     // Shortest wait for a token of an upstream that had no room within its limit.
     std::optional<Duration> limitRetryAfter_;
+    std::map<Exclusion, int> exclusions_;
     int sends_ = 0;
     int failedConnects_ = 0;
     bool mayHaveRun_ = false;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -127,14 +127,15 @@
 
     // The upstream has just named a limit.
     auto limit(const std::string& id, double perSecond) -> void { upstreams_.recordLimit(*upstreams_.byId().at(id), { perSecond, clock_.now() }); }
-    // Another instance coordinates all upstreams, as this one is not ready.
-    auto addCoordinator() -> void
+    auto addMember(const std::string& name) -> void
     {
         MemberReport report;
-        report.name_ = "e2";
+        report.name_ = name;
         report.phase_ = MemberPhase::Ready;
         fleet_.updateMember(report);
     }
+    // Another instance coordinates all upstreams, as this one is not ready.
+    auto addCoordinator() -> void { addMember("e2"); }
     auto grantLastAsk(std::uint16_t granted) -> void
     {
         const auto ask = limitAsks_.asks_.back();
@@ -686,3 +687,22 @@
         CHECK(fixture.answers_.back().body().find("\"executed\":\"no\"") != std::string::npos);
     }
 }
+
+// A refusal without a candidate could have many causes, and the log did not tell them apart.
+TEST_CASE("a request without a candidate logs why each upstream was none", "[request]")
+{
+    Fixture fixture(4);
+    for (int i = 0; i < 12; ++i)
+        fixture.addMember(fmt::format("peer{}", i));
+    for (const auto& [id, upstream] : fixture.upstreams_.byId()) {
+        if (id == "u3")
+            fixture.upstreams_.recordLeaving(*upstream);
+        else
+            fixture.upstreams_.noteCold(id, 10s);
+    }
+    fixture.start(fixture.request("/read/1"));
+    CHECK(fixture.status() == 503);
+    const auto& fields = fixture.log_.lines().back().fields_;
+    CHECK(fields["excluded"]["ineligible"] == 1);
+    CHECK(fields["excluded"]["cold"] == 3);
+}
