--- a/soak/world.h
+++ b/soak/world.h
@@ -1,8 +1,8 @@
 // The soak's surroundings of the gateways: store, upstreams and callers on one loop, and what they have seen.
 #pragma once
 
-#include "soak/fault_proxy.h"
 #include "soak/gateway_process.h"
+#include "standin/fault_proxy.h"
 #include "standin/platform_store.h"
 
 #include <map>
@@ -11,6 +11,9 @@
 
 namespace sapphirepass::soak {
 
+using standin::FaultProxy;
+using standin::LinkFault;
+
 // What callers and upstreams have seen of one attempt.
 struct AttemptRecord {
     bool mayRepeat_ = false;
--- a/soak/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -1,17 +1,20 @@
-#include "soak/fault_proxy.h"
+#include "standin/fault_proxy.h"
 
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
+#include <sys/socket.h>
 
-namespace sapphirepass::soak {
+namespace sapphirepass::standin {
 
 using namespace std::chrono_literals;
 
 namespace {
     // Longer than most work, shorter than the routes' time.
     constexpr auto delay = 150ms;
+    // A queue of length 0 holds one connection.
+    constexpr int fillerCount = 2;
 }
 
 struct FaultProxy::Pair {
@@ -52,6 +55,38 @@
     resetAll();
 }
 
+auto FaultProxy::listen(int backlog) -> void
+{
+    NetError ignored;
+    acceptor_.close(ignored);
+    acceptor_.open(Tcp::v4());
+    acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor_.bind({ asio::ip::make_address_v4(address_.host_), address_.port_ });
+    acceptor_.listen(backlog);
+}
+
+// The kernel drops the packets of further connections once the queue of a listener is full.
+auto FaultProxy::setConnects(Connects connects) -> void
+{
+    fillers_.clear();
+    NetError ignored;
+    if (connects == Connects::Refused) {
+        acceptor_.close(ignored);
+    } else if (connects == Connects::Unanswered) {
+        listen(0);
+        for (int i = 0; i < fillerCount; ++i) {
+            auto& filler = fillers_.emplace_back(loop_, Tcp::v4());
+            filler.non_blocking(true);
+            const Tcp::endpoint self { asio::ip::make_address_v4(address_.host_), address_.port_ };
+            // Asio's own connect would wait for the outcome.
+            static_cast<void>(::connect(filler.native_handle(), self.data(), static_cast<socklen_t>(self.size())));
+        }
+    } else {
+        listen(asio::socket_base::max_listen_connections);
+        acceptNext();
+    }
+}
+
 auto FaultProxy::acceptNext() -> void
 {
     acceptor_.async_accept([this](NetError error, Tcp::socket socket) {
@@ -130,4 +165,4 @@
     pairs_.clear();
 }
 
-} // namespace sapphirepass::soak
+} // namespace sapphirepass::standin
--- a/soak/fault_proxy.h
+++ b/standin/fault_proxy.h
@@ -1,4 +1,4 @@
-// A loopback proxy in front of one server, through which the soak harms connections.
+// A loopback proxy in front of one server, through which tests and the soak harm connections.
 #pragma once
 
 #include "base/socket_address.h"
@@ -8,7 +8,7 @@
 #include <memory>
 #include <vector>
 
-namespace sapphirepass::soak {
+namespace sapphirepass::standin {
 
 enum class LinkFault { None,
     // Bytes come late, in both directions.
@@ -20,6 +20,12 @@
     // Nothing passes, no connection ends.
     Silent };
 
+// What becomes of new connections; open ones live on.
+enum class Connects { Accepted,
+    Refused,
+    // Neither accepted nor refused, as if their packets were lost.
+    Unanswered };
+
 class FaultProxy {
 public:
     FaultProxy(asio::io_context& loop, SocketAddress server);
@@ -29,12 +35,14 @@
 
     auto address() const -> const SocketAddress& { return address_; }
     auto setFault(LinkFault fault) -> void;
+    auto setConnects(Connects connects) -> void;
     auto resetAll() -> void;
     auto stop() -> void;
 
 private:
     struct Pair;
 
+    auto listen(int backlog) -> void;
     auto acceptNext() -> void;
     auto pump(const std::shared_ptr<Pair>& pair, bool toServer) -> void;
     auto pass(const std::shared_ptr<Pair>& pair, bool toServer) -> void;
@@ -46,6 +54,8 @@
     SocketAddress address_;
     LinkFault fault_ = LinkFault::None;
     std::vector<std::weak_ptr<Pair>> pairs_;
+    // Connections of its own that fill the queue of the listener while others are not answered.
+    std::vector<Tcp::socket> fillers_;
 };
 
-} // namespace sapphirepass::soak
+} // namespace sapphirepass::standin
