--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -84,6 +84,10 @@
             report.lastChangeRevisions_.at(i).era_ = eras[i];
         report.isSourceLost_ = reader.getSourceLost();
         report.wantsPeers_ = reader.getWantsPeers();
+        for (const auto region : reader.getUnreachableRegions())
+            report.unreachableRegions_.emplace_back(region.cStr());
+        report.isCutOff_ = reader.getCutOff();
+        report.acceptsDelegation_ = reader.getAcceptsDelegation();
         for (const auto cold : reader.getColds())
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
         for (const auto limit : reader.getLimits())
@@ -123,6 +127,11 @@
         }
         heartbeat.setSourceLost(report.isSourceLost_);
         heartbeat.setWantsPeers(report.wantsPeers_);
+        auto unreachable = heartbeat.initUnreachableRegions(static_cast<unsigned>(report.unreachableRegions_.size()));
+        for (unsigned i = 0; i < unreachable.size(); ++i)
+            unreachable.set(i, report.unreachableRegions_[i]);
+        heartbeat.setCutOff(report.isCutOff_);
+        heartbeat.setAcceptsDelegation(report.acceptsDelegation_);
         auto colds = heartbeat.initColds(static_cast<unsigned>(report.coldNotices_.size()));
         for (unsigned i = 0; i < colds.size(); ++i) {
             colds[i].setUpstream(report.coldNotices_[i].upstream_);
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -85,6 +85,13 @@
     return ready;
 }
 
+auto FleetView::connectedMembers(std::string_view region) const -> std::vector<const MemberReport*>
+{
+    auto connected = readyMembers(region);
+    std::erase_if(connected, [](const auto* report) { return report->isCutOff_; });
+    return connected;
+}
+
 auto FleetView::activeMembers(std::string_view region) const -> std::vector<const MemberReport*>
 {
     std::vector<const MemberReport*> active;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -59,6 +59,12 @@
     std::vector<ColdNotice> coldNotices_;
     // Limits of the upstreams that the sender coordinates.
     std::vector<LimitNotice> limitNotices_;
+    // Regions whose upstreams the sender does not reach.
+    std::vector<std::string> unreachableRegions_;
+    // The sender reaches no upstream at all.
+    bool isCutOff_ = false;
+    // The sender handles requests for instances that reach no upstream.
+    bool acceptsDelegation_ = false;
     // The sender has just started and asks for the addresses of the other instances.
     bool wantsPeers_ = false;
 
@@ -105,6 +111,8 @@
     // Live instances of a region that are ready or still starting.
     auto activeMembers(std::string_view region) const -> std::vector<const MemberReport*>;
     auto allReadyMembers() const -> std::vector<const MemberReport*>;
+    // Ready instances of a region that reach upstreams.
+    auto connectedMembers(std::string_view region) const -> std::vector<const MemberReport*>;
     // Addresses that heartbeats are sent to: all, or only those in a region and those not heard from yet.
     auto peerAddresses() const -> std::vector<SocketAddress>;
     auto peerAddressesNear(std::string_view region) const -> std::vector<SocketAddress>;
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -71,8 +71,15 @@
     if (entries_.size() >= maxTrackedRequests && !entries_.contains(fingerprint))
         return;
     auto& entry = entries_[fingerprint];
-    entry.upstreams_.insert(upstream);
     entry.lastAt_ = clock_.now();
+    entry.upstreams_[upstream] = entry.lastAt_;
+}
+
+auto CrashTracker::revertLosses(MonotonicTime since) -> void
+{
+    for (auto& [fingerprint, entry] : entries_)
+        std::erase_if(entry.upstreams_, [since](const auto& item) { return item.second >= since; });
+    std::erase_if(entries_, [](const auto& item) { return item.second.upstreams_.empty(); });
 }
 
 auto CrashTracker::recordResponse(std::uint64_t fingerprint) -> void
--- a/src/gateway/limits.h
+++ b/src/gateway/limits.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -54,12 +53,15 @@
 
     auto recordLostConnection(std::uint64_t fingerprint, const std::string& upstream) -> void;
     auto recordResponse(std::uint64_t fingerprint) -> void;
+    // Takes back losses since then, which were losses of this instance's links.
+    auto revertLosses(MonotonicTime since) -> void;
     auto isBlocked(std::uint64_t fingerprint) const -> bool;
     auto counts() -> std::vector<CrashCount>;
 
 private:
     struct Entry {
-        std::set<std::string> upstreams_;
+        // Time of the last loss at each upstream.
+        std::map<std::string, MonotonicTime> upstreams_;
         MonotonicTime lastAt_ {};
     };
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -83,6 +83,8 @@
         return "cold";
     case Exclusion::Stalled:
         return "stalled";
+    case Exclusion::Unreachable:
+        return "unreachable";
     }
     return "";
 }
@@ -110,6 +112,8 @@
         return Exclusion::Ineligible;
     if (!isHome(upstream, query))
         return Exclusion::NotHome;
+    if (query.unreachableRegions_.contains(upstream.region_))
+        return Exclusion::Unreachable;
     if (upstreams_.pauseLeft(upstream) > Duration::zero())
         return Exclusion::Paused;
     if (contains(query.tried_, upstream.entry_.id_))
@@ -242,7 +246,7 @@
     if (!query.object_)
         return 2;
     const double requestsPerSecond = objectDemand_.recordRequest(*query.object_);
-    const auto peers = static_cast<double>(fleet_.readyMembers(ownRegion_).size() + 1);
+    const auto peers = static_cast<double>(fleet_.connectedMembers(ownRegion_).size() + 1);
     const double warmResponseTime = inSeconds(query.latencyTarget_) * warmTimeFraction;
     const double slots = near.empty() ? 1 : near.front().upstream_->entry_.slots_;
     const double needed = requestsPerSecond * peers * warmResponseTime / (slots * maxOwnerUtilization);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <variant>
 
@@ -27,6 +28,8 @@
     std::vector<std::string> tried_;
     // Ids of upstreams that take no further request now by the limit that they name.
     std::vector<std::string> limited_;
+    // Regions whose upstreams are not considered, as this instance does not reach them.
+    std::set<std::string> unreachableRegions_;
     // No upstream that names a limit is considered.
     bool skipsLimited_ = false;
     // Requests per second that a cold upstream can take; 0 for no limit.
@@ -69,6 +72,8 @@
     // Beyond the rate of a cold upstream, or another instance sends to it.
     Cold,
     Stalled,
+    // In a region that this instance does not reach.
+    Unreachable,
 };
 
 auto exclusionName(Exclusion exclusion) -> std::string_view;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -3,6 +3,7 @@
 #include "gateway/hashing.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace sapphirepass {
@@ -19,6 +20,10 @@
     constexpr int initialTargetFactor = 1;
     // A request is abandoned after this many failed connections.
     constexpr int maxFailedConnects = 4;
+    // Peers that a request is offered to. Each refusal takes a round trip.
+    constexpr std::size_t maxDelegates = 3;
+    // Subtracted from the time that a delegate gets, so that its final response arrives in time.
+    constexpr Duration delegationMargin = 20ms;
     // Requests that start later than this fraction of their remaining time mostly finish too late.
     constexpr double maxWaitFraction = 0.6;
     // A request asks at most this many coordinators for room, as each answer takes a round trip.
@@ -29,6 +34,8 @@
     constexpr Duration startupRetryAfter = 500ms;
     // Callers refused under load are told to retry after about the time of the pending work, but no sooner than this.
     constexpr Duration minRetryAfter = 150ms;
+    // Beyond it a value of a peer is an error.
+    constexpr double maxRetryAfterSeconds = 60;
 
     auto view(boost::beast::string_view text) -> std::string_view { return { text.data(), text.size() }; }
     auto milliseconds(Duration duration) -> std::int64_t { return duration / 1ms; }
@@ -40,6 +47,16 @@
         return wait + wait * static_cast<std::int64_t>(requestHash % steps) / static_cast<std::int64_t>(steps);
     }
 
+    auto parseRetryAfter(const UpstreamResponse& response) -> std::optional<Duration>
+    {
+        const auto text = response[http::field::retry_after];
+        double seconds = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+        if (error != std::errc() || seconds < 0 || seconds > maxRetryAfterSeconds)
+            return std::nullopt;
+        return fromSeconds(seconds);
+    }
+
     // The regions in both lists; an empty list means all regions.
     auto commonRegions(const std::vector<std::string>& route, const std::vector<std::string>& workspace) -> std::vector<std::string>
     {
@@ -55,10 +72,11 @@
     }
 }
 
-RequestHandler::RequestHandler(RequestContext& context, OutgoingRequest request, ResponseCallback respond)
+RequestHandler::RequestHandler(RequestContext& context, OutgoingRequest request, ResponseCallback respond, std::optional<Delegation> delegation)
     : context_(context)
     , request_(std::move(request))
     , respond_(std::move(respond))
+    , delegation_(std::move(delegation))
     , index_(context.index_)
     , arrivedAt_(context.clock_.now())
 {
@@ -67,12 +85,43 @@
 auto RequestHandler::start() -> void
 {
     metadata_ = readMetadata(request_, context_.headerNames_);
+    if (delegation_)
+        return startDelegated();
     if (!checkRequest() || !checkKey() || !checkDeadline() || !checkCrashes())
         return;
     startDeadline();
     checkRate();
 }
 
+// The admitting instance has checked key, rate and route, and counts the request.
+auto RequestHandler::startDelegated() -> void
+{
+    delegatedRoute_.name_ = delegation_->route_;
+    delegatedRoute_.repeat_ = delegation_->repeat_;
+    delegatedRoute_.maxAttempts_ = delegation_->maxAttempts_;
+    delegatedRoute_.timeout_ = delegation_->timeLeft_;
+    delegatedRoute_.latencyTarget_ = delegation_->latencyTarget_;
+    route_ = &delegatedRoute_;
+    serviceName_ = delegation_->service_;
+    homeRegions_ = delegation_->homeRegions_;
+    endsAt_ = arrivedAt_ + delegation_->timeLeft_;
+    if (!index_)
+        return finishWithProblem(503, "no-declaration", Executed::No, startupRetryAfter);
+    if (!checkCrashes())
+        return;
+    startDeadline();
+    prepareQuery();
+    query_.object_ = delegation_->object_;
+    tryUpstream();
+}
+
+auto RequestHandler::workspaceName() const -> std::string
+{
+    if (delegation_)
+        return delegation_->workspace_;
+    return workspace_ == nullptr ? std::string() : workspace_->name_;
+}
+
 auto RequestHandler::checkRequest() -> bool
 {
     if (!index_) {
@@ -112,8 +161,7 @@
 
 auto RequestHandler::checkCrashes() -> bool
 {
-    const auto name = workspace_ == nullptr ? std::string() : workspace_->name_;
-    const auto head = stableHash(view(request_.target()), stableHash(name, stableHash(view(request_.method_string()))));
+    const auto head = stableHash(view(request_.target()), stableHash(workspaceName(), stableHash(view(request_.method_string()))));
     fingerprint_ = stableHash(request_.body(), head);
     if (!context_.crashTracker_.isBlocked(fingerprint_))
         return true;
@@ -155,24 +203,33 @@
 auto RequestHandler::prepare() -> void
 {
     serviceName_ = context_.trafficSplitter_.next(*route_);
-    service_ = index_->service(serviceName_);
     homeRegions_ = commonRegions(route_->homeRegions_, workspace_ == nullptr ? std::vector<std::string>() : workspace_->homeRegions_);
+    prepareQuery();
+    if (route_->affinity_ && metadata_.object_)
+        query_.object_ = stableHash(*metadata_.object_, stableHash(route_->name_));
+    context_.retryLimiter_.countRequest(serviceName_);
+}
+
+auto RequestHandler::prepareQuery() -> void
+{
+    service_ = index_->service(serviceName_);
     query_.service_ = serviceName_;
     query_.homeRegions_ = &homeRegions_;
     query_.homeRegionShares_ = &index_->homeRegionShares();
     query_.requestHash_ = stableHash(metadata_.attempt_);
-    if (route_->affinity_ && metadata_.object_)
-        query_.object_ = stableHash(*metadata_.object_, stableHash(route_->name_));
     query_.coldPerSecond_ = service_ == nullptr ? 0 : service_->coldPerSecond_;
     query_.latencyTarget_ = route_->latencyTarget_;
     query_.typicalResponseTime_ = context_.responseTimes_.typical(route_->name_, route_->latencyTarget_ * initialTargetFactor);
-    forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.headerNames_, workspace_ == nullptr ? std::string() : workspace_->name_));
-    context_.retryLimiter_.countRequest(serviceName_);
+    forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.headerNames_, workspaceName()));
 }
 
 auto RequestHandler::tryUpstream() -> void
 {
     query_.maxQueueWait_ = std::chrono::duration_cast<Duration>(timeLeft() * maxWaitFraction);
+    const auto unreachable = context_.linkDetector_.unreachableRegions(query_.requestHash_);
+    if (!unreachable.empty())
+        return tryAroundLostLinks(unreachable);
+    query_.unreachableRegions_.clear();
     const auto result = context_.placer_.place(query_);
     if (const auto* placement = std::get_if<Placement>(&result))
         sendWithinLimit(*placement);
@@ -180,6 +237,125 @@
         finishUnplaced(std::get<PlacementRefusal>(result));
 }
 
+auto RequestHandler::mayUseOpenConnection(const UpstreamPtr& upstream) const -> bool
+{
+    return context_.linkDetector_.doOpenConnectionsWork(upstream->region_) && context_.upstreamCaller_.hasOpenConnection(upstream);
+}
+
+// Peers choose the same upstream for an object, so it stays warm. A request leaves its region only if no peer there
+// reaches the upstreams.
+auto RequestHandler::tryAroundLostLinks(const std::set<std::string>& unreachable) -> void
+{
+    query_.unreachableRegions_.clear();
+    const auto result = context_.placer_.place(query_);
+    const auto* placement = std::get_if<Placement>(&result);
+    if (placement == nullptr && std::get<PlacementRefusal>(result) == PlacementRefusal::Full)
+        return finishUnplaced(PlacementRefusal::Full);
+    if (placement != nullptr && (!unreachable.contains(placement->upstream_->region_) || mayUseOpenConnection(placement->upstream_)))
+        return sendWithinLimit(*placement);
+    const bool isCutOff = context_.linkDetector_.isCutOff();
+    if (tryDelegate(placement == nullptr ? std::string() : placement->upstream_->region_, !isCutOff && homeRegions_.empty()))
+        return;
+    query_.unreachableRegions_ = unreachable;
+    const auto reachable = context_.placer_.place(query_);
+    if (const auto* other = std::get_if<Placement>(&reachable))
+        return sendWithinLimit(*other);
+    const bool isSuspicion = placement != nullptr && context_.linkDetector_.state(placement->upstream_->region_) == LinkState::Suspected;
+    if (isSuspicion)
+        return sendWithinLimit(*placement);
+    finishUnreachable();
+}
+
+auto RequestHandler::tryDelegate(const std::string& upstreamRegion, bool isOwnRegionOnly) -> bool
+{
+    if (delegation_ || triedDelegates_.size() >= maxDelegates || sends_ >= route_->maxAttempts_ || timeLeft() <= delegationMargin)
+        return false;
+    const auto* peer = context_.delegateSelector_.select({ homeRegions_, upstreamRegion, isOwnRegionOnly, triedDelegates_, query_.requestHash_ });
+    if (peer == nullptr)
+        return false;
+    delegateTo(*peer);
+    return true;
+}
+
+auto RequestHandler::delegateTo(const MemberReport& peer) -> void
+{
+    const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, timeLeft() - delegationMargin, route_->latencyTarget_, query_.object_ };
+    auto request = std::make_shared<OutgoingRequest>(*forwarded_);
+    request->set({ delegationHeader.data(), delegationHeader.size() }, encodeDelegation(delegation));
+    delegate_ = peer.name_;
+    lastAttempt_.at_ = context_.clock_.now();
+    context_.delegateSelector_.recordSent(delegate_);
+    const auto self = weak_from_this();
+    attempt_ = context_.delegateCaller_.call(peer, request, [self](AttemptOutcome outcome) {
+        if (const auto handler = self.lock())
+            handler->onDelegateOutcome(std::move(outcome));
+    });
+}
+
+// Bytes of the request may have reached the peer, which may have sent it on: only its word that nothing has run allows
+// another try.
+auto RequestHandler::onDelegateOutcome(AttemptOutcome outcome) -> void
+{
+    if (isDone_)
+        return;
+    releaseAttempt();
+    if (auto* response = std::get_if<UpstreamResponse>(&outcome)) {
+        const auto decoded = decodeDelegationOutcome(view((*response)[{ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }]));
+        if (isOk(decoded))
+            return onDelegateResponse(std::move(*response), valueOf(decoded));
+        outcome = TransportError { TransportErrorKind::InvalidResponse, "no-delegation-outcome" };
+    }
+    const auto& error = std::get<TransportError>(outcome);
+    const bool sent = error.kind_ != TransportErrorKind::NotSent;
+    context_.metrics_.increment({ "gateway_requests_delegated_total", sent ? "outcome=\"lost\"" : "outcome=\"not-sent\"" });
+    context_.log_.write(EventId::DelegationLost, { { "request", metadata_.attempt_ }, { "peer", delegate_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - lastAttempt_.at_) } });
+    if (sent) {
+        mayHaveRun_ = true;
+        return finishWithProblem(502, "delegate-lost", Executed::Unknown);
+    }
+    triedDelegates_.push_back(delegate_);
+    tryUpstream();
+}
+
+auto RequestHandler::onDelegateResponse(UpstreamResponse response, const DelegationOutcome& outcome) -> void
+{
+    response.erase({ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() });
+    if (outcome.refusal_ == Executed::No && !mayHaveRun_)
+        return onDelegateRefusal(response);
+    context_.metrics_.increment({ "gateway_requests_delegated_total", outcome.refusal_ ? "outcome=\"failed\"" : "outcome=\"answered\"" });
+    if (outcome.refusal_)
+        return finishWithProblem(response.result_int() == 504 ? 504 : 502, "delegate-failed", Executed::Unknown);
+    mayHaveRun_ = true;
+    // What the upstream says about itself binds this instance too, which passes it on.
+    const auto found = context_.upstreams_.byId().find(outcome.upstream_);
+    if (found != context_.upstreams_.byId().end() && found->second->entry_.startTimeMs_ == outcome.startTimeMs_) {
+        context_.noticeRecorder_.record(*found->second, response, lastAttempt_.at_);
+        if (const auto load = readLoad(response, context_.headerNames_))
+            context_.upstreams_.noteLoad(*found->second, *load);
+    }
+    finish(forwardedResponse(std::move(response)), "answered-by-delegate");
+}
+
+auto RequestHandler::onDelegateRefusal(const UpstreamResponse& response) -> void
+{
+    context_.metrics_.increment({ "gateway_requests_delegated_total", "outcome=\"refused\"" });
+    context_.log_.write(EventId::DelegationRefused, { { "request", metadata_.attempt_ }, { "peer", delegate_ }, { "status", response.result_int() } });
+    triedDelegates_.push_back(delegate_);
+    if (const auto wait = parseRetryAfter(response))
+        delegateRetryAfter_ = std::max(*wait, delegateRetryAfter_.value_or(*wait));
+    tryUpstream();
+}
+
+auto RequestHandler::finishUnreachable() -> void
+{
+    const auto wait = std::max<Duration>(minRetryAfter, delegateRetryAfter_.value_or(query_.typicalResponseTime_));
+    const std::string_view reason = delegateRetryAfter_ ? "delegates-full" : "upstreams-unreachable";
+    if (mayHaveRun_)
+        return finishWithProblem(502, reason, Executed::Unknown);
+    recordExclusions();
+    finishWithProblem(503, reason, Executed::No, spread(wait, query_.requestHash_));
+}
+
 auto RequestHandler::sendWithinLimit(const Placement& placement) -> void
 {
     if (!UpstreamLimiter::isLimited(*placement.upstream_))
@@ -213,6 +389,7 @@
 
 auto RequestHandler::send(const Placement& placement) -> void
 {
+    delegate_.clear();
     lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_ };
     auto request = std::make_shared<OutgoingRequest>(*forwarded_);
     addAttemptHeaders(*request, context_.headerNames_, placement.upstream_->entry_, timeLeft());
@@ -231,7 +408,10 @@
     if (!attempt_)
         return;
     attempt_.reset();
-    context_.upstreams_.noteEnded(*lastAttempt_.upstream_, lastAttempt_.at_);
+    if (delegate_.empty())
+        context_.upstreams_.noteEnded(*lastAttempt_.upstream_, lastAttempt_.at_);
+    else
+        context_.delegateSelector_.recordEnded(delegate_);
 }
 
 auto RequestHandler::onOutcome(AttemptOutcome outcome) -> void
@@ -249,7 +429,9 @@
 {
     const bool sent = error.kind_ != TransportErrorKind::NotSent;
     context_.metrics_.increment({ "gateway_attempts_lost_total", fmt::format("sent=\"{}\",reason=\"{}\"", sent, error.reason_) });
-    context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, error.kind_ == TransportErrorKind::InvalidResponse ? AttemptHealth::Failed : AttemptHealth::Lost);
+    const bool isLinkLoss = error.kind_ != TransportErrorKind::InvalidResponse && mayBeLinkLoss();
+    if (!isLinkLoss)
+        context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, error.kind_ == TransportErrorKind::InvalidResponse ? AttemptHealth::Failed : AttemptHealth::Lost);
     context_.log_.write(EventId::AttemptLost, { { "request", metadata_.attempt_ }, { "upstream", lastAttempt_.upstream_->entry_.id_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - lastAttempt_.at_) } });
     if (error.kind_ == TransportErrorKind::InvalidResponse)
         context_.metrics_.increment({ "gateway_responses_invalid_total", fmt::format("reason=\"{}\"", error.reason_) });
@@ -261,13 +443,18 @@
         return finishWithProblem(mayHaveRun_ ? 502 : 503, "no-connection", mayHaveRun_ ? Executed::Unknown : Executed::No, minRetryAfter);
     }
     mayHaveRun_ = true;
-    if (error.kind_ == TransportErrorKind::ConnectionLost)
+    if (error.kind_ == TransportErrorKind::ConnectionLost && !isLinkLoss)
         context_.crashTracker_.recordLostConnection(fingerprint_, lastAttempt_.upstream_->entry_.id_);
     if (mayRetry(true) && !context_.crashTracker_.isBlocked(fingerprint_))
         return tryUpstream();
     finishWithProblem(502, "upstream-lost", Executed::Unknown);
 }
 
+auto RequestHandler::mayBeLinkLoss() const -> bool
+{
+    return context_.linkDetector_.wasUnreachableSince(lastAttempt_.upstream_->region_, lastAttempt_.at_);
+}
+
 auto RequestHandler::isSignedResponse(const UpstreamResponse& response) const -> bool
 {
     const auto& names = context_.headerNames_;
@@ -276,6 +463,7 @@
 
 auto RequestHandler::onResponse(UpstreamResponse response) -> void
 {
+    context_.linkDetector_.recordResponse(*lastAttempt_.upstream_);
     context_.noticeRecorder_.record(*lastAttempt_.upstream_, response, lastAttempt_.at_);
     if (const auto load = readLoad(response, context_.headerNames_))
         context_.upstreams_.noteLoad(*lastAttempt_.upstream_, *load);
@@ -379,8 +567,10 @@
 // An upstream that has not responded to any request since this one was sent is unreachable rather than slow.
 auto RequestHandler::recordUnanswered() -> void
 {
+    if (!attempt_ || !delegate_.empty() || mayBeLinkLoss())
+        return;
     const auto waited = context_.clock_.now() - lastAttempt_.at_;
-    if (!attempt_ || waited < query_.typicalResponseTime_ * unansweredFactor)
+    if (waited < query_.typicalResponseTime_ * unansweredFactor)
         return;
     const bool isSilent = lastAttempt_.upstream_->loadAt_ < lastAttempt_.at_;
     context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, isSilent ? AttemptHealth::Lost : AttemptHealth::Failed);
@@ -390,6 +580,7 @@
 {
     if (executed == Executed::No && workspace_ != nullptr)
         context_.rateLimiter_.returnToken(workspace_->name_, rateVerdict_);
+    ownVerdict_ = executed;
     finish(problemResponse(status, reason, executed, retryAfter), reason);
 }
 
@@ -399,6 +590,15 @@
     releaseAttempt();
     deadline_.reset();
     recordEnd(response.result_int(), reason);
+    if (delegation_) {
+        DelegationOutcome outcome { ownVerdict_, {}, 0 };
+        if (!ownVerdict_) {
+            outcome.upstream_ = lastAttempt_.upstream_->entry_.id_;
+            outcome.startTimeMs_ = lastAttempt_.upstream_->entry_.startTimeMs_;
+        }
+        response.set({ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }, encodeDelegationOutcome(outcome));
+        response.set({ context_.headerNames_.attempt_.data(), context_.headerNames_.attempt_.size() }, metadata_.attempt_);
+    }
     respond_(std::move(response));
 }
 
@@ -427,6 +627,10 @@
     }
     if (query_.object_)
         fields["object"] = fmt::format("{:016x}", *query_.object_);
+    if (!delegate_.empty())
+        fields["delegate"] = delegate_;
+    if (delegation_)
+        fields["origin"] = delegation_->origin_;
     if (lastAttempt_.upstream_) {
         fields["upstream"] = lastAttempt_.upstream_->entry_.id_;
         fields["rank"] = lastAttempt_.rank_;
--- a/src/gateway/request_handler.h
+++ b/src/gateway/request_handler.h
@@ -4,8 +4,12 @@
 #include "base/metrics.h"
 #include "gateway/decision_log.h"
 #include "gateway/declaration_index.h"
+#include "gateway/delegate_caller.h"
+#include "gateway/delegate_selector.h"
+#include "gateway/delegation.h"
 #include "gateway/forwarding.h"
 #include "gateway/limits.h"
+#include "gateway/link_detector.h"
 #include "gateway/notice_recorder.h"
 #include "gateway/placement.h"
 #include "gateway/problem_response.h"
@@ -23,6 +27,8 @@
     const Clock& clock_;
     TimerService& timers_;
     const HeaderNames& headerNames_;
+    // Name of this instance.
+    std::string instanceName_;
     // The current declaration; null before the first.
     std::shared_ptr<const DeclarationIndex> index_;
     UpstreamSet& upstreams_;
@@ -34,6 +40,9 @@
     TrafficSplitter& trafficSplitter_;
     ResponseTimes& responseTimes_;
     UpstreamCaller& upstreamCaller_;
+    LinkDetector& linkDetector_;
+    DelegateSelector& delegateSelector_;
+    DelegateCaller& delegateCaller_;
     NoticeRecorder& noticeRecorder_;
     DecisionLog& log_;
     Metrics& metrics_;
@@ -43,7 +52,8 @@
 public:
     using ResponseCallback = std::function<void(UpstreamResponse)>;
 
-    RequestHandler(RequestContext& context, OutgoingRequest request, ResponseCallback respond);
+    // With a delegation, the request was admitted by a peer and is handled as it says.
+    RequestHandler(RequestContext& context, OutgoingRequest request, ResponseCallback respond, std::optional<Delegation> delegation = std::nullopt);
 
     auto start() -> void;
     // The caller has disconnected: ends the attempt; nothing more is sent.
@@ -58,6 +68,7 @@
         std::size_t ownerCount_ = 0;
     };
 
+    auto startDelegated() -> void;
     auto checkRequest() -> bool;
     auto checkKey() -> bool;
     auto checkDeadline() -> bool;
@@ -65,8 +76,22 @@
     auto onRateVerdict(const RateVerdict& verdict) -> void;
     auto checkCrashes() -> bool;
     auto prepare() -> void;
+    auto prepareQuery() -> void;
+    auto workspaceName() const -> std::string;
     auto startDeadline() -> void;
     auto tryUpstream() -> void;
+    // Places a request while upstreams of some regions cannot be reached: on an open connection, at a peer that reaches them,
+    // or in another region.
+    auto tryAroundLostLinks(const std::set<std::string>& unreachable) -> void;
+    auto mayUseOpenConnection(const UpstreamPtr& upstream) const -> bool;
+    // Sends the request to a peer that reaches the region's upstreams, or any allowed upstream if the region is empty; false
+    // if there is none.
+    auto tryDelegate(const std::string& upstreamRegion, bool isOwnRegionOnly) -> bool;
+    auto delegateTo(const MemberReport& peer) -> void;
+    auto onDelegateOutcome(AttemptOutcome outcome) -> void;
+    auto onDelegateResponse(UpstreamResponse response, const DelegationOutcome& outcome) -> void;
+    auto onDelegateRefusal(const UpstreamResponse& response) -> void;
+    auto finishUnreachable() -> void;
     // Sends the request if the limit that the upstream names has room for it; otherwise places it elsewhere.
     auto sendWithinLimit(const Placement& placement) -> void;
     auto onLimitVerdict(const Placement& placement, const RateVerdict& verdict) -> void;
@@ -91,10 +116,15 @@
     auto recordExclusions() -> void;
     // Updates the health of an upstream whose response is no longer awaited.
     auto recordUnanswered() -> void;
+    // Whether the last attempt may have failed because this instance had lost its links.
+    auto mayBeLinkLoss() const -> bool;
 
     RequestContext& context_;
     OutgoingRequest request_;
     ResponseCallback respond_;
+    std::optional<Delegation> delegation_;
+    // The route as the delegation describes it.
+    DeclaredRoute delegatedRoute_;
     std::shared_ptr<const DeclarationIndex> index_;
     RequestMetadata metadata_;
     const DeclaredRoute* route_ = nullptr;
@@ -113,6 +143,13 @@
     std::map<Exclusion, int> exclusions_;
     int sends_ = 0;
     int failedConnects_ = 0;
+    // The peer that handles the request, and those that have not taken it.
+    std::string delegate_;
+    std::vector<std::string> triedDelegates_;
+    // Longest wait that a peer without room has named.
+    std::optional<Duration> delegateRetryAfter_;
+    // Set with responses that this instance generates.
+    std::optional<Executed> ownVerdict_;
     bool mayHaveRun_ = false;
     bool isDone_ = false;
     SentAttempt lastAttempt_;
--- a/src/gateway/upstream_caller.h
+++ b/src/gateway/upstream_caller.h
@@ -42,6 +42,8 @@
 class UpstreamCaller {
 public:
     virtual ~UpstreamCaller() = default;
+    // Whether an open connection to the upstream can carry the next request.
+    virtual auto hasOpenConnection(const UpstreamPtr& upstream) -> bool = 0;
     // Keeps the request alive until the outcome. Calls done exactly once, never before this returns.
     virtual auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> = 0;
 };
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -98,7 +98,7 @@
     }
     slot->listedColdUntil_ = now + entry.coldLeft_;
     if (!sameStart && entry.coldLeft_ > Duration::zero())
-        slot->coldUntil_ = now + entry.coldLeft_;
+        slot->coldUntil_ = slot->reportedColdUntil_ = now + entry.coldLeft_;
     else
         markCold(*slot, entry.coldLeft_);
     rebuildServices();
@@ -187,6 +187,11 @@
 {
     const auto now = clock_.now();
     const double decayed = upstream.failureRate_ * std::exp(-inSeconds(now - upstream.failureRateAt_) / inSeconds(failureDecayTime));
+    if (upstream.consecutiveLosses_ == 0) {
+        upstream.lossesSince_ = now;
+        upstream.coldUntilBeforeLosses_ = upstream.coldUntil_;
+        upstream.failureRateBeforeLosses_ = decayed;
+    }
     const double newest = health == AttemptHealth::Answered ? 0 : 1;
     upstream.failureRate_ = decayed * (1 - failureWeight) + newest * failureWeight;
     upstream.failureRateAt_ = now;
@@ -204,6 +209,18 @@
         upstream.coldUntil_ = std::max(upstream.coldUntil_, upstream.ejectedUntil_ + coldDuration->second);
 }
 
+auto UpstreamSet::revertLosses(const std::string& region, MonotonicTime since) -> void
+{
+    for (const auto& [id, upstream] : byId_) {
+        if (upstream->region_ != region || upstream->consecutiveLosses_ == 0 || upstream->lossesSince_ < since)
+            continue;
+        upstream->consecutiveLosses_ = 0;
+        upstream->ejectedUntil_ = {};
+        upstream->failureRate_ = upstream->failureRateBeforeLosses_;
+        upstream->coldUntil_ = std::max(upstream->reportedColdUntil_, upstream->coldUntilBeforeLosses_);
+    }
+}
+
 auto UpstreamSet::coldCount() const -> std::size_t
 {
     const auto now = clock_.now();
@@ -224,6 +241,7 @@
     if (upstream.coldUntil_ <= now)
         upstream.nextColdSend_ = now + coldStartPause;
     upstream.coldUntil_ = std::max(upstream.coldUntil_, now + left);
+    upstream.reportedColdUntil_ = std::max(upstream.reportedColdUntil_, now + left);
 }
 
 auto UpstreamSet::recordPause(Upstream& upstream, Duration pause) -> void
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -34,11 +34,17 @@
     ReportedLoad load_;
     MonotonicTime loadAt_ {};
     MonotonicTime coldUntil_ {};
+    // The same without this instance's own suspicion after lost connections.
+    MonotonicTime reportedColdUntil_ {};
     // Cold time as listed by discovery, without own observations and notices of peers.
     MonotonicTime listedColdUntil_ {};
     // Outlier ejection after lost connections: until then, only used if no healthy upstream is left.
     MonotonicTime ejectedUntil_ {};
     int consecutiveLosses_ = 0;
+    // State before the first of the consecutive losses, which is restored if they were losses of this instance's links.
+    MonotonicTime lossesSince_ {};
+    MonotonicTime coldUntilBeforeLosses_ {};
+    double failureRateBeforeLosses_ = 0;
     // Decayed share of recent attempts that did not succeed, 0 to 1.
     double failureRate_ = 0;
     MonotonicTime failureRateAt_ {};
@@ -86,6 +92,8 @@
     auto noteSent(Upstream& upstream, MonotonicTime sentAt) -> void;
     auto noteEnded(Upstream& upstream, MonotonicTime sentAt) -> void;
     auto noteAttempt(Upstream& upstream, AttemptHealth health) -> void;
+    // Takes back what was concluded from losses since then at the upstreams of a region.
+    auto revertLosses(const std::string& region, MonotonicTime since) -> void;
     // Extends the upstream's cold time; never shortens it.
     auto noteCold(const std::string& id, Duration left) -> void;
     auto noteLoad(Upstream& upstream, ReportedLoad load) -> void;
--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -7,10 +7,11 @@
     constexpr int backlog = 1'024;
 }
 
-CallerListener::CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock)
+CallerListener::CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock, HostFilter filter)
     : acceptor_(loop)
     , handler_(handler)
     , clock_(clock)
+    , filter_(std::move(filter))
 {
 }
 
@@ -36,15 +37,23 @@
     acceptor_.async_accept([this](NetError error, Tcp::socket socket) {
         if (error == asio::error::operation_aborted || !acceptor_.is_open())
             return;
-        if (!error) {
-            auto channel = std::make_shared<CallerChannel>(std::move(socket), handler_, clock_);
-            channels_.push_back(channel);
-            channel->start();
-        }
+        if (!error)
+            take(std::move(socket));
         acceptNext();
     });
 }
 
+auto CallerListener::take(Tcp::socket socket) -> void
+{
+    NetError error;
+    const auto peer = socket.remote_endpoint(error);
+    if (filter_ && (error || !filter_(peer.address().to_string())))
+        return closeQuietly(socket);
+    auto channel = std::make_shared<CallerChannel>(std::move(socket), handler_, clock_);
+    channels_.push_back(channel);
+    channel->start();
+}
+
 auto CallerListener::stopAccepting() -> void
 {
     NetError ignored;
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -11,7 +11,10 @@
 
 class CallerListener {
 public:
-    CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock);
+    // Whether a connection from this host is taken; others are closed unread.
+    using HostFilter = std::function<bool(const std::string& host)>;
+
+    CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock, HostFilter filter = {});
 
     // An error message, or nothing.
     auto listen(const SocketAddress& address) -> std::string;
@@ -23,10 +26,12 @@
 
 private:
     auto acceptNext() -> void;
+    auto take(Tcp::socket socket) -> void;
 
     Tcp::acceptor acceptor_;
     CallerHandler& handler_;
     const Clock& clock_;
+    HostFilter filter_;
     std::vector<std::weak_ptr<CallerChannel>> channels_;
 };
 
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -50,20 +50,26 @@
     constexpr std::size_t responseMemoryParts = 4;
     constexpr std::size_t guaranteedResponseBytes = 16 * 1024;
 
-    auto responseBounds(const GatewaySettings& settings) -> ResponseBounds
+    // Responses to delegated requests are only held while this instance holds few of upstreams.
+    constexpr std::size_t delegateMemoryParts = 8;
+
+    auto responseBounds(const GatewaySettings& settings, std::size_t parts) -> ResponseBounds
     {
-        return { static_cast<std::size_t>(settings.memoryMb_) * 1024 * 1024 / responseMemoryParts, guaranteedResponseBytes };
+        return { static_cast<std::size_t>(settings.memoryMb_) * 1024 * 1024 / parts, guaranteedResponseBytes };
     }
 
+    // What a delegation adds to the header of a request.
+    constexpr std::size_t maxDelegationBytes = 16 * 1024;
+
     auto asMetric(std::uint64_t value) -> std::int64_t { return static_cast<std::int64_t>(value); }
 }
 
 // A request of a caller as the gateway counts it.
 class Gateway::Run final : public RunningRequest {
 public:
-    Run(Gateway& gateway, HttpRequest request, CallerHandler::Answer answer)
+    Run(Gateway& gateway, HttpRequest request, CallerHandler::Answer answer, std::optional<Delegation> delegation = std::nullopt)
         : gateway_(gateway)
-        , run_(std::make_shared<RequestHandler>(gateway.context_, std::move(request), std::move(answer)))
+        , run_(std::make_shared<RequestHandler>(gateway.context_, std::move(request), std::move(answer), std::move(delegation)))
     {
         ++gateway_.inFlight_;
     }
@@ -86,6 +92,37 @@
     return run;
 }
 
+auto Gateway::DelegationHandler::limits() const -> CallerLimits
+{
+    auto limits = gateway_.callerLimits();
+    limits.headerBytes_ += maxDelegationBytes;
+    return limits;
+}
+
+auto Gateway::DelegationHandler::refuse(const Answer& answer, std::string_view why) -> void
+{
+    gateway_.log_.write(EventId::DelegationInvalid, { { "why", why } });
+    auto response = problemResponse(400, "invalid delegation", Executed::No);
+    response.set({ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }, encodeDelegationOutcome({ Executed::No, {}, 0 }));
+    answer(std::move(response));
+}
+
+auto Gateway::DelegationHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
+{
+    const boost::beast::string_view name { delegationHeader.data(), delegationHeader.size() };
+    const auto text = request[name];
+    auto delegation = decodeDelegation({ text.data(), text.size() });
+    if (!isOk(delegation)) {
+        refuse(answer, errorOf(delegation).message_);
+        return nullptr;
+    }
+    request.erase(name);
+    ++gateway_.delegationsTaken_;
+    auto run = std::make_shared<Run>(gateway_, std::move(request), std::move(answer), valueOf(std::move(delegation)));
+    run->start();
+    return run;
+}
+
 Gateway::Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter)
     : loop_(loop)
     , clock_(clock)
@@ -107,11 +144,17 @@
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
-    , pool_(loop, clock, adapter_.headers_, responseBounds(settings_), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); })
+    , links_(clock, upstreams_, [this](const LinkChange& change) { onLinkChange(change); })
+    , linkProber_(loop, clock, links_)
+    , delegates_(fleet_, settings_.region_, upstreams_.regions())
+    , pool_(
+          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { links_.recordConnect(upstream, startedAt, isConnected); })
+    , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts))
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, notices_, log_, metrics_ }
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_ }
     , frontHandler_(*this)
+    , delegationHandler_(*this)
     , publicPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) {
         answer(answerPublic(request));
         return nullptr;
@@ -121,6 +164,7 @@
     , directory_(loop, publicPages_, clock)
     , ready_(loop, publicPages_, clock)
     , control_(loop, controlPages_, clock)
+    , delegated_(loop, delegationHandler_, clock, [this](const std::string& host) { return isPeerHost(host); })
     , datagrams_(loop, [this](std::string_view bytes, const SocketAddress& from) { onDatagram(bytes, from); })
     , timer_(loop)
     , startedAt_(clock.now())
@@ -134,7 +178,7 @@
         CallerListener& listener_;
         const SocketAddress& address_;
     };
-    for (const auto& opening : { Opening { front_, settings_.front_ }, Opening { directory_, settings_.directory_ }, Opening { ready_, settings_.ready_ }, Opening { control_, settings_.control_ } }) {
+    for (const auto& opening : { Opening { front_, settings_.front_ }, Opening { directory_, settings_.directory_ }, Opening { ready_, settings_.ready_ }, Opening { control_, settings_.control_ }, Opening { delegated_, settings_.peer_ } }) {
         if (const auto error = opening.listener_.listen(opening.address_); !error.empty())
             return fmt::format("{}: {}", formatSocketAddress(opening.address_), error);
     }
@@ -180,12 +224,20 @@
 auto Gateway::answerDirectory(std::string_view query) const -> HttpResponse
 {
     const auto region = queryValue(query, "region");
-    auto members = fleet_.readyMembers(region);
-    const bool ownRegion = region == settings_.region_;
-    if (members.empty() && !(ownRegion && isReady()))
+    const bool isOwnReady = region == settings_.region_ && isReady();
+    auto members = fleet_.connectedMembers(region);
+    bool isOwnNamed = isOwnReady && !links_.isCutOff();
+    // Instances that reach no upstream are only named where no other one of the region does.
+    if (members.empty() && !isOwnNamed) {
+        members = fleet_.readyMembers(region);
+        isOwnNamed = isOwnReady;
+    }
+    if (members.empty() && !isOwnNamed) {
         members = fleet_.allReadyMembers();
+        isOwnNamed = isReady();
+    }
     nlohmann::json addresses = nlohmann::json::array();
-    if (isReady() && (ownRegion || members.empty()))
+    if (isOwnNamed)
         addresses.push_back(formatSocketAddress(settings_.front_));
     for (const auto* member : members) {
         if (addresses.size() < mostAddresses)
@@ -211,6 +263,10 @@
     metrics_.set({ "gateway_upstream_health_requests_total", {} }, asMetric(coldProber_.count()));
     metrics_.set({ "gateway_declaration_version", {} }, asMetric(context_.index_ ? context_.index_->declaration().version_ : 0));
     metrics_.set({ "gateway_upstreams_known", {} }, asMetric(upstreams_.size()));
+    metrics_.set({ "gateway_link_probes_total", {} }, asMetric(linkProber_.count()));
+    metrics_.set({ "gateway_regions_unreachable", {} }, asMetric(links_.unreachableRegions().size()));
+    metrics_.set({ "gateway_delegations_taken_total", {} }, asMetric(delegationsTaken_));
+    metrics_.set({ "gateway_delegations_in_flight", {} }, asMetric(delegates_.inFlight()));
     metrics_.set({ "gateway_upstreams_cold", {} }, asMetric(upstreams_.coldCount()));
     metrics_.set({ "gateway_upstreams_limited", {} }, asMetric(upstreams_.limitedCount()));
     metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.allReadyMembers().size()));
@@ -245,6 +301,8 @@
     fleet_.setSourceLost(beliefs_.outageDuration(Feed::Upstreams) > Duration::zero());
     if (context_.index_)
         coldProber_.tick(*context_.index_);
+    links_.update();
+    linkProber_.tick();
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.removeSilent();
         beliefs_.noteFleetOutage();
@@ -257,9 +315,10 @@
     renewFeeds();
     if (pulse_.isProbeDue(adapter_.source_->answers()))
         adapter_.source_->probe();
-    for (auto* listener : { &front_, &directory_, &ready_, &control_ })
+    for (auto* listener : { &front_, &directory_, &ready_, &control_, &delegated_ })
         listener->sweep();
     pool_.sweep();
+    delegatePool_.sweep();
     if (ticks_ % statusTicks == 0)
         noteStatus();
     if (isStopping_)
@@ -299,6 +358,10 @@
     report.isSourceLost_ = beliefs_.outageDuration(Feed::Upstreams) > Duration::zero();
     report.coldNotices_ = coldWatch_.activeNotices();
     report.limitNotices_ = upstreamLimits_.activeNotices();
+    const auto unreachable = links_.unreachableRegions();
+    report.unreachableRegions_.assign(unreachable.begin(), unreachable.end());
+    report.isCutOff_ = links_.isCutOff();
+    report.acceptsDelegation_ = true;
     report.wantsPeers_ = beliefs_.needsPeerList();
     return report;
 }
@@ -425,6 +488,31 @@
     }
 }
 
+// Peers are told at once, so that they neither delegate to each other nor name this instance to callers.
+auto Gateway::onLinkChange(const LinkChange& change) -> void
+{
+    // A request that was reset with the links may have been recorded shortly before the first failed connection.
+    constexpr Duration revertMargin = 500ms;
+    if (change.state_ == LinkState::Suspected)
+        return asio::post(loop_, [this] { linkProber_.tick(); });
+    const LogFields fields { { "region", change.region_ }, { "state", linkStateName(change.state_) }, { "since_ms", (clock_.now() - change.since_) / 1ms } };
+    if (change.state_ == LinkState::Unreachable) {
+        upstreams_.revertLosses(change.region_, change.since_ - revertMargin);
+        crashes_.revertLosses(change.since_ - revertMargin);
+        log_.write(EventId::UpstreamsUnreachable, fields);
+        asio::post(loop_, [this] { sendHeartbeat(Reach::All); });
+    } else if (change.state_ == LinkState::Recovering) {
+        log_.write(EventId::UpstreamsReachable, fields);
+    }
+}
+
+// Callers must not pass for peers: connections are only taken from hosts that send heartbeats.
+auto Gateway::isPeerHost(const std::string& host) const -> bool
+{
+    const auto peers = fleet_.peerAddresses();
+    return std::any_of(peers.begin(), peers.end(), [&host](const auto& peer) { return peer.host_ == host; });
+}
+
 auto Gateway::onFoundCold(const std::string& upstream, Duration left) -> void
 {
     log_.write(EventId::UpstreamFoundCold, { { "upstream", upstream }, { "cold_ms", left / 1ms } });
@@ -458,10 +546,12 @@
 auto Gateway::continueStop() -> void
 {
     const auto age = clock_.now() - stoppingAt_;
-    front_.closeIdle();
-    if (age >= acceptAfterStop)
-        front_.stopAccepting();
-    const bool isDone = age >= acceptAfterStop && front_.openCount() == 0;
+    for (auto* listener : { &front_, &delegated_ }) {
+        listener->closeIdle();
+        if (age >= acceptAfterStop)
+            listener->stopAccepting();
+    }
+    const bool isDone = age >= acceptAfterStop && front_.openCount() == 0 && delegated_.openCount() == 0;
     if (isDone || age >= settings_.grace_ - graceMargin)
         end();
 }
@@ -473,6 +563,7 @@
     log_.flush();
     adapter_.source_->stop();
     coldProber_.stop();
+    linkProber_.stop();
     loop_.stop();
 }
 
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -9,7 +9,9 @@
 #include "loop/caller_listener.h"
 #include "loop/cold_prober.h"
 #include "loop/datagram_socket.h"
+#include "loop/delegate_pool.h"
 #include "loop/line_log.h"
+#include "loop/link_prober.h"
 #include "loop/loop_alarm.h"
 #include "loop/upstream_pool.h"
 #include "settings/gateway_settings.h"
@@ -56,6 +58,22 @@
     private:
         Gateway& gateway_;
     };
+    // Requests that peers have admitted and cannot send to upstreams themselves.
+    class DelegationHandler final : public CallerHandler {
+    public:
+        explicit DelegationHandler(Gateway& gateway)
+            : gateway_(gateway)
+        {
+        }
+        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
+        auto limits() const -> CallerLimits override;
+        auto isClosing() const -> bool override { return gateway_.isStopping_; }
+
+    private:
+        auto refuse(const Answer& answer, std::string_view why) -> void;
+
+        Gateway& gateway_;
+    };
     // Pages of the gateway's own.
     class PageHandler final : public CallerHandler {
     public:
@@ -101,6 +119,8 @@
     auto onDeclaration() -> void;
     auto seedPeers() const -> std::vector<SocketAddress>;
     auto renewFeeds() -> void;
+    auto onLinkChange(const LinkChange& change) -> void;
+    auto isPeerHost(const std::string& host) const -> bool;
     auto onFoundCold(const std::string& upstream, Duration left) -> void;
     auto noteFleet() -> void;
     auto noteStatus() -> void;
@@ -129,21 +149,28 @@
     TrafficSplitter split_;
     ResponseTimes workTimes_;
     NoticeRecorder notices_;
+    LinkDetector links_;
+    LinkProber linkProber_;
+    DelegateSelector delegates_;
     UpstreamPool pool_;
+    DelegatePool delegatePool_;
     ColdProber coldProber_;
     Metrics metrics_;
     RequestContext context_;
     FrontHandler frontHandler_;
+    DelegationHandler delegationHandler_;
     PageHandler publicPages_;
     PageHandler controlPages_;
     CallerListener front_;
     CallerListener directory_;
     CallerListener ready_;
     CallerListener control_;
+    CallerListener delegated_;
     DatagramSocket datagrams_;
     asio::steady_timer timer_;
     std::uint64_t ticks_ = 0;
     std::size_t inFlight_ = 0;
+    std::uint64_t delegationsTaken_ = 0;
     std::size_t readyPeers_ = 0;
     std::size_t sentColdNotices_ = 0;
     bool isStopping_ = false;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -13,8 +13,6 @@
 using namespace std::chrono_literals;
 
 namespace {
-    // A connection across regions takes a tenth of this; an upstream that needs longer is as good as gone.
-    constexpr Duration connectLimit = 400ms;
     constexpr std::size_t readBytes = 16 * 1024;
     // A status line, header, chunk header or trailer that is longer can't be read. Complete ones are read as they arrive.
     constexpr std::size_t maxUnparsedBytes = 64 * 1024;
@@ -24,11 +22,6 @@
     // Where the upstream states no time.
     constexpr Duration assumedIdle = 4s;
 
-    auto endpointOf(const SocketAddress& address) -> Tcp::endpoint
-    {
-        return { asio::ip::make_address_v4(address.host_), address.port_ };
-    }
-
     auto renderHead(const OutgoingRequest& request) -> std::string
     {
         std::string head;
@@ -43,6 +36,11 @@
     }
 }
 
+auto endpointOf(const SocketAddress& address) -> Tcp::endpoint
+{
+    return { asio::ip::make_address_v4(address.host_), address.port_ };
+}
+
 UpstreamChannel::UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBudget& budget, LateResponse onLateResponse)
     : socket_(loop)
     , timer_(loop)
@@ -54,11 +52,12 @@
 {
 }
 
-auto UpstreamChannel::connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Done done) -> void
+auto UpstreamChannel::connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void
 {
     request_ = std::move(request);
+    connected_ = std::move(connected);
     done_ = std::move(done);
-    timer_.expires_after(connectLimit);
+    timer_.expires_after(upstreamConnectLimit);
     timer_.async_wait([self = shared_from_this()](NetError error) {
         if (!error && !self->isOpen_)
             self->lose(TransportErrorKind::NotSent, "connect-timeout");
@@ -75,6 +74,7 @@
         return lose(TransportErrorKind::NotSent, error.message());
     isOpen_ = true;
     detectDeadPeer(socket_);
+    std::exchange(connected_, nullptr)(true);
     writeRequest();
 }
 
@@ -216,6 +216,8 @@
 
 auto UpstreamChannel::lose(TransportErrorKind kind, std::string reason) -> void
 {
+    if (kind == TransportErrorKind::NotSent && connected_)
+        std::exchange(connected_, nullptr)(false);
     tell(TransportError { kind, std::move(reason) }, false);
 }
 
@@ -239,6 +241,7 @@
 auto UpstreamChannel::abandon() -> void
 {
     done_ = nullptr;
+    connected_ = nullptr;
     isOpen_ = false;
     held_.release();
     timer_.cancel();
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -10,6 +10,11 @@
 
 namespace sapphirepass {
 
+// A connection across regions takes a tenth of this; an upstream that needs longer is as good as gone.
+inline constexpr Duration upstreamConnectLimit = std::chrono::milliseconds(400);
+
+auto endpointOf(const SocketAddress& address) -> Tcp::endpoint;
+
 class UpstreamChannel : public std::enable_shared_from_this<UpstreamChannel> {
 public:
     // The outcome, and whether the connection may carry another request.
@@ -19,7 +24,10 @@
 
     UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBudget& budget, LateResponse onLateResponse);
 
-    auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
+    // Told once whether the connection was established, before any outcome.
+    using Connected = std::function<void(bool isConnected)>;
+
+    auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void;
     auto send(std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
     // Closes the connection; no outcome is told any more.
     auto abandon() -> void;
@@ -56,6 +64,7 @@
     ResponseHold held_;
     std::shared_ptr<const OutgoingRequest> request_;
     std::string head_;
+    Connected connected_;
     Done done_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -2,6 +2,8 @@
 
 #include "loop/upstream_channel.h"
 
+#include <algorithm>
+
 namespace sapphirepass {
 
 namespace {
@@ -27,12 +29,13 @@
     };
 }
 
-UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse)
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect)
     : loop_(loop)
     , clock_(clock)
     , names_(names)
     , budget_(bounds)
     , onLateResponse_(std::move(onLateResponse))
+    , onConnect_(std::move(onConnect))
 {
 }
 
@@ -57,6 +60,12 @@
     return nullptr;
 }
 
+auto UpstreamPool::hasOpenConnection(const UpstreamPtr& upstream) -> bool
+{
+    const auto found = idle_.find(upstream);
+    return found != idle_.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto& channel) { return channel->isFresh(); });
+}
+
 auto UpstreamPool::call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt>
 {
     auto channel = takeIdle(upstream);
@@ -74,7 +83,12 @@
     if (reused)
         channel->send(std::move(request), onDone);
     else
-        channel->connectAndSend(upstream->entry_.address_, std::move(request), onDone);
+        channel->connectAndSend(
+            upstream->entry_.address_, std::move(request), [this, upstream, startedAt = clock_.now()](bool isConnected) {
+                if (onConnect_)
+                    onConnect_(*upstream, startedAt, isConnected);
+            },
+            onDone);
     return attempt;
 }
 
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -23,11 +23,15 @@
     // Gets responses to requests whose attempts are over.
     using LateResponse = std::function<void(Upstream&, const HttpResponse&)>;
 
-    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse);
+    // Gets the outcome of each attempt to open a connection.
+    using ConnectListener = std::function<void(const Upstream&, MonotonicTime startedAt, bool isConnected)>;
+
+    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect = {});
     ~UpstreamPool() override;
     UpstreamPool(const UpstreamPool&) = delete;
     auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
 
+    auto hasOpenConnection(const UpstreamPtr& upstream) -> bool override;
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     // Closes connections that have been idle for too long or whose upstream is retired.
     auto sweep() -> void;
@@ -48,6 +52,7 @@
     const HeaderNames& names_;
     ResponseBudget budget_;
     LateResponse onLateResponse_;
+    ConnectListener onConnect_;
     std::map<UpstreamPtr, Idle> idle_;
     PoolCounts counts_;
 };
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -48,6 +48,10 @@
   # The sender has just started and knows no other instances; it is answered with their addresses.
   wantsPeers @14 :Bool;
   limits @15 :List(UpstreamLimit);
+  unreachableRegions @16 :List(Text);
+  cutOff @17 :Bool;
+  # False from instances that know no delegation.
+  acceptsDelegation @18 :Bool;
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -101,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -607,6 +607,13 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasUnreachableRegions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnreachableRegions() const;
+
+  inline bool getCutOff() const;
+
+  inline bool getAcceptsDelegation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -733,6 +740,20 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::UpstreamLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasUnreachableRegions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnreachableRegions();
+  inline void setUnreachableRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnreachableRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnreachableRegions(unsigned int size);
+  inline void adoptUnreachableRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnreachableRegions();
+
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
+
+  inline bool getAcceptsDelegation();
+  inline void setAcceptsDelegation(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1971,6 +1992,72 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasUnreachableRegions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasUnreachableRegions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Heartbeat::Reader::getUnreachableRegions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::getUnreachableRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setUnreachableRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setUnreachableRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::initUnreachableRegions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptUnreachableRegions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Heartbeat::Builder::disownUnreachableRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
+inline bool Heartbeat::Reader::getCutOff() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getCutOff() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setCutOff(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getAcceptsDelegation() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<83>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getAcceptsDelegation() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<83>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setAcceptsDelegation(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<83>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/standin/scripted_caller.h
+++ b/standin/scripted_caller.h
@@ -1,8 +1,9 @@
 // Upstreams whose outcomes a test decides, one attempt after the other.
 #pragma once
 
-#include "gateway/upstream_caller.h"
+#include "gateway/delegate_caller.h"
 
+#include <set>
 #include <vector>
 
 namespace sapphirepass::standin {
@@ -17,6 +18,7 @@
         std::shared_ptr<bool> isEnded_;
     };
 
+    auto hasOpenConnection(const UpstreamPtr& upstream) -> bool override { return open_.contains(upstream->entry_.id_); }
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override
     {
         auto ended = std::make_shared<bool>(false);
@@ -24,6 +26,9 @@
         return std::make_unique<Open>(ended);
     }
 
+    // Ids of upstreams to which a connection is open.
+    std::set<std::string> open_;
+
     auto calls() const -> const std::vector<Call>& { return calls_; }
     // Tells the outcome of the newest attempt.
     auto finish(AttemptOutcome outcome) -> void
@@ -50,4 +55,30 @@
     std::vector<Call> calls_;
 };
 
+// Peers whose responses to delegated requests a test decides.
+class ScriptedDelegates final : public DelegateCaller {
+public:
+    struct Call {
+        std::string peer_;
+        std::shared_ptr<const OutgoingRequest> request_;
+        std::function<void(AttemptOutcome)> done_;
+    };
+
+    auto call(const MemberReport& peer, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override
+    {
+        calls_.push_back({ peer.name_, std::move(request), std::move(done) });
+        return std::make_unique<Attempt>();
+    }
+
+    auto calls() const -> const std::vector<Call>& { return calls_; }
+    auto finish(AttemptOutcome outcome) -> void
+    {
+        const auto done = calls_.back().done_;
+        done(std::move(outcome));
+    }
+
+private:
+    std::vector<Call> calls_;
+};
+
 } // namespace sapphirepass::standin
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -148,7 +148,7 @@
     ManualClock clock_;
     AdvancingClock advancing_ { clock_ };
     standin::ManualAlarms alarms_ { clock_ };
-    UpstreamSet upstreams_ { advancing_, { { "north-a", "north" } } };
+    UpstreamSet upstreams_ { advancing_, { { "north-a", "north" }, { "north-b", "north" } } };
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
     Placer placer_ { advancing_, upstreams_, fleet_, "north" };
     NoAskSender askSender_;
@@ -161,9 +161,12 @@
     ResponseTimes workTimes_;
     standin::ScriptedCaller caller_;
     standin::KeptLog log_;
+    LinkDetector links_ { advancing_, upstreams_ };
+    DelegateSelector selector_ { fleet_, "north", upstreams_.regions() };
+    standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { advancing_, alarms_, names, nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, notices_, log_, metrics_ };
+    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
@@ -706,3 +709,192 @@
     CHECK(fields["excluded"]["ineligible"] == 1);
     CHECK(fields["excluded"]["cold"] == 3);
 }
+
+namespace {
+
+// An instance that has lost its links to all upstreams, and one peer that reaches them.
+struct CutOffFixture : Fixture {
+    CutOffFixture()
+    {
+        for (int i = 0; i < 6; ++i)
+            upstreams_.put({ fmt::format("u{}", i), 1, "core", { "127.0.0.1", 9000 }, i % 2 == 0 ? "north-a" : "north-b", 4, UpstreamState::Ready, 0s });
+        for (const auto& [id, upstream] : upstreams_.byId())
+            links_.recordConnect(*upstream, clock_.now(), false);
+        clock_.advance(1ms);
+        for (const auto& [id, upstream] : upstreams_.byId())
+            links_.recordConnect(*upstream, clock_.now(), false);
+        REQUIRE(links_.state("north") == LinkState::Unreachable);
+        addPeer("e2");
+    }
+
+    auto addPeer(const std::string& name) -> void
+    {
+        MemberReport report;
+        report.name_ = name;
+        report.region_ = "north";
+        report.phase_ = MemberPhase::Ready;
+        report.acceptsDelegation_ = true;
+        fleet_.updateMember(report);
+    }
+
+    auto answerOfPeer(UpstreamResponse response, const DelegationOutcome& outcome) const -> UpstreamResponse
+    {
+        response.set({ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }, encodeDelegationOutcome(outcome));
+        return response;
+    }
+
+    auto refusal() const -> UpstreamResponse { return answerOfPeer(problemResponse(503, "all-full", Executed::No, 700ms), { Executed::No, {}, 0 }); }
+};
+
+}
+
+TEST_CASE("a cut-off instance has a peer handle a request, with its workspace and without its key", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+    CHECK(fixture.calls() == 0);
+    REQUIRE(fixture.delegates_.calls().size() == 1);
+    const auto& sent = *fixture.delegates_.calls().front().request_;
+    CHECK(sent["Workspace"] == "acme");
+    CHECK(sent[http::field::authorization].empty());
+    const auto delegation = valueOf(decodeDelegation({ sent["Sapphirepass-Delegation"].data(), sent["Sapphirepass-Delegation"].size() }));
+    CHECK(delegation.origin_ == "self");
+    CHECK(delegation.repeat_ == RepeatRule::Once);
+    CHECK(delegation.timeLeft_ < 1s);
+    auto answer = fixture.success();
+    answer.set(names.leaving_, "1");
+    fixture.delegates_.finish(fixture.answerOfPeer(answer, { std::nullopt, "u2", 1 }));
+    CHECK(fixture.status() == 200);
+    CHECK(fixture.answers_.back().count("Sapphirepass-Delegation-Outcome") == 0);
+    // The upstream has said so to this instance's caller as well.
+    CHECK_FALSE(fixture.upstreams_.isEligible(*fixture.upstreams_.byId().at("u2")));
+}
+
+TEST_CASE("only a peer's word that nothing has run allows another try or a refusal", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    const auto path = GENERATE("/order/1", "/read/1");
+    SECTION("silence after bytes were sent is no refusal, and nothing is sent again")
+    {
+        fixture.start(fixture.request(path));
+        fixture.delegates_.finish(TransportError { TransportErrorKind::ConnectionLost, "reset" });
+        CHECK(fixture.status() == 502);
+        CHECK(fixture.delegates_.calls().size() == 1);
+    }
+    SECTION("an answer without its outcome is none")
+    {
+        fixture.start(fixture.request(path));
+        fixture.delegates_.finish(fixture.failure(503));
+        CHECK(fixture.status() == 502);
+    }
+    SECTION("a request that did not leave goes to another peer")
+    {
+        fixture.addPeer("e3");
+        fixture.start(fixture.request(path));
+        fixture.delegates_.finish(TransportError { TransportErrorKind::NotSent, "refused" });
+        REQUIRE(fixture.delegates_.calls().size() == 2);
+        CHECK(fixture.delegates_.calls()[0].peer_ != fixture.delegates_.calls()[1].peer_);
+        fixture.delegates_.finish(fixture.answerOfPeer(fixture.success(), { std::nullopt, "u2", 1 }));
+        CHECK(fixture.status() == 200);
+    }
+    SECTION("a refusal of all peers is a refusal that names a wait")
+    {
+        fixture.addPeer("e3");
+        fixture.start(fixture.request(path));
+        fixture.delegates_.finish(fixture.refusal());
+        fixture.delegates_.finish(fixture.refusal());
+        CHECK(fixture.delegates_.calls().size() == 2);
+        CHECK(fixture.status() == 503);
+        CHECK(std::stod(std::string(fixture.answers_.back()[http::field::retry_after])) >= 0.7);
+    }
+    SECTION("a peer that does not know whether it ran is no refusal")
+    {
+        fixture.start(fixture.request(path));
+        fixture.delegates_.finish(fixture.answerOfPeer(problemResponse(504, "timeout", Executed::Unknown), { Executed::Unknown, {}, 0 }));
+        CHECK(fixture.status() == 504);
+    }
+    CHECK(fixture.calls() == 0);
+}
+
+TEST_CASE("a cut-off instance without a peer that reaches upstreams refuses at once", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    fixture.clock_.advance(3s);
+    fixture.start(fixture.request("/read/1"));
+    CHECK(fixture.status() == 503);
+    CHECK(fixture.calls() == 0);
+    CHECK(fixture.log_.lines().back().fields_["reason"] == "upstreams-unreachable");
+}
+
+TEST_CASE("an open connection that still works is used while new ones fail", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    fixture.clock_.advance(300ms);
+    fixture.links_.recordResponse(*fixture.upstreams_.byId().at("u0"));
+    for (int i = 0; i < 6; ++i)
+        fixture.caller_.open_.insert(fmt::format("u{}", i));
+    fixture.start(fixture.request("/read/1"));
+    CHECK(fixture.calls() == 1);
+    CHECK(fixture.delegates_.calls().empty());
+}
+
+TEST_CASE("a delegated request is handled by what the peer has decided, and goes no further", "[request][delegation]")
+{
+    Fixture fixture;
+    const Delegation delegation { "e9", "gone-here", "core", "acme", {}, RepeatRule::Once, 2, 600ms, 250ms, std::nullopt };
+    auto request = fixture.request("/unknown/1", "");
+    request.set(names.workspace_, "acme");
+    const auto handle = [&] {
+        auto handler = std::make_shared<RequestHandler>(
+            fixture.context_, request, [&fixture](UpstreamResponse response) { fixture.answers_.push_back(std::move(response)); }, delegation);
+        fixture.handlers_.push_back(handler);
+        handler->start();
+    };
+    SECTION("it is sent, and the response names its upstream")
+    {
+        handle();
+        REQUIRE(fixture.calls() == 1);
+        const auto& call = fixture.caller_.calls().front();
+        CHECK((*call.request_)["Workspace"] == "acme");
+        CHECK(std::stoi(std::string((*call.request_)["Left-Ms"])) <= 600);
+        fixture.caller_.finish(fixture.success());
+        const auto text = fixture.answers_.back()["Sapphirepass-Delegation-Outcome"];
+        CHECK(valueOf(decodeDelegationOutcome({ text.data(), text.size() })) == DelegationOutcome { std::nullopt, call.upstream_->entry_.id_, 1 });
+    }
+    SECTION("what may have run once is not sent again")
+    {
+        handle();
+        fixture.caller_.finish(TransportError { TransportErrorKind::ConnectionLost, "reset" });
+        CHECK(fixture.calls() == 1);
+        CHECK(fixture.status() == 502);
+    }
+    SECTION("an instance that is cut off itself refuses it at once")
+    {
+        CutOffFixture cut;
+        auto handler = std::make_shared<RequestHandler>(
+            cut.context_, request, [&cut](UpstreamResponse response) { cut.answers_.push_back(std::move(response)); }, delegation);
+        handler->start();
+        CHECK(cut.status() == 503);
+        CHECK(cut.delegates_.calls().empty());
+        const auto text = cut.answers_.back()["Sapphirepass-Delegation-Outcome"];
+        CHECK(valueOf(decodeDelegationOutcome({ text.data(), text.size() })).refusal_ == Executed::No);
+    }
+}
+
+TEST_CASE("losses of links eject no upstream and blame no request", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    // Sent before the loss was known; the connection is given up during it.
+    auto& upstream = *fixture.upstreams_.byId().at("u0");
+    fixture.links_.recordResponse(upstream);
+    fixture.clock_.advance(200ms);
+    fixture.links_.recordResponse(upstream);
+    for (int i = 0; i < 6; ++i)
+        fixture.caller_.open_.insert(fmt::format("u{}", i));
+    fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+    REQUIRE(fixture.calls() == 1);
+    fixture.caller_.finish(TransportError { TransportErrorKind::ConnectionLost, "Connection timed out" });
+    CHECK(fixture.status() == 502);
+    CHECK(fixture.caller_.calls().front().upstream_->consecutiveLosses_ == 0);
+    CHECK(fixture.crashes_.counts().empty());
+}
--- a/tests/upstream_cut_test.cpp
+++ b/tests/upstream_cut_test.cpp
@@ -97,12 +97,13 @@
     std::vector<std::unique_ptr<FaultProxy>> proxies_;
 };
 
+const std::string keptAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nKeep-Alive: timeout=10\r\nContent-Length: 4\r\n\r\ndone";
 const std::string closingAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone";
 
 }
 
 // All upstreams were taken for crashed ones, and nothing carried a request to an instance that reached them.
-TEST_CASE("an instance that has lost its links to all upstreams serves its callers through a peer", "[upstream-cut][knownred]")
+TEST_CASE("an instance that has lost its links to all upstreams serves its callers through a peer", "[upstream-cut]")
 {
     const auto manner = GENERATE(CutManner::Reset, CutManner::Silent);
     CAPTURE(static_cast<int>(manner));
@@ -112,3 +113,45 @@
     for (int i = 0; i < 10; ++i)
         CHECK(fixture.send() == "HTTP/1.1 200 OK");
 }
+
+// With more load or new upstreams than open connections, every request that needed a new one was refused.
+TEST_CASE("while new connections to upstreams are refused, open ones and a peer serve the callers", "[upstream-cut]")
+{
+    CutFixture fixture(keptAnswer);
+    REQUIRE(fixture.send() == "HTTP/1.1 200 OK");
+    fixture.cut(CutManner::RefusedWhileOpenOnesWork);
+    for (int i = 0; i < 10; ++i)
+        CHECK(fixture.send() == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("an instance that is cut off from its upstreams stays ready, is not named to callers, and returns", "[upstream-cut]")
+{
+    CutFixture fixture(closingAnswer);
+    fixture.cut(CutManner::Reset);
+    CHECK(fixture.send() == "HTTP/1.1 200 OK");
+    CHECK(runUntil(fixture.near_.loop_, [&fixture] { return fixture.namedBy(fixture.near_.settings_) == 1 && fixture.namedBy(fixture.far_) == 1; }));
+    CHECK(fixture.near_.gateway_->isReady());
+    fixture.heal();
+    CHECK(runUntil(fixture.near_.loop_, [&fixture] { return fixture.namedBy(fixture.near_.settings_) == 2 && fixture.namedBy(fixture.far_) == 2; }));
+    CHECK(fixture.send() == "HTTP/1.1 200 OK");
+}
+
+// A caller must not pass for a peer, which is believed what workspace a request is of.
+TEST_CASE("an instance takes delegated requests only from hosts of other instances", "[upstream-cut]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&fixture] { return fixture.gateway_->isReady(); }));
+    LoopClient stranger(fixture.loop_, fixture.settings_.peer_);
+    stranger.send(order);
+    CHECK(runUntil(fixture.loop_, [&stranger] { return stranger.isEnded(); }));
+    CHECK(stranger.received().empty());
+    CHECK(fixture.server_.requests().empty());
+    // At the callers' own address the header has no meaning.
+    LoopClient caller(fixture.loop_, fixture.settings_.front_);
+    caller.send("POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: t1\r\nSapphirepass-Delegation: {\"origin\":\"e9\",\"route\":\"r\",\"service\":\"s\",\"workspace\":\"acme\",\"homes\":[],\"idempotent\":true,\"attempts\":1,\"left_ms\":900,\"target_ms\":300}\r\nContent-Length: 2\r\n\r\nhi");
+    REQUIRE(runUntil(fixture.loop_, [&caller] { return caller.count("HTTP/1.1") == 1; }));
+    CHECK(caller.received().starts_with("HTTP/1.1 401"));
+}
