A feed whose watch the store never answers is verified beside it

Cause: liveness of the source taken for progress of the feed. A probe of its own connection was answered again, so the feed counted as regained; the watch that hung was only given up after its 20 s. Ruled out: FeedLag, which needs another instance that is ahead; here all are behind alike.

Every answer of the store names its newest revision. A feed that waits and has not come so far for 200 ms is verified (FeedVerifier): a watch of 1 ms, from a copy at a tenth of the price, on a connection of its own. The waiting watch is only replaced if it has missed something. Revisions that another feed has received need no call.

Log source-missed-changes; gauge gateway_feed_unverified_milliseconds.

--- a/src/gateway/discovery_source.h
+++ b/src/gateway/discovery_source.h
@@ -22,6 +22,9 @@
 
 inline constexpr std::array<Feed, 3> allFeeds { Feed::Declaration, Feed::Upstreams, Feed::Evacuations };
 
+// For logs and metrics.
+auto feedName(Feed feed) -> std::string_view;
+
 // A revision of the platform's store. The era rises each time the store returns from an older copy; revisions after that
 // copy are then given out again for other changes, so they are only comparable within an era.
 struct StoreRevision {
@@ -65,6 +68,8 @@
     virtual auto instancesListed(const std::vector<ListedInstance>& instances) -> void = 0;
     virtual auto feedLost(Feed feed, std::string_view why) -> void = 0;
     virtual auto feedRestored(Feed feed) -> void = 0;
+    // A watch that the platform never answered has missed changes; the feed is read on a new connection.
+    virtual auto changesMissed(Feed feed, std::uint64_t seenUpTo, std::uint64_t newest) -> void = 0;
     // The store has returned from an older copy, which lacks recent changes. Called before the copy's objects are listed.
     virtual auto storeRestored(Feed feed, std::uint64_t era) -> void = 0;
     // The feed is read from another instance from now on, or from the platform if empty.
@@ -100,6 +105,11 @@
     // platform answers again.
     virtual auto probe() -> void = 0;
     virtual auto position(Feed feed) const -> FeedPosition = 0;
+    // The newest revision that any answer of the platform has named.
+    virtual auto newestRevision() const -> StoreRevision = 0;
+    // Asks the platform beside the waiting watch of a feed whether the feed has missed a change, and reads the feed on a new
+    // connection if it has.
+    virtual auto verify(Feed feed) -> void = 0;
     // Serves a feed request of another instance. Null if it was answered immediately.
     virtual auto answerPeer(const OutgoingRequest& request, std::function<void(UpstreamResponse)> answer) -> std::shared_ptr<RunningRequest> = 0;
     // Reads the feed at the platform on a new connection, after other instances reported a change that this feed has not
--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/discovery_state.cpp
@@ -13,25 +13,25 @@
     // Time for the instances in a received peer list to send a heartbeat: two heartbeat intervals between regions.
     constexpr Duration peerListSettleTime = 1'600ms;
 
-    auto feedName(Feed feed) -> std::string_view
-    {
-        switch (feed) {
-        case Feed::Declaration:
-            return "declaration";
-        case Feed::Upstreams:
-            return "upstreams";
-        case Feed::Evacuations:
-            return "evacuations";
-        }
-        return "";
-    }
-
     auto describeUpstream(const UpstreamEntry& entry, bool isLeaving) -> LogFields
     {
         return { { "upstream", entry.id_ }, { "started", entry.startTimeMs_ }, { "leaving", isLeaving }, { "service", entry.service_ }, { "address", formatSocketAddress(entry.address_) }, { "domain", entry.domain_ }, { "draining", entry.state_ == UpstreamState::Draining }, { "cold_ms", entry.coldLeft_ / 1ms } };
     }
 }
 
+auto feedName(Feed feed) -> std::string_view
+{
+    switch (feed) {
+    case Feed::Declaration:
+        return "declaration";
+    case Feed::Upstreams:
+        return "upstreams";
+    case Feed::Evacuations:
+        return "evacuations";
+    }
+    return "";
+}
+
 DiscoveryState::DiscoveryState(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log)
     : clock_(clock)
     , upstreams_(upstreams)
@@ -199,6 +199,11 @@
     log_.write(EventId::SourceBehind, { { "feed", feedName(feed) }, { "era", own.current_.era_ }, { "seen_up_to", own.current_.number_ }, { "newest_elsewhere", newestElsewhere.number_ }, { "newest_era", newestElsewhere.era_ } });
 }
 
+auto DiscoveryState::changesMissed(Feed feed, std::uint64_t seenUpTo, std::uint64_t newest) -> void
+{
+    log_.write(EventId::SourceMissedChanges, { { "feed", feedName(feed) }, { "seen_up_to", seenUpTo }, { "newest", newest } });
+}
+
 auto DiscoveryState::outageDuration(Feed feed) const -> Duration
 {
     const auto found = feeds_.find(feed);
--- a/src/gateway/discovery_state.h
+++ b/src/gateway/discovery_state.h
@@ -26,6 +26,7 @@
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override;
     auto feedLost(Feed feed, std::string_view why) -> void override;
     auto feedRestored(Feed feed) -> void override;
+    auto changesMissed(Feed feed, std::uint64_t seenUpTo, std::uint64_t newest) -> void override;
     auto storeRestored(Feed feed, std::uint64_t era) -> void override;
     auto feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void override;
     auto bootstrapFailed(Feed feed, std::string_view why) -> void override;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -135,6 +135,7 @@
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
     , beliefs_(clock, upstreams_, fleet_, log_)
     , feedLag_(clock)
+    , feedVerifier_(clock)
     , pulse_(clock)
     , relayChoice_(fleet_, settings_.region_)
     , coldWatch_(clock, upstreams_, fleet_)
@@ -271,8 +272,10 @@
     metrics_.set({ "gateway_upstreams_limited", {} }, asMetric(upstreams_.limitedCount()));
     metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.allReadyMembers().size()));
     metrics_.set({ "gateway_log_lines_dropped_total", {} }, asMetric(log_.dropped()));
-    for (const auto& [feed, name] : { std::pair(Feed::Declaration, "declaration"), std::pair(Feed::Upstreams, "upstreams"), std::pair(Feed::Evacuations, "evacuations") })
-        metrics_.set({ "gateway_feed_lost_milliseconds", fmt::format("feed=\"{}\"", name) }, beliefs_.outageDuration(feed) / 1ms);
+    for (const auto feed : allFeeds) {
+        metrics_.set({ "gateway_feed_lost_milliseconds", fmt::format("feed=\"{}\"", feedName(feed)) }, beliefs_.outageDuration(feed) / 1ms);
+        metrics_.set({ "gateway_feed_unverified_milliseconds", fmt::format("feed=\"{}\"", feedName(feed)) }, feedVerifier_.unverifiedFor(feed) / 1ms);
+    }
     HttpResponse response;
     response.result(200);
     response.set(http::field::content_type, "text/plain; version=0.0.4");
@@ -475,11 +478,16 @@
 // A watch whose answer was lost on a connection that stays open would else keep its feed behind until its time limit.
 auto Gateway::renewFeeds() -> void
 {
+    FeedVerifier::Positions positions;
+    for (const auto feed : allFeeds)
+        positions.at(static_cast<std::size_t>(feed)) = adapter_.source_->position(feed);
     for (const auto feed : allFeeds) {
         // It is asked again anyway.
         if (beliefs_.outageDuration(feed) > Duration::zero())
             continue;
-        const auto own = adapter_.source_->position(feed);
+        const auto& own = positions.at(static_cast<std::size_t>(feed));
+        if (feedVerifier_.isDue(feed, positions, adapter_.source_->newestRevision()))
+            adapter_.source_->verify(feed);
         const auto newest = fleet_.newestRevisionReported(static_cast<std::size_t>(feed));
         if (!feedLag_.isOverdue(feed, own, newest))
             continue;
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -3,6 +3,7 @@
 
 #include "gateway/discovery_state.h"
 #include "gateway/feed_lag.h"
+#include "gateway/feed_verifier.h"
 #include "gateway/relay_selector.h"
 #include "gateway/request_handler.h"
 #include "gateway/source_keepalive.h"
@@ -138,6 +139,7 @@
     FleetView fleet_;
     DiscoveryState beliefs_;
     FeedLag feedLag_;
+    FeedVerifier feedVerifier_;
     SourceKeepalive pulse_;
     RelaySelector relayChoice_;
     ColdDetector coldWatch_;
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -34,6 +34,7 @@
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override { instances_ = instances; }
     auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
     auto feedRestored(Feed) -> void override { ++regained_; }
+    auto changesMissed(Feed, std::uint64_t, std::uint64_t) -> void override { ++missed_; }
     auto storeRestored(Feed, std::uint64_t era) -> void override { eras_.push_back(era); }
     auto feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void override { follows_[feed] = std::move(peer); }
     auto bootstrapFailed(Feed, std::string_view) -> void override { ++refusedByHolders_; }
@@ -51,6 +52,7 @@
     int lists_ = 0;
     int unreadable_ = 0;
     int lost_ = 0;
+    int missed_ = 0;
     int regained_ = 0;
     int refusedByHolders_ = 0;
 
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -399,3 +399,41 @@
     other.beginStop();
     CHECK(runUntil(fixture.loop_, [&] { return fixture.ask(fixture.settings_.directory_, "/-/resolve?region=north").find(formatSocketAddress(second.front_)) == std::string::npos; }));
 }
+
+// A watch that the store takes in a short silence is never answered, and looked like one without changes for 20 s.
+TEST_CASE("a change is received although the store never answers the watch for it", "[gateway][feeds]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("servers", "i-2", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
+    for (const auto* kind : { "config", "servers", "evacuations" })
+        fixture.store_.swallowWatches(kind, 1);
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady() && fixture.store_.isSwallowed("config") && fixture.store_.isSwallowed("servers") && fixture.store_.isSwallowed("evacuations"); }));
+    const auto request = [&fixture] {
+        LoopClient client(fixture.loop_, fixture.settings_.front_);
+        client.send(order);
+        REQUIRE(runUntil(fixture.loop_, [&client] { return client.count("HTTP/1.1") == 1; }));
+        return client.received().substr(9, 3);
+    };
+    REQUIRE(request() == "200");
+    SECTION("a key that is withdrawn")
+    {
+        auto withdrawn = declared(2);
+        withdrawn["tenants"][0]["api_keys"] = { "another" };
+        fixture.store_.put("config", "main", withdrawn);
+        CHECK(runUntil(fixture.loop_, [&] { return request() == "401"; }));
+    }
+    SECTION("upstreams that drain")
+    {
+        for (const auto* id : { "i-1", "i-2" })
+            fixture.store_.put("servers", id, listed(fixture.server_.address(), "draining"));
+        CHECK(runUntil(fixture.loop_, [&] { return request() == "503"; }));
+    }
+    SECTION("a domain that is evacuated")
+    {
+        fixture.store_.put("evacuations", "north-a", json::object());
+        CHECK(runUntil(fixture.loop_, [&] { return request() == "503"; }));
+    }
+}
