Connections that wait to be accepted when a gateway stops are served

Operators of similar systems reported requests that were cut off in a planned stop under load. It can happen here: closing the listener resets the connections that the kernel has accepted and the loop has not, though their requests have arrived. Taken from the queue first now. The test (five connections, then the stop) failed before: none of the five was answered. Ruled out as causes: connections without a request yet (closeIdle leaves them) and requests in flight (the process waits for them).

--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -54,8 +54,17 @@
     channel->start();
 }
 
+// Closing a listener resets the connections that wait to be accepted, whose requests may have arrived already.
 auto CallerListener::stopAccepting() -> void
 {
+    NetError error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (!error)
+            take(std::move(socket));
+    }
     NetError ignored;
     acceptor_.close(ignored);
 }
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -400,3 +400,18 @@
     ::close(ends[0]);
     ::close(ends[1]);
 }
+
+// They were reset by the end of the listener, without an answer.
+TEST_CASE("connections that wait to be accepted when a listener stops are still served", "[caller][stop]")
+{
+    ListenerFixture fixture;
+    std::vector<std::unique_ptr<LoopClient>> clients;
+    for (int i = 0; i < 5; ++i) {
+        clients.push_back(std::make_unique<LoopClient>(fixture.loop_, fixture.address_));
+        clients.back()->send(get);
+    }
+    fixture.listener_.stopAccepting();
+    const auto isServed = [](const auto& client) { return client->count("answer") == 1; };
+    CHECK(runUntil(fixture.loop_, [&] { return std::all_of(clients.begin(), clients.end(), [&](const auto& client) { return isServed(client) || client->isEnded(); }); }));
+    CHECK(std::all_of(clients.begin(), clients.end(), isServed));
+}
