A response without an id is only taken as the first on its connection

It can happen here: a response that names another attempt is passed over, but one that names none and is no success was taken for the awaited one, whatever the connection had carried before. A copy of a refusal then told the caller that a request had not run which may have run. Such a response now ends the connection, and the outcome counts as unknown.

--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -193,9 +193,11 @@
             return lose(TransportErrorKind::InvalidResponse, "answer-of-another-request");
         return skipResponse();
     }
-    if (echoed.empty() && status / 100 == 2)
+    // A second copy of an earlier response may arrive in place of the awaited one.
+    if (echoed.empty() && (status / 100 == 2 || hasCarriedResponse_))
         return lose(TransportErrorKind::InvalidResponse, "answer-without-id");
     const bool reusable = !ended && !isTainted_ && !isWriting_ && parser_->keep_alive() && buffer_.size() == 0;
+    hasCarriedResponse_ = true;
     if (reusable)
         idleUntil_ = clock_.now() + keptFor(response);
     tell(parser_->release(), reusable);
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -73,6 +73,7 @@
     bool isWriting_ = false;
     // An answer to another request came on it: it carries no further one.
     bool isTainted_ = false;
+    bool hasCarriedResponse_ = false;
     // Interim responses and those to earlier requests that came before the one awaited.
     int skippedResponses_ = 0;
     MonotonicTime idleUntil_ {};
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -415,3 +415,17 @@
     CHECK(runUntil(fixture.loop_, [&] { return std::all_of(clients.begin(), clients.end(), [&](const auto& client) { return isServed(client) || client->isEnded(); }); }));
     CHECK(std::all_of(clients.begin(), clients.end(), isServed));
 }
+
+// A second copy of a response that names no request was taken for the response to the next one, which may have run.
+TEST_CASE("a response without an id is only taken as the first on its connection", "[pool]")
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    PoolFixture fixture([&refusal](int number, const std::string&) -> ScriptedBytes {
+        return { number == 1 ? refusal : success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n") };
+    });
+    CHECK(fixture.body(fixture.call("t0")) == "body");
+    CHECK(lossOf(fixture.call("t1")) == TransportErrorKind::InvalidResponse);
+    // The connection on which it came is not used again.
+    CHECK(fixture.body(fixture.call("t2")) == "body");
+    CHECK(fixture.server_.connections() == 2);
+}
