User timeouts of connections agree with their keep-alive probes

A TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count, so the 1.5 s on every connection ended idle ones of callers after 2 s of silence and not after the 3 s that two probes allow: a caller or an instance that stands still for 2 s lost all of them, and its next request met a reset. Connections of callers get 3 s now; those to servers keep 1.5 s for written data, with the one probe that fits. The test compares the options of a socket; the former values (1.5 s, two probes) break its first check.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -59,7 +59,7 @@
         if (error)
             return self->fail(error.message());
         self->isConnected_ = true;
-        detectDeadPeer(self->socket_);
+        detectDeadPeer(self->socket_, PeerPatience::Short);
         self->write();
     });
 }
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -59,7 +59,7 @@
 
 auto CallerChannel::start() -> void
 {
-    detectDeadPeer(socket_);
+    detectDeadPeer(socket_, PeerPatience::Long);
     beginRequest();
     readMore();
 }
--- a/src/loop/net_type.cpp
+++ b/src/loop/net_type.cpp
@@ -7,12 +7,19 @@
 namespace sapphirepass {
 
 namespace {
-    // Written data that is not acknowledged for so long ends the connection.
-    constexpr int userTimeoutMs = 1'500;
-    // A connection without traffic is probed after a second and given up after two lost probes.
+    // A connection without traffic is probed after a second and then every second.
     constexpr int keepAliveIdleS = 1;
     constexpr int keepAliveIntervalS = 1;
-    constexpr int keepAliveProbes = 2;
+
+    struct SilenceLimits {
+        // Written data that is not acknowledged for so long ends the connection. The kernel applies it to keep-alive probes
+        // too, whatever their number, so the two must not contradict each other.
+        int userTimeoutMs_ = 0;
+        int keepAliveProbes_ = 0;
+    };
+
+    constexpr SilenceLimits shortLimits { 1'500, 1 };
+    constexpr SilenceLimits longLimits { 3'000, 2 };
 
     auto setOption(int socket, int level, int name, int value) -> void
     {
@@ -21,15 +28,16 @@
     }
 }
 
-auto detectDeadPeer(Tcp::socket& socket) -> void
+auto detectDeadPeer(Tcp::socket& socket, PeerPatience patience) -> void
 {
+    const auto& limits = patience == PeerPatience::Short ? shortLimits : longLimits;
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalS);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, limits.keepAliveProbes_);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, limits.userTimeoutMs_);
 }
 
 auto closeQuietly(Tcp::socket& socket) -> void
--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -38,8 +38,15 @@
     return {};
 }
 
+// How long a peer may stay silent.
+enum class PeerPatience {
+    // A server: requests that it does not acknowledge are given up early enough to be tried elsewhere.
+    Short,
+    // A caller, whose idle connection should outlive a short freeze or cut of its machine.
+    Long };
+
 // Ends a connection whose peer is silent, which the kernel alone would not notice for minutes.
-auto detectDeadPeer(Tcp::socket& socket) -> void;
+auto detectDeadPeer(Tcp::socket& socket, PeerPatience patience) -> void;
 auto closeQuietly(Tcp::socket& socket) -> void;
 
 } // namespace sapphirepass
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -73,7 +73,7 @@
     if (error)
         return lose(TransportErrorKind::NotSent, error.message());
     isOpen_ = true;
-    detectDeadPeer(socket_);
+    detectDeadPeer(socket_, PeerPatience::Short);
     std::exchange(connected_, nullptr)(true);
     writeRequest();
 }
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 using namespace sapphirepass;
@@ -429,3 +430,22 @@
     CHECK(fixture.body(fixture.call("t2")) == "body");
     CHECK(fixture.server_.connections() == 2);
 }
+
+// The kernel gives up an idle connection once the user timeout has passed, even if probes are left.
+TEST_CASE("the user timeout of a connection lets its keep-alive probes run out", "[pool][caller]")
+{
+    asio::io_context loop;
+    const auto patience = GENERATE(PeerPatience::Short, PeerPatience::Long);
+    Tcp::socket socket(loop, Tcp::v4());
+    detectDeadPeer(socket, patience);
+    const auto option = [&socket](int name) {
+        int value = 0;
+        socklen_t size = sizeof value;
+        REQUIRE(::getsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, &size) == 0);
+        return value;
+    };
+    // Probes are checked once an interval.
+    const auto lastProbe = 1'000 * (option(TCP_KEEPIDLE) + option(TCP_KEEPINTVL) * (option(TCP_KEEPCNT) - 1));
+    CHECK(option(TCP_USER_TIMEOUT) > lastProbe);
+    CHECK(option(TCP_USER_TIMEOUT) <= lastProbe + 1'000 * option(TCP_KEEPINTVL));
+}
