A response without an id that is not taken still tells what its upstream says of itself

Notices (leaving, pause, limit) of such a response are recorded all the same, as those of any late one.

--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -194,8 +194,10 @@
         return skipResponse();
     }
     // A second copy of an earlier response may arrive in place of the awaited one.
-    if (echoed.empty() && (status / 100 == 2 || hasCarriedResponse_))
+    if (echoed.empty() && (status / 100 == 2 || hasCarriedResponse_)) {
+        onLateResponse_(response);
         return lose(TransportErrorKind::InvalidResponse, "answer-without-id");
+    }
     const bool reusable = !ended && !isTainted_ && !isWriting_ && parser_->keep_alive() && buffer_.size() == 0;
     hasCarriedResponse_ = true;
     if (reusable)
