The return of a silent store is noticed by probes, whatever calls wait or hang

Traced: the instance was cut off from the store until 13.0 s. At one, a call sent in the cut hung past the return and its time limit passed for another outage (lost at 13.22 s, read at 14.12 s); at another, the next call was only due 1 s after the return. What is missing after an outage is kept for 2.2 s from when the return is noticed, so upstreams that had left got requests until 16.3 s.

--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -437,3 +437,27 @@
         CHECK(runUntil(fixture.loop_, [&] { return request() == "503"; }));
     }
 }
+
+// Its return was noticed when the next call was due: until then, and for the grace period after it, upstreams that had left
+// got requests.
+TEST_CASE("the return of a silent store is noticed by a probe although calls wait or hang", "[store-source][feeds]")
+{
+    SourceFixture fixture;
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.watches() == 3; }));
+    fixture.store_.setMood(StoreMood::Silent);
+    fixture.store_.cutWatches();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.lost_ >= 3; }));
+    // The calls that are repeated from now on hang, also after the store's return.
+    for (const auto* kind : { "config", "servers", "evacuations" })
+        fixture.store_.swallowWatches(kind, 1);
+    fixture.store_.setMood(StoreMood::Well);
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.isSwallowed("config") && fixture.store_.isSwallowed("servers") && fixture.store_.isSwallowed("evacuations"); }));
+    const auto calls = fixture.source_.calls();
+    fixture.store_.remove("servers", "i-0");
+    fixture.source_.probe();
+    CHECK(runUntil(fixture.loop_, [&] { return !fixture.beliefs_.upstreams_.contains("i-0") && fixture.store_.watches() == 3; }));
+    // The probe, and for each feed the call that replaces the one that hangs and the watch after it.
+    CHECK(fixture.source_.calls() <= calls + 8);
+    CHECK(fixture.beliefs_.lost_ == 3);
+}
