--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -43,7 +43,8 @@
     // A server: requests that it does not acknowledge are given up early enough to be tried elsewhere.
     Short,
     // A caller, whose idle connection should outlive a short freeze or cut of its machine.
-    Long };
+    Long
+};
 
 // Ends a connection whose peer is silent, which the kernel alone would not notice for minutes.
 auto detectDeadPeer(Tcp::socket& socket, PeerPatience patience) -> void;
