Requests that recovering links hold back are sent directly where no peer takes them

Found on reading the change. While links recover, a growing part of the requests is sent directly and the rest is delegated; after a cut of all instances no peer reaches upstreams yet, so up to four fifths of the requests were refused for up to a second though connections succeeded again. Now only a region that is known to be out of reach leads to a refusal. The test failed before (requests refused, fewer sent).

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -260,8 +260,9 @@
     const auto reachable = context_.placer_.place(query_);
     if (const auto* other = std::get_if<Placement>(&reachable))
         return sendWithinLimit(*other);
-    const bool isSuspicion = placement != nullptr && context_.linkDetector_.state(placement->upstream_->region_) == LinkState::Suspected;
-    if (isSuspicion)
+    // Links that are in doubt or recovering are better than a refusal.
+    const bool mayReach = placement != nullptr && context_.linkDetector_.state(placement->upstream_->region_) != LinkState::Unreachable;
+    if (mayReach)
         return sendWithinLimit(*placement);
     finishUnreachable();
 }
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -898,3 +898,24 @@
     CHECK(fixture.caller_.calls().front().upstream_->consecutiveLosses_ == 0);
     CHECK(fixture.crashes_.counts().empty());
 }
+
+// After a cut of all instances, none of them could delegate the requests that its recovering links held back.
+TEST_CASE("while links recover, requests that no peer takes are sent directly", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    fixture.clock_.advance(3s);
+    for (int i = 0; i < 2; ++i) {
+        for (const auto& [id, upstream] : fixture.upstreams_.byId())
+            fixture.links_.recordConnect(*upstream, fixture.clock_.now(), true);
+        fixture.clock_.advance(400ms);
+        fixture.links_.update();
+    }
+    REQUIRE(fixture.links_.state("north") == LinkState::Recovering);
+    for (int i = 0; i < 20; ++i) {
+        auto request = fixture.request("/read/1");
+        request.set(names.attempt_, fmt::format("t{}", i));
+        fixture.start(request);
+    }
+    CHECK(fixture.calls() == 20);
+    CHECK(fixture.answers_.empty());
+}
