--- a/src/gateway/link_detector.cpp
+++ b/src/gateway/link_detector.cpp
@@ -129,7 +129,7 @@
     }
 }
 
-// Requests go to few regions, so losses in one of them, with no connection anywhere since, put all in doubt.
+// Requests go to few regions, so failures in one region without a later connection to any region make all regions suspected.
 auto LinkDetector::suspectFrom(const std::string& region) -> void
 {
     MonotonicTime lastConnectAt {};
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -260,7 +260,7 @@
     const auto reachable = context_.placer_.place(query_);
     if (const auto* other = std::get_if<Placement>(&reachable))
         return sendWithinLimit(*other);
-    // Links that are in doubt or recovering are better than a refusal.
+    // Suspected and recovering links may work, so the request is sent instead of refused.
     const bool mayReach = placement != nullptr && context_.linkDetector_.state(placement->upstream_->region_) != LinkState::Unreachable;
     if (mayReach)
         return sendWithinLimit(*placement);
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -496,7 +496,7 @@
     }
 }
 
-// Peers are told at once, so that they neither delegate to each other nor name this instance to callers.
+// Sends a heartbeat at once, so that peers do not delegate to this instance or list it to callers.
 auto Gateway::onLinkChange(const LinkChange& change) -> void
 {
     // A request that was reset with the links may have been recorded shortly before the first failed connection.
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -24,7 +24,7 @@
 
     UpstreamChannel(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBudget& budget, LateResponse onLateResponse);
 
-    // Told once whether the connection was established, before any outcome.
+    // Called once when the connection attempt ends, before Done.
     using Connected = std::function<void(bool isConnected)>;
 
     auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void;
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -1,4 +1,4 @@
-// Which peer takes a request of an instance that reaches no upstream, and what is told between the two.
+// Selection of the peer for a delegated request, and the encoding of delegations.
 #include "gateway/datagram_codec.h"
 #include "gateway/delegate_selector.h"
 #include "gateway/delegation.h"
--- a/tests/link_detector_test.cpp
+++ b/tests/link_detector_test.cpp
@@ -1,4 +1,4 @@
-// A loss of this instance's own links, told apart from failures of upstreams.
+// LinkDetector: loss of an instance's own links as opposed to failures of upstreams.
 #include "gateway/limits.h"
 #include "gateway/link_detector.h"
 
--- a/tests/upstream_cut_test.cpp
+++ b/tests/upstream_cut_test.cpp
@@ -16,7 +16,7 @@
 enum class CutManner { Reset,
     // New connections are refused; open ones work.
     RefusedWhileOpenOnesWork,
-    // New connections get no answer; open ones swallow what is sent.
+    // New connections time out; data sent on open ones is lost.
     Silent };
 
 // Two gateways of one region. The first reaches the upstreams through proxies, the second directly.
@@ -136,7 +136,7 @@
     CHECK(fixture.send() == "HTTP/1.1 200 OK");
 }
 
-// A caller must not pass for a peer, which is believed what workspace a request is of.
+// The workspace that a peer names is trusted, so callers must not be able to delegate.
 TEST_CASE("an instance takes delegated requests only from hosts of other instances", "[upstream-cut]")
 {
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
