Notices that a delegate passes on hold for upstreams that are not listed yet

Callers of a cut-off instance: a response that a peer had got from an upstream said that it leaves, and was passed on; the instance did not list that start (its feed was behind, or it listed another start of the id), dropped the notice, and used the upstream once it was listed.

Ruled out: notices of listed or removed starts (tests of StartNotices stand). A limit named so is announced with its value.

Test: 'a notice that a delegate passes on holds for an upstream that is listed here only later' failed before (2 of 9 checks, with and without another start listed). 56 cases on requests, delegation, notices and discovery pass.

--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/departed_upstreams.h
@@ -20,7 +20,7 @@
 };
 
 // An entry can appear again under a known start because it had only expired, or because the store has returned from a
-// copy that still lists it.
+// copy that still lists it. A start that is not listed yet may be known by a response that a peer passed on.
 class DepartedUpstreams {
 public:
     explicit DepartedUpstreams(const Clock& clock);
@@ -28,6 +28,8 @@
     auto record(DepartedUpstream departed) -> void;
     // The removed upstream of the same id and start; null if there is none.
     auto find(const UpstreamEntry& entry) const -> const DepartedUpstream*;
+    // Notices of a start that is not listed here. They are kept for it from now on.
+    auto noticesOf(const std::string& id, std::int64_t startTimeMs) -> std::shared_ptr<StartNotices>;
     // Whether the entry is older than what was known when its upstream was removed.
     auto isOutdated(const UpstreamEntry& entry) const -> bool;
     auto removeExpired() -> void;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -328,12 +328,10 @@
         return finishWithProblem(response.result_int() == 504 ? 504 : 502, "delegate-failed", Executed::Unknown);
     mayHaveRun_ = true;
     // What the upstream says about itself binds this instance too, which passes it on.
-    const auto found = context_.upstreams_.byId().find(outcome.upstream_);
-    if (found != context_.upstreams_.byId().end() && found->second->entry_.startTimeMs_ == outcome.startTimeMs_) {
-        context_.noticeRecorder_.record(*found->second, response, lastAttempt_.at_);
-        if (const auto load = readLoad(response, context_.headerNames_))
-            context_.upstreams_.noteLoad(*found->second, *load);
-    }
+    const auto upstream = context_.upstreams_.ofStart(outcome.upstream_, outcome.startTimeMs_);
+    context_.noticeRecorder_.record(*upstream, response, lastAttempt_.at_);
+    if (const auto load = readLoad(response, context_.headerNames_))
+        context_.upstreams_.noteLoad(*upstream, *load);
     finish(forwardedResponse(std::move(response)), "answered-by-delegate");
 }
 
--- a/src/gateway/upstream_limiter.cpp
+++ b/src/gateway/upstream_limiter.cpp
@@ -113,7 +113,9 @@
 
 auto UpstreamLimiter::announce(const Upstream& upstream) -> void
 {
-    const auto& bucket = bucketOf(upstream.entry_.id_, upstream.entry_.startTimeMs_);
+    auto& bucket = bucketOf(upstream.entry_.id_, upstream.entry_.startTimeMs_);
+    if (upstream.notices_->limit_.observedAt_ >= bucket.limit_.observedAt_)
+        bucket.limit_ = upstream.notices_->limit_;
     const auto name = bucketName(bucket.upstream_, bucket.startTimeMs_);
     const auto coordinator = fleet_.coordinatorOf(name);
     if (coordinator && coordinator->name_ != fleet_.self())
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -78,6 +78,18 @@
     return upstream;
 }
 
+auto UpstreamSet::ofStart(const std::string& id, std::int64_t startTimeMs) -> UpstreamPtr
+{
+    if (const auto found = byId_.find(id); found != byId_.end() && found->second->entry_.startTimeMs_ == startTimeMs)
+        return found->second;
+    auto unlisted = std::make_shared<Upstream>();
+    unlisted->entry_.id_ = id;
+    unlisted->entry_.startTimeMs_ = startTimeMs;
+    unlisted->notices_ = departed_.noticesOf(id, startTimeMs);
+    unlisted->retired_ = true;
+    return unlisted;
+}
+
 // A drain is final for a start: an entry that says otherwise is older.
 auto UpstreamSet::put(const UpstreamEntry& entry) -> void
 {
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -770,6 +770,29 @@
     CHECK_FALSE(fixture.upstreams_.isEligible(*fixture.upstreams_.byId().at("u2")));
 }
 
+TEST_CASE("a notice that a delegate passes on holds for an upstream that is listed here only later", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    fixture.start(fixture.request("/read/1"));
+    auto answer = fixture.success();
+    answer.set(names.leaving_, "1");
+    const UpstreamEntry unlisted { "u9", 1, "core", { "127.0.0.1", 9001 }, "north-a", 4, UpstreamState::Ready, 0s };
+    const bool isOtherStartListed = GENERATE(false, true);
+    CAPTURE(isOtherStartListed);
+    auto otherStart = unlisted;
+    otherStart.startTimeMs_ = 2;
+    if (isOtherStartListed)
+        fixture.upstreams_.put(otherStart);
+    fixture.delegates_.finish(fixture.answerOfPeer(answer, { std::nullopt, "u9", 1 }));
+    REQUIRE(fixture.status() == 200);
+    if (isOtherStartListed)
+        CHECK(fixture.upstreams_.isEligible(*fixture.upstreams_.byId().at("u9")));
+    fixture.upstreams_.put(unlisted);
+    CHECK_FALSE(fixture.upstreams_.isEligible(*fixture.upstreams_.byId().at("u9")));
+    fixture.upstreams_.put(otherStart);
+    CHECK(fixture.upstreams_.isEligible(*fixture.upstreams_.byId().at("u9")));
+}
+
 TEST_CASE("only a peer's word that nothing has run allows another try or a refusal", "[request][delegation]")
 {
     CutOffFixture fixture;
