Logs tell an outage of the store from calls of the instance's own that fail

No decision uses it yet.

Test: 'a feed tells an outage of the store from calls of its own that fail' (503, silence, resets; 429; open connections that fall silent while new ones work).

--- a/src/gateway/discovery_source.h
+++ b/src/gateway/discovery_source.h
@@ -25,6 +25,17 @@
 // For logs and metrics.
 auto feedName(Feed feed) -> std::string_view;
 
+// What a failed call of a feed says about the platform.
+enum class FeedLoss {
+    // The platform was refused, reset or silent on a new connection, or reported an error of its own.
+    PlatformDown,
+    // The call rate was exceeded, a peer failed, or a connection was lost that had been open before: the platform may be well.
+    CallFailed
+};
+
+// For logs.
+auto feedLossName(FeedLoss loss) -> std::string_view;
+
 // A revision of the platform's store. The era rises each time the store returns from an older copy; revisions after that
 // copy are then given out again for other changes, so they are only comparable within an era.
 struct StoreRevision {
@@ -66,7 +77,8 @@
     virtual auto upstreamEntryInvalid(const std::string& id, std::string_view why) -> void = 0;
     virtual auto domainsEvacuated(std::set<std::string> domains) -> void = 0;
     virtual auto instancesListed(const std::vector<ListedInstance>& instances) -> void = 0;
-    virtual auto feedLost(Feed feed, std::string_view why) -> void = 0;
+    // Called for each failed call; what is known of the platform may change while the feed is lost.
+    virtual auto feedLost(Feed feed, FeedLoss loss, std::string_view why) -> void = 0;
     virtual auto feedRestored(Feed feed) -> void = 0;
     // A watch that the platform never answered has missed changes; the feed is read on a new connection.
     virtual auto changesMissed(Feed feed, std::uint64_t seenUpTo, std::uint64_t newest) -> void = 0;
--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/discovery_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/discovery_state.h"
 
+#include <utility>
+
 namespace sapphirepass {
 
 using namespace std::chrono_literals;
@@ -32,6 +34,11 @@
     return "";
 }
 
+auto feedLossName(FeedLoss loss) -> std::string_view
+{
+    return loss == FeedLoss::PlatformDown ? "platform-down" : "call-failed";
+}
+
 DiscoveryState::DiscoveryState(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log)
     : clock_(clock)
     , upstreams_(upstreams)
@@ -92,6 +99,12 @@
     log_.write(EventId::UpstreamsChanged, { { "upstream", id }, { "gone", true }, { "keep_missing_ms", removalGrace() / 1ms } });
 }
 
+auto DiscoveryState::removeExpiredUpstreams() -> void
+{
+    for (const auto& id : upstreams_.removeExpired())
+        log_.write(EventId::UpstreamsChanged, { { "upstream", id }, { "gone", true }, { "kept", true } });
+}
+
 auto DiscoveryState::upstreamEntryInvalid(const std::string& id, std::string_view why) -> void
 {
     upstreams_.remove(id, Duration::zero());
@@ -136,14 +149,16 @@
     return hasInstances_ || (peerListReceivedAt_ && clock_.now() - *peerListReceivedAt_ >= peerListSettleTime);
 }
 
-auto DiscoveryState::feedLost(Feed feed, std::string_view why) -> void
+auto DiscoveryState::feedLost(Feed feed, FeedLoss loss, std::string_view why) -> void
 {
     auto& state = feeds_[feed];
-    if (state.isLost_)
+    const bool wasPlatformDown = state.isPlatformDown_;
+    state.isPlatformDown_ = wasPlatformDown || loss == FeedLoss::PlatformDown;
+    if (state.isLost_ && state.isPlatformDown_ == wasPlatformDown)
         return;
-    state.isLost_ = true;
-    state.lostAt_ = clock_.now();
-    log_.write(EventId::SourceLost, { { "feed", feedName(feed) }, { "why", why }, { "version", index_ ? index_->declaration().version_ : 0 }, { "upstreams", upstreams_.size() } });
+    if (!std::exchange(state.isLost_, true))
+        state.lostAt_ = clock_.now();
+    log_.write(EventId::SourceLost, { { "feed", feedName(feed) }, { "loss", feedLossName(loss) }, { "why", why }, { "version", index_ ? index_->declaration().version_ : 0 }, { "upstreams", upstreams_.size() } });
 }
 
 auto DiscoveryState::feedRestored(Feed feed) -> void
@@ -153,9 +168,10 @@
         return;
     const auto lost = outageDuration(feed);
     state.isLost_ = false;
+    const bool wasPlatformDown = std::exchange(state.isPlatformDown_, false);
     if (lost >= minOutage)
         state.removalGraceUntil_ = clock_.now() + reregistrationTime;
-    log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms } });
+    log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms }, { "platform_down", wasPlatformDown } });
 }
 
 // Upstreams and evacuations that the copy lacks get time to be written again.
--- a/src/gateway/discovery_state.h
+++ b/src/gateway/discovery_state.h
@@ -24,7 +24,7 @@
     auto upstreamEntryInvalid(const std::string& id, std::string_view why) -> void override;
     auto domainsEvacuated(std::set<std::string> domains) -> void override;
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override;
-    auto feedLost(Feed feed, std::string_view why) -> void override;
+    auto feedLost(Feed feed, FeedLoss loss, std::string_view why) -> void override;
     auto feedRestored(Feed feed) -> void override;
     auto changesMissed(Feed feed, std::uint64_t seenUpTo, std::uint64_t newest) -> void override;
     auto storeRestored(Feed feed, std::uint64_t era) -> void override;
@@ -41,6 +41,8 @@
     // While the fleet reports an outage, extends the removal grace period if upstreams are read from another instance, even
     // if the watch there is still open. To be called periodically.
     auto noteFleetOutage() -> void;
+    // Removes upstreams whose grace period has ended. To be called periodically.
+    auto removeExpiredUpstreams() -> void;
     // Ends evacuations that were only kept over a restore of the store. To be called periodically.
     auto releaseKeptEvacuations() -> void;
     // Other instances report a newer revision than this feed has received; the feed is being reconnected.
@@ -54,6 +56,8 @@
 private:
     struct FeedState {
         bool isLost_ = false;
+        // Whether the platform itself was out of reach since the feed was lost.
+        bool isPlatformDown_ = false;
         // Receives updates from another instance instead of the platform.
         bool isFollowing_ = false;
         MonotonicTime lostAt_ {};
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstream_set.cpp
@@ -139,7 +139,7 @@
     departed_.record({ upstream.entry_, upstream.notices_ });
 }
 
-auto UpstreamSet::removeExpired() -> void
+auto UpstreamSet::removeExpired() -> std::vector<std::string>
 {
     const auto now = clock_.now();
     departed_.removeExpired();
@@ -147,14 +147,18 @@
         for (const auto& [id, entry] : std::exchange(withheld_, {}))
             put(entry);
     }
-    const auto dropped = std::erase_if(byId_, [this, now](const auto& item) {
+    std::vector<std::string> removed;
+    std::erase_if(byId_, [this, now, &removed](const auto& item) {
         const bool over = item.second->removeAt_ && *item.second->removeAt_ <= now;
-        if (over)
+        if (over) {
             retire(*item.second);
+            removed.push_back(item.first);
+        }
         return over;
     });
-    if (dropped > 0)
+    if (!removed.empty())
         rebuildServices();
+    return removed;
 }
 
 auto UpstreamSet::rebuildServices() -> void
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -73,8 +73,9 @@
     // Withholds listed entries that are older than the known state, for a few seconds after the store has returned from a
     // copy. Entries that are still listed after that are used.
     auto recordRestore() -> void;
-    // Removes missing upstreams whose grace period has ended, and releases entries that were withheld long enough.
-    auto removeExpired() -> void;
+    // Removes missing upstreams whose grace period has ended, and releases entries that were withheld long enough. Returns the
+    // ids of the removed ones.
+    auto removeExpired() -> std::vector<std::string>;
     auto setEvacuated(std::set<std::string> domains) -> void { evacuated_ = std::move(domains); }
     // Sets the declared time for which upstreams of the service stay cold after a restart.
     auto setColdDuration(const std::string& service, Duration coldDuration) -> void { coldDurations_[service] = coldDuration; }
--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -42,7 +42,8 @@
         if (!error && number == self->number_)
             self->fail("no answer in time");
     });
-    if (isConnected_ && socket_.is_open())
+    isReused_ = isConnected_ && socket_.is_open();
+    if (isReused_)
         write();
     else
         connect();
@@ -115,7 +116,7 @@
     const auto done = std::move(done_);
     done_ = nullptr;
     if (done)
-        done(CallError { isSent_ ? CallErrorKind::AnswerLost : CallErrorKind::NotSent, std::move(message) });
+        done(CallError { isSent_ ? CallErrorKind::AnswerLost : CallErrorKind::NotSent, std::move(message), isReused_ });
 }
 
 auto CallChannel::stop() -> void
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -22,6 +22,8 @@
 struct CallError {
     CallErrorKind kind_ = CallErrorKind::NotSent;
     std::string message_;
+    // The call went out on a connection that had been opened for an earlier one.
+    bool wasReused_ = false;
 
     auto operator<=>(const CallError&) const = default;
 };
@@ -63,6 +65,7 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     bool isConnected_ = false;
     bool isSent_ = false;
+    bool isReused_ = false;
     std::uint64_t number_ = 0;
 };
 
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -298,7 +298,7 @@
 auto Gateway::tick() -> void
 {
     ++ticks_;
-    upstreams_.removeExpired();
+    beliefs_.removeExpiredUpstreams();
     upstreamLimits_.removeExpired();
     beliefs_.releaseKeptEvacuations();
     fleet_.setSourceLost(beliefs_.outageDuration(Feed::Upstreams) > Duration::zero());
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -32,7 +32,11 @@
         hasEvacuations_ = true;
     }
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override { instances_ = instances; }
-    auto feedLost(Feed, std::string_view) -> void override { ++lost_; }
+    auto feedLost(Feed, FeedLoss loss, std::string_view) -> void override
+    {
+        ++lost_;
+        platformDown_ += loss == FeedLoss::PlatformDown ? 1 : 0;
+    }
     auto feedRestored(Feed) -> void override { ++regained_; }
     auto changesMissed(Feed, std::uint64_t, std::uint64_t) -> void override { ++missed_; }
     auto storeRestored(Feed, std::uint64_t era) -> void override { eras_.push_back(era); }
@@ -52,6 +56,8 @@
     int lists_ = 0;
     int unreadable_ = 0;
     int lost_ = 0;
+    // Those of the losses that were of the platform itself.
+    int platformDown_ = 0;
     int missed_ = 0;
     int regained_ = 0;
     int refusedByHolders_ = 0;
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -30,6 +30,7 @@
     std::array<char, 8192> buffer_ {};
     std::string kind_;
     std::int64_t watchFrom_ = 0;
+    bool isSilent_ = false;
     // Ends a watch that brings nothing.
     asio::steady_timer timer_;
 };
@@ -92,12 +93,14 @@
     const auto body = connection->bytes_.substr(end + 4, length);
     connection->bytes_.erase(0, end + 4 + length);
     ++calls_;
-    if (mood_ == StoreMood::Silent)
+    if (mood_ == StoreMood::Silent || connection->isSilent_)
         return;
     if (mood_ == StoreMood::Resetting)
         return closeQuietly(connection->socket_);
     if (mood_ == StoreMood::Busy)
         return reply(connection, 503, { { "error", "busy" } });
+    if (mood_ == StoreMood::Limiting)
+        return reply(connection, 429, { { "error", "too many calls" } });
     const auto path = line.substr(line.find(' ') + 1, line.rfind(' ') - line.find(' ') - 1);
     const auto question = path.find('?');
     const auto kind = path.substr(std::string("/-/objects/").size(), question - std::string("/-/objects/").size());
@@ -221,6 +224,15 @@
     }
 }
 
+auto PlatformStore::silenceOpenConnections() -> void
+{
+    watching_.clear();
+    for (const auto& entry : open_) {
+        if (const auto connection = entry.lock())
+            connection->isSilent_ = true;
+    }
+}
+
 auto PlatformStore::forgetHistory() -> void
 {
     history_.clear();
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -12,6 +12,8 @@
 enum class StoreMood { Well,
     // Answers 503 to everything.
     Busy,
+    // Answers 429 to everything.
+    Limiting,
     // Reads and never answers.
     Silent,
     // Resets each connection.
@@ -32,6 +34,8 @@
     // Forgets what has changed so far, and cuts the watches that wait.
     auto forgetHistory() -> void;
     auto cutWatches() -> void;
+    // Connections that are open now are never answered again, and stay open.
+    auto silenceOpenConnections() -> void;
     // Copies all objects and the revision; restore() returns to the last copy and raises the era that all responses name.
     auto copy() -> void;
     auto restore() -> void;
--- a/tests/gateway_discovery_state_test.cpp
+++ b/tests/gateway_discovery_state_test.cpp
@@ -19,7 +19,7 @@
     auto known() const -> std::size_t { return upstreams_.ofService("core").size(); }
     auto outage(Duration length) -> void
     {
-        discovery_.feedLost(Feed::Upstreams, "down");
+        discovery_.feedLost(Feed::Upstreams, FeedLoss::PlatformDown, "down");
         clock_.advance(length);
         discovery_.feedRestored(Feed::Upstreams);
     }
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -113,6 +113,40 @@
     REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.versions_.back() == 4 && !fixture.beliefs_.upstreams_.contains("i-0"); }));
 }
 
+TEST_CASE("a feed tells an outage of the store from calls of its own that fail", "[store-source][feeds]")
+{
+    SourceFixture fixture;
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.watches() == 3; }));
+    SECTION("the store is out of service")
+    {
+        const auto mood = GENERATE(StoreMood::Busy, StoreMood::Silent, StoreMood::Resetting);
+        CAPTURE(static_cast<int>(mood));
+        fixture.store_.setMood(mood);
+        fixture.store_.cutWatches();
+        CHECK(runUntil(fixture.loop_, [&] { return fixture.beliefs_.platformDown_ >= 3; }));
+    }
+    SECTION("the call rate is exceeded")
+    {
+        fixture.store_.setMood(StoreMood::Limiting);
+        fixture.store_.cutWatches();
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.lost_ >= 6; }));
+        CHECK(fixture.beliefs_.platformDown_ == 0);
+    }
+    SECTION("an open connection falls silent while new ones work")
+    {
+        const auto answers = fixture.source_.answers();
+        fixture.source_.probe();
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.source_.answers() == answers + 1; }));
+        fixture.store_.silenceOpenConnections();
+        fixture.source_.probe();
+        REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.lost_ == 3; }));
+        fixture.source_.probe();
+        CHECK(runUntil(fixture.loop_, [&] { return fixture.beliefs_.regained_ >= 3 && fixture.store_.watches() == 3; }));
+        CHECK(fixture.beliefs_.platformDown_ == 0);
+    }
+}
+
 TEST_CASE("entries of other writers are told as unreadable, the others hold", "[store-source]")
 {
     SourceFixture fixture;
