An upstream that leaves is dropped within its bound where the platform was not down

Callers' requests could reach an upstream for up to 2.2 s and more after its removal had been acknowledged (drain_s is 2 s on bvcc), at instances that were in touch: what is missing was kept for 2,200 ms after any loss of a feed of 300 ms, whatever its cause (a refused call rate, a failed peer, an open connection that fell silent), and by a follower, whose own feed was well, while half of the others had lost the store; there the removal that it hears is real.

Class: a guard against one fault (entries that expire while the store is down) applied to every fault that looks alike, with a constant in place of the bound. Ruled out by a property: a series of outages that sets the time anew ('no series of outages keeps an upstream beyond the grace period after its removal was received' passed before the change).

Now the grace period needs a call to the platform that failed on a new connection, or with a server error; a follower's is a third of the drain time, which is a setting.

Failed before: 'an upstream that leaves while only calls of this instance fail is dropped at once' (2 of 2), 'an entry that expired in an outage is kept also if calls failed for other reasons before or after', 'an upstream that a follower hears removed in an outage of others is dropped within the drain time'. 69 cases on feeds, discovery, restores and settings pass.

--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/discovery_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/discovery_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirepass {
@@ -11,6 +12,9 @@
     constexpr Duration minOutage = 300ms;
     // Upstreams that are alive register again within this time after the store has recovered.
     constexpr Duration reregistrationTime = 2'200ms;
+    // Part of the drain time for which a follower keeps an upstream that may really have left. Events that gather at both
+    // instances and a connection that is being opened need the rest.
+    constexpr int followerGraceDivisor = 3;
 
     // Time for the instances in a received peer list to send a heartbeat: two heartbeat intervals between regions.
     constexpr Duration peerListSettleTime = 1'600ms;
@@ -39,11 +43,12 @@
     return loss == FeedLoss::PlatformDown ? "platform-down" : "call-failed";
 }
 
-DiscoveryState::DiscoveryState(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log)
+DiscoveryState::DiscoveryState(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log, Duration drainTime)
     : clock_(clock)
     , upstreams_(upstreams)
     , fleet_(fleet)
     , log_(log)
+    , drainTime_(drainTime)
     , evacuations_(clock)
 {
 }
@@ -74,10 +79,10 @@
 auto DiscoveryState::removalGrace() const -> Duration
 {
     const auto found = feeds_.find(Feed::Upstreams);
-    const auto now = clock_.now();
-    if (found == feeds_.end() || found->second.removalGraceUntil_ <= now)
+    if (found == feeds_.end())
         return Duration::zero();
-    return found->second.removalGraceUntil_ - now;
+    const auto until = std::max(found->second.removalGraceUntil_, found->second.followerGraceUntil_);
+    return std::max<Duration>(Duration::zero(), until - clock_.now());
 }
 
 auto DiscoveryState::upstreamsListed(const std::vector<UpstreamEntry>& entries) -> void
@@ -161,6 +166,7 @@
     log_.write(EventId::SourceLost, { { "feed", feedName(feed) }, { "loss", feedLossName(loss) }, { "why", why }, { "version", index_ ? index_->declaration().version_ : 0 }, { "upstreams", upstreams_.size() } });
 }
 
+// Entries expire in an outage of the platform only. Otherwise what is missing has left, and its drain time runs.
 auto DiscoveryState::feedRestored(Feed feed) -> void
 {
     auto& state = feeds_[feed];
@@ -169,7 +175,7 @@
     const auto lost = outageDuration(feed);
     state.isLost_ = false;
     const bool wasPlatformDown = std::exchange(state.isPlatformDown_, false);
-    if (lost >= minOutage)
+    if (wasPlatformDown && lost >= minOutage)
         state.removalGraceUntil_ = clock_.now() + reregistrationTime;
     log_.write(EventId::SourceRegained, { { "feed", feedName(feed) }, { "lost_ms", lost / 1ms }, { "platform_down", wasPlatformDown } });
 }
@@ -207,7 +213,7 @@
 auto DiscoveryState::noteFleetOutage() -> void
 {
     if (feeds_[Feed::Upstreams].isFollowing_ && fleet_.isSourceLost())
-        feeds_[Feed::Upstreams].removalGraceUntil_ = clock_.now() + reregistrationTime;
+        feeds_[Feed::Upstreams].followerGraceUntil_ = clock_.now() + drainTime_ / followerGraceDivisor;
 }
 
 auto DiscoveryState::feedBehind(Feed feed, const FeedPosition& own, const StoreRevision& newestElsewhere) -> void
--- a/src/gateway/discovery_state.h
+++ b/src/gateway/discovery_state.h
@@ -14,7 +14,8 @@
 
 class DiscoveryState final : public DiscoverySink {
 public:
-    DiscoveryState(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log);
+    // drainTime is the longest time for which an upstream may get requests after its removal.
+    DiscoveryState(const Clock& clock, UpstreamSet& upstreams, FleetView& fleet, DecisionLog& log, Duration drainTime);
 
     auto declarationReceived(Declaration declaration) -> void override;
     auto declarationInvalid(std::string_view why) -> void override;
@@ -38,8 +39,8 @@
     auto isComplete() const -> bool { return index_ && hasUpstreams_ && hasEvacuations_ && isInstanceCountKnown(); }
     // How long the feed has been lost; zero if it is not.
     auto outageDuration(Feed feed) const -> Duration;
-    // While the fleet reports an outage, extends the removal grace period if upstreams are read from another instance, even
-    // if the watch there is still open. To be called periodically.
+    // While the fleet reports an outage, gives removed upstreams a short grace period if they are read from another instance,
+    // even if the watch there is still open. To be called periodically.
     auto noteFleetOutage() -> void;
     // Removes upstreams whose grace period has ended. To be called periodically.
     auto removeExpiredUpstreams() -> void;
@@ -63,6 +64,8 @@
         MonotonicTime lostAt_ {};
         // Until then, a missing entry may only have expired in the store during the outage.
         MonotonicTime removalGraceUntil_ {};
+        // The same, while this instance follows another and the outage is one of others.
+        MonotonicTime followerGraceUntil_ {};
     };
 
     auto removalGrace() const -> Duration;
@@ -72,6 +75,7 @@
     UpstreamSet& upstreams_;
     FleetView& fleet_;
     DecisionLog& log_;
+    Duration drainTime_;
     std::shared_ptr<const DeclarationIndex> index_;
     std::map<Feed, FeedState> feeds_;
     EvacuationMemory evacuations_;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -133,7 +133,7 @@
     , alarms_(loop)
     , upstreams_(clock, settings_.domains_)
     , fleet_(clock, { settings_.silence_, settings_.reserve_ }, settings_.name_)
-    , beliefs_(clock, upstreams_, fleet_, log_)
+    , beliefs_(clock, upstreams_, fleet_, log_, settings_.drain_)
     , feedLag_(clock)
     , feedVerifier_(clock)
     , pulse_(clock)
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -42,6 +42,7 @@
         Row { "fleet", valueField<&Settings::silence_>("silence", optional, shortTimeExpected, shortTime) },
         Row { "fleet", valueField<&Settings::reserve_>("reserve", optional, shortTimeExpected, shortTime) },
         Row { "directory", valueField<&Settings::directoryTtl_>("ttl", optional, shortTimeExpected, shortTime) },
+        Row { "upstreams", valueField<&Settings::drain_>("drain", optional, shortTimeExpected, shortTime) },
         Row { "rates", valueField<&Settings::rateWindow_>("window", optional, shortTimeExpected, shortTime) },
         Row { "rates", valueField<&Settings::rateOver_>("over", optional, "part of the allowed requests, 0 to 10", Bounds { 0, 10 }) },
         Row { "rates", valueField<&Settings::rateSlack_>("slack", optional, "requests, 0 to 1000000", Bounds { 0, 1'000'000 }) },
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds directoryTtl_ { 3'000 };
     // From a request to stop until the process is ended.
     std::chrono::milliseconds grace_ { 6'000 };
+    // Longest time for which an upstream may get requests after it has announced its end or was removed.
+    std::chrono::milliseconds drain_ { 2'000 };
     // What a workspace may send beyond its rate and burst in a window.
     std::chrono::milliseconds rateWindow_ { 5'000 };
     double rateOver_ = 0;
--- a/tests/gateway_discovery_state_test.cpp
+++ b/tests/gateway_discovery_state_test.cpp
@@ -3,23 +3,26 @@
 #include "standin/kept_log.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 using namespace sapphirepass;
 using namespace std::chrono_literals;
 
 namespace {
 
+constexpr Duration drainTime = 2s;
+
 struct Fixture {
     ManualClock clock_;
     UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
     standin::KeptLog log_;
-    DiscoveryState discovery_ { clock_, upstreams_, fleet_, log_ };
+    DiscoveryState discovery_ { clock_, upstreams_, fleet_, log_, drainTime };
 
     auto known() const -> std::size_t { return upstreams_.ofService("core").size(); }
-    auto outage(Duration length) -> void
+    auto outage(Duration length, FeedLoss loss = FeedLoss::PlatformDown) -> void
     {
-        discovery_.feedLost(Feed::Upstreams, FeedLoss::PlatformDown, "down");
+        discovery_.feedLost(Feed::Upstreams, loss, "down");
         clock_.advance(length);
         discovery_.feedRestored(Feed::Upstreams);
     }
@@ -124,6 +127,95 @@
     CHECK(fixture.known() == (isRegisteredAgain ? 2 : 1));
 }
 
+// The platform was well all the time, so the removal is real and its bound runs.
+TEST_CASE("an upstream that leaves while only calls of this instance fail is dropped at once", "[discovery-state]")
+{
+    Fixture fixture;
+    fixture.discovery_.upstreamsListed({ entry("a"), entry("b") });
+    fixture.outage(6s, FeedLoss::CallFailed);
+    const bool isRemovedByEvent = GENERATE(false, true);
+    CAPTURE(isRemovedByEvent);
+    if (isRemovedByEvent)
+        fixture.discovery_.upstreamRemoved("a");
+    else
+        fixture.discovery_.upstreamsListed({ entry("b") });
+    CHECK(fixture.known() == 1);
+}
+
+TEST_CASE("an entry that expired in an outage is kept also if calls failed for other reasons before or after", "[discovery-state]")
+{
+    Fixture fixture;
+    fixture.discovery_.upstreamsListed({ entry("a"), entry("b") });
+    const auto first = GENERATE(FeedLoss::CallFailed, FeedLoss::PlatformDown);
+    fixture.discovery_.feedLost(Feed::Upstreams, first, "first");
+    fixture.clock_.advance(1s);
+    fixture.discovery_.feedLost(Feed::Upstreams, first == FeedLoss::CallFailed ? FeedLoss::PlatformDown : FeedLoss::CallFailed, "second");
+    fixture.clock_.advance(3s);
+    fixture.discovery_.feedRestored(Feed::Upstreams);
+    fixture.discovery_.upstreamsListed({ entry("b") });
+    CHECK(fixture.known() == 2);
+    // The next loss is judged by itself.
+    fixture.clock_.advance(3s);
+    fixture.discovery_.removeExpiredUpstreams();
+    REQUIRE(fixture.known() == 1);
+    fixture.outage(4s, FeedLoss::CallFailed);
+    fixture.discovery_.upstreamsListed({});
+    CHECK(fixture.known() == 0);
+}
+
+// The removal has come through a peer that hears the platform, and may be real.
+TEST_CASE("an upstream that a follower hears removed in an outage of others is dropped within the drain time", "[discovery-state]")
+{
+    Fixture fixture;
+    fixture.discovery_.feedSourceChanged(Feed::Upstreams, SocketAddress { "127.0.0.1", 9000 });
+    fixture.discovery_.upstreamsListed({ entry("a"), entry("b") });
+    for (const auto* name : { "x", "y", "z" }) {
+        MemberReport report;
+        report.name_ = name;
+        report.isSourceLost_ = true;
+        fixture.fleet_.updateMember(report);
+    }
+    fixture.discovery_.noteFleetOutage();
+    fixture.discovery_.upstreamRemoved("a");
+    CHECK(fixture.known() == 2);
+    for (Duration passed {}; passed < drainTime / 2; passed += 200ms) {
+        fixture.clock_.advance(200ms);
+        fixture.discovery_.noteFleetOutage();
+        fixture.discovery_.removeExpiredUpstreams();
+    }
+    CHECK(fixture.known() == 1);
+}
+
+TEST_CASE("no series of outages keeps an upstream beyond the grace period after its removal was received", "[discovery-state]")
+{
+    rc::prop("removed within 2.2 s and a tick", [] {
+        Fixture fixture;
+        fixture.discovery_.upstreamsListed({ entry("a"), entry("b") });
+        std::optional<MonotonicTime> removedAt;
+        const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 7));
+        for (const int step : steps) {
+            if (step == 0)
+                fixture.discovery_.feedLost(Feed::Upstreams, FeedLoss::PlatformDown, "down");
+            if (step == 1)
+                fixture.discovery_.feedLost(Feed::Upstreams, FeedLoss::CallFailed, "refused");
+            if (step == 2)
+                fixture.discovery_.feedRestored(Feed::Upstreams);
+            if (step == 3 && !removedAt) {
+                fixture.discovery_.upstreamRemoved("a");
+                removedAt = fixture.clock_.now();
+            }
+            if (step == 4 && removedAt)
+                fixture.discovery_.upstreamsListed({ entry("b") });
+            if (step == 5)
+                fixture.discovery_.noteFleetOutage();
+            fixture.clock_.advance(200ms);
+            fixture.discovery_.removeExpiredUpstreams();
+            if (removedAt && fixture.clock_.now() - *removedAt > 2200ms)
+                RC_ASSERT(fixture.known() == 1U);
+        }
+    });
+}
+
 TEST_CASE("an upstream that was draining before an outage is not kept", "[discovery-state]")
 {
     Fixture fixture;
--- a/tests/restore_model_test.cpp
+++ b/tests/restore_model_test.cpp
@@ -45,7 +45,7 @@
     Instance(const Clock& clock, const HeaderNames& names)
         : upstreams_(clock, { { "north-a", "north" } })
         , fleet_(clock, { 2s, 20s }, "self")
-        , discovery_(clock, upstreams_, fleet_, log_)
+        , discovery_(clock, upstreams_, fleet_, log_, 2s)
         , recorder_(upstreams_, names, log_)
     {
         discovery_.domainsEvacuated({});
--- a/tests/restored_state_test.cpp
+++ b/tests/restored_state_test.cpp
@@ -47,7 +47,7 @@
     UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
     FleetView fleet_ { clock_, { 2s, 20s }, "self" };
     standin::KeptLog log_;
-    DiscoveryState discovery_ { clock_, upstreams_, fleet_, log_ };
+    DiscoveryState discovery_ { clock_, upstreams_, fleet_, log_, 2s };
     std::uint64_t era_ = 1;
 };
 
--- a/tests/source_keepalive_test.cpp
+++ b/tests/source_keepalive_test.cpp
@@ -149,7 +149,7 @@
     KeptLog log;
     UpstreamSet upstreams(clock, { { "north-a", "north" } });
     FleetView fleet(clock, { 2s, 20s }, "e1");
-    DiscoveryState state(clock, upstreams, fleet, log);
+    DiscoveryState state(clock, upstreams, fleet, log, 2s);
     fixture.start(state);
     REQUIRE(upstreams.size() == 1);
     const bool isProbed = GENERATE(true, false);
--- a/tests/upstream_notice_read_test.cpp
+++ b/tests/upstream_notice_read_test.cpp
@@ -90,7 +90,7 @@
     UpstreamSet upstreams(clock, {});
     FleetView fleet(clock, { 2s, 20s }, "self");
     standin::KeptLog log;
-    DiscoveryState discovery(clock, upstreams, fleet, log);
+    DiscoveryState discovery(clock, upstreams, fleet, log, 2s);
     const auto headers = names();
     NoticeRecorder recorder(upstreams, headers, log);
     const UpstreamEntry entry { "a", 1, "core", { "127.0.0.1", 9000 }, "north-a", 4, UpstreamState::Ready, 0s, 1 };
