Around a hand-over of coordinators only one of two grants tokens

Class: a role that is given up by those who stop hearing of its holder, and not by the holder. Ruled out: partitions in both directions (hasQuorum; the test stands), restarts (fresh buckets start at a quarter), grants that are asked for twice (numbers).

Shared buckets are refilled only for time in the role. Builds before this one send no such names, which reads as none, and pass over the field. After a freeze an instance coordinates again about one heartbeat later.

--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/datagram_codec.cpp
@@ -88,6 +88,8 @@
             report.unreachableRegions_.emplace_back(region.cStr());
         report.isCutOff_ = reader.getCutOff();
         report.acceptsDelegation_ = reader.getAcceptsDelegation();
+        for (const auto hash : reader.getSilentMembers())
+            report.silentMembers_.push_back(hash);
         for (const auto cold : reader.getColds())
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
         for (const auto limit : reader.getLimits())
@@ -132,6 +134,9 @@
             unreachable.set(i, report.unreachableRegions_[i]);
         heartbeat.setCutOff(report.isCutOff_);
         heartbeat.setAcceptsDelegation(report.acceptsDelegation_);
+        auto silent = heartbeat.initSilentMembers(static_cast<unsigned>(report.silentMembers_.size()));
+        for (unsigned i = 0; i < silent.size(); ++i)
+            silent.set(i, report.silentMembers_[i]);
         auto colds = heartbeat.initColds(static_cast<unsigned>(report.coldNotices_.size()));
         for (unsigned i = 0; i < colds.size(); ++i) {
             colds[i].setUpstream(report.coldNotices_[i].upstream_);
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -11,6 +11,8 @@
 namespace {
     // Longer than a partition between regions, which can last an hour.
     constexpr Duration lostPeerRetention = 3h;
+    // Bounds the size of heartbeats after the loss of many instances.
+    constexpr std::size_t maxSilentMembers = 16;
 
     // The addresses with the highest rendezvous weight for the round: each round has other ones, and all come in turn.
     auto sample(std::vector<SocketAddress> addresses, std::uint64_t round, std::size_t maxCount) -> std::vector<SocketAddress>
@@ -153,10 +155,33 @@
     return sample(std::move(addresses), round, maxCount);
 }
 
+auto FleetView::silentMembers() const -> std::vector<std::uint64_t>
+{
+    std::vector<std::pair<MonotonicTime, std::uint64_t>> silent;
+    for (const auto& [name, member] : members_) {
+        if (member.hasReported_ && !isLive(member) && member.report_.phase_ != MemberPhase::Stopping)
+            silent.emplace_back(member.lastSeenAt_, stableHash(name));
+    }
+    const auto count = std::min(maxSilentMembers, silent.size());
+    std::partial_sort(silent.begin(), silent.begin() + static_cast<std::ptrdiff_t>(count), silent.end(), std::greater<>());
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        hashes.push_back(silent[i].second);
+    return hashes;
+}
+
+auto FleetView::isConnected(const Member& member) const -> bool
+{
+    const auto& silent = member.report_.silentMembers_;
+    return isLive(member) && std::find(silent.begin(), silent.end(), stableHash(self_)) == silent.end();
+}
+
+// An instance that hears the others, but is not heard, has been succeeded as coordinator and must not act as one.
 auto FleetView::hasQuorum() const -> bool
 {
-    const auto live = std::count_if(members_.begin(), members_.end(), [this](const auto& item) { return isLive(item.second); });
-    return static_cast<std::size_t>(live) * 2 >= members_.size();
+    const auto connected = std::count_if(members_.begin(), members_.end(), [this](const auto& item) { return isConnected(item.second); });
+    return static_cast<std::size_t>(connected) * 2 >= members_.size();
 }
 
 auto FleetView::isSourceLost() const -> bool
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -67,6 +67,8 @@
     bool acceptsDelegation_ = false;
     // The sender has just started and asks for the addresses of the other instances.
     bool wantsPeers_ = false;
+    // Hashes of the names of instances that the sender no longer receives heartbeats from.
+    std::vector<std::uint64_t> silentMembers_;
 
     auto operator<=>(const MemberReport&) const = default;
 };
@@ -125,8 +127,10 @@
     auto sampleLostPeers(std::uint64_t round, std::size_t maxCount) const -> std::vector<SocketAddress>;
     // Instances that the fleet's limits are divided among, this one and silent ones with a reservation included.
     auto memberCount() const -> std::size_t { return members_.size() + 1; }
-    // Whether heartbeats arrive from at least half of the others, so this instance is not on the minority side of a network
-    // partition.
+    // Hashes of the names of instances that have fallen silent, for heartbeats; those that did so last if there are many.
+    auto silentMembers() const -> std::vector<std::uint64_t>;
+    // Whether at least half of the others are connected to this instance in both directions, so that it is not on the minority
+    // side of a network partition.
     auto hasQuorum() const -> bool;
     // The instance that holds the shared tokens of a workspace or checks the health of an upstream, chosen by rendezvous
     // hashing: instances that see the same ready members choose the same one. It may be this instance; empty if none is
@@ -149,6 +153,8 @@
 
     // Whether the instance has sent a heartbeat within the silence timeout.
     auto isLive(const Member& member) const -> bool;
+    // Whether the instance is live and has not reported that this one has fallen silent.
+    auto isConnected(const Member& member) const -> bool;
 
     const Clock& clock_;
     FleetTiming timing_;
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/rate_limiter.cpp
@@ -41,7 +41,7 @@
 
 auto TokenBucket::refill(MonotonicTime now, double perSecond, double capacity, double initial) -> void
 {
-    if (refilledAt_ == MonotonicTime {})
+    if (!isInUse())
         tokens_ = initial;
     else
         tokens_ += inSeconds(now - refilledAt_) * perSecond;
@@ -270,11 +270,35 @@
     return std::clamp(std::max(minDelay, now - state.overRateSince_), minRetryAfter, maxRetryAfter);
 }
 
-auto RateLimiter::takeShared(BucketState& state, int wanted) -> int
+// While partitioned, another instance may have become the coordinator for the rest of the fleet.
+auto RateLimiter::isCoordinatorOf(const std::string& bucket) const -> bool
+{
+    const auto coordinator = fleet_.coordinatorOf(bucket);
+    return coordinator && coordinator->name_ == fleet_.self() && fleet_.hasQuorum();
+}
+
+auto RateLimiter::refillShared(BucketState& state) -> void
 {
     const double fraction = 1 - localFraction(state.limit_);
     const double capacity = fleetCapacity(state.limit_) * fraction;
     state.sharedBucket_.refill(clock_.now(), state.limit_.perSecond_ * fraction, capacity, capacity * initialFillFraction);
+}
+
+auto RateLimiter::refillShared() -> void
+{
+    for (auto& [bucket, state] : states_) {
+        if (!state.sharedBucket_.isInUse())
+            continue;
+        if (isCoordinatorOf(bucket))
+            refillShared(state);
+        else
+            state.sharedBucket_.skipTo(clock_.now());
+    }
+}
+
+auto RateLimiter::takeShared(BucketState& state, int wanted) -> int
+{
+    refillShared(state);
     const int granted = std::min(wanted, static_cast<int>(state.sharedBucket_.tokens()));
     return granted > 0 && state.sharedBucket_.take(granted) ? granted : 0;
 }
@@ -291,13 +315,11 @@
     return std::nullopt;
 }
 
-// Grants nothing while partitioned, as another instance may have become the coordinator for the rest of the fleet.
 auto RateLimiter::onAsk(const RateAsk& ask) -> RateGrant
 {
     RateGrant grant { ask.number_, ask.bucket_, 0, std::chrono::duration_cast<std::chrono::milliseconds>(minRetryAfter) };
     const auto found = states_.find(ask.bucket_);
-    const auto coordinator = fleet_.coordinatorOf(ask.bucket_);
-    if (found == states_.end() || !fleet_.hasQuorum() || !coordinator || coordinator->name_ != fleet_.self())
+    if (found == states_.end() || !isCoordinatorOf(ask.bucket_))
         return grant;
     if (const auto past = findPastGrant(ask))
         return *past;
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/rate_limiter.h
@@ -46,6 +46,9 @@
 class TokenBucket {
 public:
     auto refill(MonotonicTime now, double perSecond, double capacity, double initial) -> void;
+    // Passes over the time until now without a refill.
+    auto skipTo(MonotonicTime now) -> void { refilledAt_ = now; }
+    auto isInUse() const -> bool { return refilledAt_ != MonotonicTime {}; }
     auto take(double count) -> bool;
     auto putBack(double count, double capacity) -> void;
     auto tokens() const -> double { return tokens_; }
@@ -81,6 +84,9 @@
     auto onGrant(const RateGrant& grant) -> void;
     // Answers a token request as the coordinator. A repeated request gets the same grant, and tokens are taken once.
     auto onAsk(const RateAsk& ask) -> RateGrant;
+    // Refills the shared buckets that this instance coordinates. Time in which another instance was the coordinator must not
+    // refill them, as that instance has granted the tokens. To be called with each heartbeat.
+    auto refillShared() -> void;
     // The limit for token requests that arrive before a request of this instance.
     auto setLimit(const std::string& bucket, const RateLimit& limit) -> void { states_[bucket].limit_ = limit; }
     // Forgets a bucket, unless requests wait for its tokens.
@@ -126,6 +132,9 @@
     auto recordArrival(BucketState& state) -> void;
     auto ask(const std::string& bucket, BucketState& state) -> void;
     auto retryAsk(const std::string& bucket) -> void;
+    // Whether this instance is the coordinator of a bucket, and not partitioned.
+    auto isCoordinatorOf(const std::string& bucket) const -> bool;
+    auto refillShared(BucketState& state) -> void;
     auto takeShared(BucketState& state, int wanted) -> int;
     auto findPastGrant(const RateAsk& ask) -> std::optional<RateGrant>;
     // Admits waiting requests with granted tokens; denies the rest unless more tokens are expected.
--- a/src/gateway/upstream_limiter.h
+++ b/src/gateway/upstream_limiter.h
@@ -36,6 +36,8 @@
     auto activeNotices() const -> std::vector<LimitNotice>;
     // Forgets buckets that were not used for a while. To be called periodically.
     auto removeExpired() -> void;
+    // To be called with each heartbeat.
+    auto refillShared() -> void { tokens_.refillShared(); }
 
 private:
     struct Bucket {
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -308,6 +308,8 @@
     linkProber_.tick();
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.removeSilent();
+        rates_.refillShared();
+        upstreamLimits_.refillShared();
         beliefs_.noteFleetOutage();
         sendHeartbeat(ticks_ % farHeartbeatTicks == 0 ? Reach::All : Reach::Near);
         noteFleet();
@@ -366,6 +368,7 @@
     report.isCutOff_ = links_.isCutOff();
     report.acceptsDelegation_ = true;
     report.wantsPeers_ = beliefs_.needsPeerList();
+    report.silentMembers_ = fleet_.silentMembers();
     return report;
 }
 
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -52,6 +52,8 @@
   cutOff @17 :Bool;
   # False from instances that know no delegation.
   acceptsDelegation @18 :Bool;
+  # Hashes of the names of instances that have fallen silent for the sender; empty from instances that tell none.
+  silentMembers @19 :List(UInt64);
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -101,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -614,6 +614,9 @@
 
   inline bool getAcceptsDelegation() const;
 
+  inline bool hasSilentMembers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSilentMembers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -754,6 +757,14 @@
   inline bool getAcceptsDelegation();
   inline void setAcceptsDelegation(bool value);
 
+  inline bool hasSilentMembers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSilentMembers();
+  inline void setSilentMembers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSilentMembers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSilentMembers(unsigned int size);
+  inline void adoptSilentMembers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSilentMembers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2058,6 +2069,44 @@
       ::capnp::bounded<83>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasSilentMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasSilentMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getSilentMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getSilentMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setSilentMembers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setSilentMembers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initSilentMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptSilentMembers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownSilentMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/datagram_codec.h"
 #include "gateway/feed_lag.h"
 #include "gateway/fleet_view.h"
+#include "gateway/hashing.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -153,11 +154,58 @@
     CHECK(fleet.hasQuorum());
 }
 
+TEST_CASE("an instance that most of the others no longer hear has no quorum", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    FleetView other(clock, { 2s, 20s }, "a");
+    other.updateMember(report("self"));
+    other.updateMember(report("b"));
+    CHECK(other.silentMembers().empty());
+    clock.advance(3s);
+    other.updateMember(report("b"));
+    REQUIRE(other.silentMembers().size() == 1);
+    const auto hear = [&](const std::string& name, bool isHeard) {
+        auto heartbeat = report(name);
+        if (!isHeard)
+            heartbeat.silentMembers_ = other.silentMembers();
+        fleet.updateMember(heartbeat);
+    };
+    hear("a", false);
+    hear("b", true);
+    hear("c", true);
+    CHECK(fleet.hasQuorum());
+    hear("b", false);
+    CHECK_FALSE(fleet.hasQuorum());
+    hear("a", true);
+    CHECK(fleet.hasQuorum());
+    // An instance that stops is not silent, and one that is heard again is not named any more.
+    other.updateMember(report("b", MemberPhase::Stopping));
+    other.updateMember(report("self"));
+    clock.advance(1s);
+    CHECK(other.silentMembers().empty());
+}
+
+TEST_CASE("the silent instances that a heartbeat names are few, the latest first", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    for (int i = 0; i < 100; ++i) {
+        fleet.updateMember(report(fmt::format("e{}", i)));
+        clock.advance(10ms);
+    }
+    clock.advance(3s);
+    const auto named = fleet.silentMembers();
+    CHECK(named.size() == 16);
+    CHECK(named.front() == stableHash("e99"));
+}
+
 TEST_CASE("decoding an encoded datagram yields the same datagram", "[fleet-view]")
 {
     auto sent = report("a");
     sent.incarnation_ = 77;
     sent.wantsPeers_ = true;
+    sent.silentMembers_ = { 3, 0xffffffffffffffff };
     sent.domain_ = "north-a";
     sent.crashes_ = { { 9, 2 } };
     sent.knownPeers_ = { { "127.0.0.1", 8009 } };
--- a/tests/gateway_limits_test.cpp
+++ b/tests/gateway_limits_test.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <random>
 #include <rapidcheck/catch.h>
+#include <set>
 
 using namespace sapphirepass;
 using namespace std::chrono_literals;
@@ -57,7 +58,10 @@
             limiters_[number]->fleet_.addListedMember(fmt::format("e{}", other), {});
     }
 
-    auto canReach(std::size_t from, std::size_t to) const -> bool { return (from < cutOff_) == (to < cutOff_); }
+    auto canReach(std::size_t from, std::size_t to) const -> bool { return (from < cutOff_) == (to < cutOff_) && !mutes_.contains(from) && !deaf_.contains(to); }
+
+    // The instance that coordinates a bucket while all are connected.
+    auto coordinatorOf(const std::string& bucket) const -> std::size_t { return static_cast<std::size_t>(std::stoi(limiters_[0]->fleet_.coordinatorOf(bucket)->name_.substr(1))); }
 
     auto send(std::size_t from, std::size_t to, PeerDatagram datagram) -> void
     {
@@ -92,6 +96,10 @@
     std::vector<std::unique_ptr<Limiter>> limiters_;
     // Partitions the fleet: this many instances on one side, the rest on the other.
     std::size_t cutOff_ = 0;
+    // Instances that receive messages, but whose own are lost.
+    std::set<std::size_t> mutes_;
+    // Instances that receive nothing.
+    std::set<std::size_t> deaf_;
     // One-way latency between regions.
     Duration messageTime_ = 12ms;
     std::uint64_t restarts_ = 0;
@@ -120,13 +128,16 @@
             MemberReport report;
             report.name_ = limiters_[from]->name_;
             report.phase_ = MemberPhase::Ready;
+            report.silentMembers_ = limiters_[from]->fleet_.silentMembers();
             for (std::size_t to = 0; to < limiters_.size(); ++to) {
                 if (canReach(from, to))
                     limiters_[to]->fleet_.updateMember(report);
             }
         }
-        for (auto& limiter : limiters_)
+        for (auto& limiter : limiters_) {
             limiter->fleet_.removeSilent();
+            limiter->rates_.refillShared();
+        }
     }
 
     std::deque<Message> inTransit_;
@@ -255,6 +266,38 @@
     CHECK(static_cast<double>(outcome.mostInWindow_) <= allowed(100));
 }
 
+// Its own callers were served from one bucket, and those of all others from that of its successor. A bucket was also refilled
+// for the time in which another instance had granted the tokens.
+TEST_CASE("the rate limit holds while a coordinator is cut off in one direction or both, once or again and again", "[rates]")
+{
+    const std::size_t count = GENERATE(3, 12);
+    const bool isFlapping = GENERATE(false, true);
+    const bool isDeafToo = GENERATE(false, true);
+    const double share = GENERATE(0.0, 0.5);
+    CAPTURE(count, isFlapping, isDeafToo, share);
+    Fleet fleet(count);
+    const auto coordinator = fleet.coordinatorOf("acme");
+    const DeclaredWorkspace workspace { "acme", {}, std::nullopt, 100, 100, {} };
+    Window window;
+    std::size_t most = 0;
+    std::mt19937_64 random(20261204);
+    const auto start = fleet.clock_.now();
+    for (int sent = 0; sent < 20'000; ++sent) {
+        fleet.step(1ms);
+        const auto age = fleet.clock_.now() - start;
+        const bool isMute = age > 3s && age < 17s && (!isFlapping || age % 4s < 3s);
+        fleet.mutes_ = isMute ? std::set { coordinator } : std::set<std::size_t> {};
+        fleet.deaf_ = isDeafToo ? fleet.mutes_ : std::set<std::size_t> {};
+        const bool goesToCoordinator = static_cast<double>(random() % 1000) < share * 1000;
+        fleet.limiters_[goesToCoordinator ? coordinator : random() % count]->rates_.admit(workspace, [&](const RateVerdict& verdict) {
+            if (verdict.admitted_)
+                window.note(fleet.clock_.now());
+            most = std::max(most, window.count(fleet.clock_.now()));
+        });
+    }
+    CHECK(static_cast<double>(most) <= allowed(100));
+}
+
 TEST_CASE("at most 1% of the requests of a workspace within its rate are refused", "[rates]")
 {
     const std::size_t count = GENERATE(3, 12, 87);
