--- a/src/gateway/discovery_source.h
+++ b/src/gateway/discovery_source.h
@@ -101,6 +101,8 @@
     // Instances with complete state, the nearest first. An instance that starts while the platform is unavailable gets its
     // initial state from them.
     virtual auto bootstrapPeers() const -> std::vector<SocketAddress> = 0;
+    // The instance with complete state that reports the newest change of the feed, if that is newer than the known revision.
+    virtual auto newerPeer(Feed feed, const StoreRevision& known) const -> std::optional<SocketAddress> = 0;
 };
 
 class DiscoverySource {
--- a/src/gateway/feed_source_selector.h
+++ b/src/gateway/feed_source_selector.h
@@ -18,6 +18,8 @@
     auto noteFailure() -> void;
     auto noteAnswer() -> void;
     auto switchToPlatform() -> void;
+    // The peer to get newer state from, for an instance that has received its state from a peer only. Empty if none has any.
+    auto newerPeer(Feed feed, const StoreRevision& known) const -> std::optional<SocketAddress> { return peers_.newerPeer(feed, known); }
     // The peer to get the initial state from, for an instance that has none yet when a call fails. Goes through all
     // candidates in turn; empty if there are none.
     auto nextBootstrapPeer() -> std::optional<SocketAddress>;
--- a/src/gateway/relay_selector.cpp
+++ b/src/gateway/relay_selector.cpp
@@ -50,6 +50,20 @@
     return peers;
 }
 
+auto RelaySelector::newerPeer(Feed feed, const StoreRevision& known) const -> std::optional<SocketAddress>
+{
+    std::optional<SocketAddress> newest;
+    auto revision = known;
+    for (const auto* member : fleet_.allReadyMembers()) {
+        const auto& reported = member->lastChangeRevisions_.at(static_cast<std::size_t>(feed));
+        if (reported <= revision)
+            continue;
+        revision = reported;
+        newest = member->control_;
+    }
+    return newest;
+}
+
 // Ready instances have complete state.
 auto RelaySelector::bootstrapPeers() const -> std::vector<SocketAddress>
 {
--- a/src/gateway/relay_selector.h
+++ b/src/gateway/relay_selector.h
@@ -14,6 +14,7 @@
 
     auto peers() const -> std::vector<SocketAddress> override;
     auto bootstrapPeers() const -> std::vector<SocketAddress> override;
+    auto newerPeer(Feed feed, const StoreRevision& known) const -> std::optional<SocketAddress> override;
 
 private:
     const FleetView& fleet_;
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -71,6 +71,7 @@
 public:
     auto peers() const -> std::vector<SocketAddress> override { return peers_; }
     auto bootstrapPeers() const -> std::vector<SocketAddress> override { return holders_; }
+    auto newerPeer(Feed, const StoreRevision&) const -> std::optional<SocketAddress> override { return std::nullopt; }
 
     std::vector<SocketAddress> peers_;
     std::vector<SocketAddress> holders_;
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -194,6 +194,7 @@
 auto PlatformStore::remove(const std::string& kind, const std::string& name) -> void
 {
     ++revision_;
+    kinds_[kind][name]["metadata"]["rev"] = revision_;
     history_.push_back({ revision_, kind, { { "deleted", true }, { "object", kinds_[kind][name] } } });
     kinds_[kind].erase(name);
     wakeWatches();
--- a/tests/relay_selector_test.cpp
+++ b/tests/relay_selector_test.cpp
@@ -111,6 +111,23 @@
     CHECK(fleet.watchers("north") == before);
 }
 
+TEST_CASE("newer state is read from the ready instance that has received most", "[relay-selector]")
+{
+    Fleet fleet(3, 0);
+    constexpr auto feed = static_cast<std::size_t>(Feed::Upstreams);
+    fleet.reports_[1].lastChangeRevisions_.at(feed) = { 1, 7 };
+    fleet.reports_[2].lastChangeRevisions_.at(feed) = { 1, 9 };
+    fleet.sendHeartbeats({});
+    const auto& selector = fleet.views_[0]->selector_;
+    CHECK(selector.newerPeer(Feed::Upstreams, { 1, 6 }) == fleet.reports_[2].control_);
+    CHECK(selector.newerPeer(Feed::Upstreams, { 1, 9 }) == std::nullopt);
+    CHECK(selector.newerPeer(Feed::Upstreams, { 2, 0 }) == std::nullopt);
+    CHECK(selector.newerPeer(Feed::Declaration, { 1, 0 }) == std::nullopt);
+    fleet.reports_[2].phase_ = MemberPhase::Starting;
+    fleet.sendHeartbeats({});
+    CHECK(selector.newerPeer(Feed::Upstreams, { 1, 6 }) == fleet.reports_[1].control_);
+}
+
 TEST_CASE("a watcher that stops, falls silent or loses the platform is replaced", "[relay-selector]")
 {
     Fleet fleet(20, 0);
