Delegated requests leave from the listed address of their instance

Callers of a cut-off instance got 502 for each delegated request (0 of 1000 served, in the users' processes on addresses of their own) where its connections left from another address of the machine than the listed one: the peer knows instances by that address, took it for a caller's, and closed the connection unread after the request had been written.

Connections to delegates are bound to the host of the own peer address, at which the instance already listens: a host that cannot be bound is an error at its start. Ruled out: the filter itself (with bound connections all were served).

Test: 'an instance whose listed address is not its default one serves its callers through a peer' (reset, silent) failed before, 2 of 2.

--- a/src/loop/delegate_pool.cpp
+++ b/src/loop/delegate_pool.cpp
@@ -2,8 +2,9 @@
 
 namespace sapphirepass {
 
-DelegatePool::DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds)
-    : pool_(loop, clock, names, bounds, [](Upstream&, const HttpResponse&) {})
+DelegatePool::DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, const std::string& ownHost)
+    : pool_(
+        loop, clock, names, bounds, [](Upstream&, const HttpResponse&) {}, {}, ownHost)
 {
 }
 
--- a/src/loop/delegate_pool.h
+++ b/src/loop/delegate_pool.h
@@ -11,7 +11,8 @@
 
 class DelegatePool final : public DelegateCaller {
 public:
-    DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds);
+    // Connections leave from the own host, by which peers recognize this instance.
+    DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, const std::string& ownHost);
 
     auto call(const MemberReport& peer, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     auto sweep() -> void { pool_.sweep(); }
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -150,7 +150,7 @@
     , delegates_(fleet_, settings_.region_, upstreams_.regions())
     , pool_(
           loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { links_.recordConnect(upstream, startedAt, isConnected); })
-    , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts))
+    , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_ }
--- a/src/loop/net_type.cpp
+++ b/src/loop/net_type.cpp
@@ -47,4 +47,17 @@
     socket.close(ignored);
 }
 
+auto bindSource(Tcp::socket& socket, const std::string& host) -> NetError
+{
+    NetError error;
+    if (host.empty())
+        return error;
+    const Tcp::endpoint source { asio::ip::make_address_v4(host, error), 0 };
+    if (!error)
+        socket.open(source.protocol(), error);
+    if (!error)
+        socket.bind(source, error);
+    return error;
+}
+
 } // namespace sapphirepass
--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -49,5 +49,7 @@
 // Ends a connection whose peer is silent, which the kernel alone would not notice for minutes.
 auto detectDeadPeer(Tcp::socket& socket, PeerPatience patience) -> void;
 auto closeQuietly(Tcp::socket& socket) -> void;
+// Opens a socket whose connection will leave from this host, at any port. Does nothing if the host is empty.
+auto bindSource(Tcp::socket& socket, const std::string& host) -> NetError;
 
 } // namespace sapphirepass
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -52,11 +52,15 @@
 {
 }
 
-auto UpstreamChannel::connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void
+auto UpstreamChannel::connectAndSend(const SocketAddress& address, const std::string& sourceHost, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void
 {
     request_ = std::move(request);
     connected_ = std::move(connected);
     done_ = std::move(done);
+    if (const auto error = bindSource(socket_, sourceHost); error) {
+        asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->lose(TransportErrorKind::NotSent, error.message()); });
+        return;
+    }
     timer_.expires_after(upstreamConnectLimit);
     timer_.async_wait([self = shared_from_this()](NetError error) {
         if (!error && !self->isOpen_)
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -27,7 +27,8 @@
     // Called once when the connection attempt ends, before Done.
     using Connected = std::function<void(bool isConnected)>;
 
-    auto connectAndSend(const SocketAddress& address, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void;
+    // The connection leaves from the source host; from any if it is empty.
+    auto connectAndSend(const SocketAddress& address, const std::string& sourceHost, std::shared_ptr<const OutgoingRequest> request, Connected connected, Done done) -> void;
     auto send(std::shared_ptr<const OutgoingRequest> request, Done done) -> void;
     // Closes the connection; no outcome is told any more.
     auto abandon() -> void;
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -29,13 +29,14 @@
     };
 }
 
-UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect)
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect, std::string sourceHost)
     : loop_(loop)
     , clock_(clock)
     , names_(names)
     , budget_(bounds)
     , onLateResponse_(std::move(onLateResponse))
     , onConnect_(std::move(onConnect))
+    , sourceHost_(std::move(sourceHost))
 {
 }
 
@@ -84,7 +85,7 @@
         channel->send(std::move(request), onDone);
     else
         channel->connectAndSend(
-            upstream->entry_.address_, std::move(request), [this, upstream, startedAt = clock_.now()](bool isConnected) {
+            upstream->entry_.address_, sourceHost_, std::move(request), [this, upstream, startedAt = clock_.now()](bool isConnected) {
                 if (onConnect_)
                     onConnect_(*upstream, startedAt, isConnected);
             },
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -26,7 +26,8 @@
     // Gets the outcome of each attempt to open a connection.
     using ConnectListener = std::function<void(const Upstream&, MonotonicTime startedAt, bool isConnected)>;
 
-    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect = {});
+    // Connections leave from the source host; from any if it is empty.
+    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect = {}, std::string sourceHost = {});
     ~UpstreamPool() override;
     UpstreamPool(const UpstreamPool&) = delete;
     auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
@@ -53,6 +54,7 @@
     ResponseBudget budget_;
     LateResponse onLateResponse_;
     ConnectListener onConnect_;
+    std::string sourceHost_;
     std::map<UpstreamPtr, Idle> idle_;
     PoolCounts counts_;
 };
--- a/tests/upstream_cut_test.cpp
+++ b/tests/upstream_cut_test.cpp
@@ -21,9 +21,11 @@
 
 // Two gateways of one region. The first reaches the upstreams through proxies, the second directly.
 struct CutFixture {
-    explicit CutFixture(const std::string& answer)
+    explicit CutFixture(const std::string& answer, const std::string& host = "127.0.0.1")
         : near_([answer](int, const std::string&) -> ScriptedBytes { return { answer }; })
     {
+        for (auto* address : { &near_.settings_.front_, &near_.settings_.directory_, &near_.settings_.ready_, &near_.settings_.control_, &near_.settings_.peer_ })
+            *address = freeAddress(host);
         near_.settings_.domains_ = { { "north-a", "north" }, { "north-b", "north" } };
         far_ = near_.settings_;
         far_.name_ = "e2";
@@ -115,6 +117,19 @@
 }
 
 // With more load or new upstreams than open connections, every request that needed a new one was refused.
+// Connections left from another address of the machine, and the peer took the instance for a caller.
+TEST_CASE("an instance whose listed address is not its default one serves its callers through a peer", "[upstream-cut]")
+{
+    const auto manner = GENERATE(CutManner::Reset, CutManner::Silent);
+    CAPTURE(static_cast<int>(manner));
+    CutFixture fixture(closingAnswer, "127.0.0.3");
+    fixture.cut(manner);
+    // Attempts in flight end with the links; after that all requests are served.
+    REQUIRE(runUntil(fixture.near_.loop_, [&fixture] { return fixture.send() == "HTTP/1.1 200 OK"; }));
+    for (int i = 0; i < 20; ++i)
+        CHECK(fixture.send() == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("while new connections to upstreams are refused, open ones and a peer serve the callers", "[upstream-cut]")
 {
     CutFixture fixture(keptAnswer);
