A delegated request that an instance does not take is refused with an answer

A peer closed connections from hosts that it did not know, without a line or a counter. The reset came after the request's bytes, so it counted as sent and the caller got 502 'unknown'. Now the request is read and answered with 403 and 'not run', the connection ends in order, the origin tries another peer, and both ends log and count it (gateway_delegations_refused_total).

Test: 'an instance takes delegated requests only from hosts of other instances' expected silence; it is as strict now in what counts (nothing runs, nothing else is told, the connection ends) and asks for the refusal, its outcome and the counter as well; those checks failed before.

--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -150,7 +150,7 @@
     EventDescription { EventId::AttemptFailed, LogLevel::Warning, "attempt-failed", "An upstream returned an error, or a response without its valid signature." },
     EventDescription { EventId::DelegationLost, LogLevel::Warning, "delegation-lost", "A peer that was to handle a request gave no response; the line says whether the request had been sent." },
     EventDescription { EventId::DelegationRefused, LogLevel::Warning, "delegation-refused", "A peer did not run a delegated request; another peer is asked, or the request is refused." },
-    EventDescription { EventId::DelegationInvalid, LogLevel::Warning, "delegation-invalid", "A delegated request of a peer could not be read; it is refused and has not run." },
+    EventDescription { EventId::DelegationInvalid, LogLevel::Warning, "delegation-invalid", "A request to the delegation address could not be read, or came from no known instance; it is refused and has not run." },
     EventDescription { EventId::RequestAnswered, LogLevel::Info, "request-answered", "A request succeeded; only a sample of these, chosen by request id, is logged." },
     EventDescription { EventId::RequestEnded, LogLevel::Warning, "request-ended", "A request was refused, failed, or was abandoned by its caller; the line has the reason and the state it was based on." },
 };
--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -7,11 +7,16 @@
     constexpr int backlog = 1'024;
 }
 
-CallerListener::CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock, HostFilter filter)
+CallerListener::CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock)
+    : CallerListener(
+        loop, [&handler](const std::string&) -> CallerHandler& { return handler; }, clock)
+{
+}
+
+CallerListener::CallerListener(asio::io_context& loop, HandlerSelector selectHandler, const Clock& clock)
     : acceptor_(loop)
-    , handler_(handler)
+    , selectHandler_(std::move(selectHandler))
     , clock_(clock)
-    , filter_(std::move(filter))
 {
 }
 
@@ -47,9 +52,10 @@
 {
     NetError error;
     const auto peer = socket.remote_endpoint(error);
-    if (filter_ && (error || !filter_(peer.address().to_string())))
+    // The peer has left already.
+    if (error)
         return closeQuietly(socket);
-    auto channel = std::make_shared<CallerChannel>(std::move(socket), handler_, clock_);
+    auto channel = std::make_shared<CallerChannel>(std::move(socket), selectHandler_(peer.address().to_string()), clock_);
     channels_.push_back(channel);
     channel->start();
 }
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -11,10 +11,11 @@
 
 class CallerListener {
 public:
-    // Whether a connection from this host is taken; others are closed unread.
-    using HostFilter = std::function<bool(const std::string& host)>;
+    // The handler for a connection from this host.
+    using HandlerSelector = std::function<CallerHandler&(const std::string& host)>;
 
-    CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock, HostFilter filter = {});
+    CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock);
+    CallerListener(asio::io_context& loop, HandlerSelector selectHandler, const Clock& clock);
 
     // An error message, or nothing.
     auto listen(const SocketAddress& address) -> std::string;
@@ -29,9 +30,8 @@
     auto take(Tcp::socket socket) -> void;
 
     Tcp::acceptor acceptor_;
-    CallerHandler& handler_;
+    HandlerSelector selectHandler_;
     const Clock& clock_;
-    HostFilter filter_;
     std::vector<std::weak_ptr<CallerChannel>> channels_;
 };
 
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -99,12 +99,10 @@
     return limits;
 }
 
-auto Gateway::DelegationHandler::refuse(const Answer& answer, std::string_view why) -> void
+auto Gateway::StrangerHandler::handle(HttpRequest, Answer answer) -> std::shared_ptr<RunningRequest>
 {
-    gateway_.log_.write(EventId::DelegationInvalid, { { "why", why } });
-    auto response = problemResponse(400, "invalid delegation", Executed::No);
-    response.set({ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }, encodeDelegationOutcome({ Executed::No, {}, 0 }));
-    answer(std::move(response));
+    gateway_.refuseDelegation(answer, 403, "stranger", "the sender is no known instance");
+    return nullptr;
 }
 
 auto Gateway::DelegationHandler::handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest>
@@ -113,7 +111,7 @@
     const auto text = request[name];
     auto delegation = decodeDelegation({ text.data(), text.size() });
     if (!isOk(delegation)) {
-        refuse(answer, errorOf(delegation).message_);
+        gateway_.refuseDelegation(answer, 400, "invalid", errorOf(delegation).message_);
         return nullptr;
     }
     request.erase(name);
@@ -123,6 +121,15 @@
     return run;
 }
 
+auto Gateway::refuseDelegation(const CallerHandler::Answer& answer, unsigned status, std::string_view cause, std::string_view why) -> void
+{
+    metrics_.increment({ "gateway_delegations_refused_total", fmt::format("cause=\"{}\"", cause) });
+    log_.write(EventId::DelegationInvalid, { { "cause", cause }, { "why", why } });
+    auto response = problemResponse(status, "delegation-refused", Executed::No);
+    response.set({ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }, encodeDelegationOutcome({ Executed::No, {}, 0 }));
+    answer(std::move(response));
+}
+
 Gateway::Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter)
     : loop_(loop)
     , clock_(clock)
@@ -156,6 +163,7 @@
     , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
+    , strangerHandler_(*this)
     , publicPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) {
         answer(answerPublic(request));
         return nullptr;
@@ -165,7 +173,8 @@
     , directory_(loop, publicPages_, clock)
     , ready_(loop, publicPages_, clock)
     , control_(loop, controlPages_, clock)
-    , delegated_(loop, delegationHandler_, clock, [this](const std::string& host) { return isPeerHost(host); })
+    , delegated_(
+          loop, [this](const std::string& host) -> CallerHandler& { return selectDelegationHandler(host); }, clock)
     , datagrams_(loop, [this](std::string_view bytes, const SocketAddress& from) { onDatagram(bytes, from); })
     , timer_(loop)
     , startedAt_(clock.now())
@@ -517,11 +526,12 @@
     }
 }
 
-// Callers must not pass for peers: connections are only taken from hosts that send heartbeats.
-auto Gateway::isPeerHost(const std::string& host) const -> bool
+// Callers must not pass for peers: requests are only taken from hosts that send heartbeats.
+auto Gateway::selectDelegationHandler(const std::string& host) -> CallerHandler&
 {
     const auto peers = fleet_.peerAddresses();
-    return std::any_of(peers.begin(), peers.end(), [&host](const auto& peer) { return peer.host_ == host; });
+    const bool isPeer = std::any_of(peers.begin(), peers.end(), [&host](const auto& peer) { return peer.host_ == host; });
+    return isPeer ? static_cast<CallerHandler&>(delegationHandler_) : strangerHandler_;
 }
 
 auto Gateway::onFoundCold(const std::string& upstream, Duration left) -> void
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -71,8 +71,21 @@
         auto isClosing() const -> bool override { return gateway_.isStopping_; }
 
     private:
-        auto refuse(const Answer& answer, std::string_view why) -> void;
+        Gateway& gateway_;
+    };
+    // Requests to the delegation address from hosts of no known instance: refused, so that a peer which is not recognized
+    // can try another one.
+    class StrangerHandler final : public CallerHandler {
+    public:
+        explicit StrangerHandler(Gateway& gateway)
+            : gateway_(gateway)
+        {
+        }
+        auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
+        auto limits() const -> CallerLimits override { return gateway_.delegationHandler_.limits(); }
+        auto isClosing() const -> bool override { return true; }
 
+    private:
         Gateway& gateway_;
     };
     // Pages of the gateway's own.
@@ -121,7 +134,9 @@
     auto seedPeers() const -> std::vector<SocketAddress>;
     auto renewFeeds() -> void;
     auto onLinkChange(const LinkChange& change) -> void;
-    auto isPeerHost(const std::string& host) const -> bool;
+    auto selectDelegationHandler(const std::string& host) -> CallerHandler&;
+    // Answers a delegated request that is not run here.
+    auto refuseDelegation(const CallerHandler::Answer& answer, unsigned status, std::string_view cause, std::string_view why) -> void;
     auto onFoundCold(const std::string& upstream, Duration left) -> void;
     auto noteFleet() -> void;
     auto noteStatus() -> void;
@@ -161,6 +176,7 @@
     RequestContext context_;
     FrontHandler frontHandler_;
     DelegationHandler delegationHandler_;
+    StrangerHandler strangerHandler_;
     PageHandler publicPages_;
     PageHandler controlPages_;
     CallerListener front_;
--- a/tests/upstream_cut_test.cpp
+++ b/tests/upstream_cut_test.cpp
@@ -162,8 +162,11 @@
     LoopClient stranger(fixture.loop_, fixture.settings_.peer_);
     stranger.send(order);
     CHECK(runUntil(fixture.loop_, [&stranger] { return stranger.isEnded(); }));
-    CHECK(stranger.received().empty());
+    CHECK(stranger.received().starts_with("HTTP/1.1 403"));
+    CHECK(stranger.count("Sapphirepass-Delegation-Outcome: {\"executed\":\"no\"}") == 1);
+    CHECK(stranger.count("HTTP/1.1") == 1);
     CHECK(fixture.server_.requests().empty());
+    CHECK(fixture.ask(fixture.settings_.control_, "/metrics").find("gateway_delegations_refused_total{cause=\"stranger\"} 1\n") != std::string::npos);
     // At the callers' own address the header has no meaning.
     LoopClient caller(fixture.loop_, fixture.settings_.front_);
     caller.send("POST /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: t1\r\nSapphirepass-Delegation: {\"origin\":\"e9\",\"route\":\"r\",\"service\":\"s\",\"workspace\":\"acme\",\"homes\":[],\"idempotent\":true,\"attempts\":1,\"left_ms\":900,\"target_ms\":300}\r\nContent-Length: 2\r\n\r\nhi");
