A copy of the store that is behind does not confirm a feed

A feed whose watch is never answered is verified by a read that any copy of the store may answer. A copy that is seconds behind said that nothing had changed, again and again, so the age of the feed was bounded by the copy's and not by the verification: an upstream that left got requests for as long.

--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -31,6 +31,8 @@
     std::string kind_;
     std::int64_t watchFrom_ = 0;
     bool isSilent_ = false;
+    // Set if the request under way is answered by a copy that is behind.
+    std::optional<std::int64_t> readsUpTo_;
     // Ends a watch that brings nothing.
     asio::steady_timer timer_;
 };
@@ -112,6 +114,7 @@
 auto PlatformStore::answerGet(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& query) -> void
 {
     connection->kind_ = kind;
+    connection->readsUpTo_ = valueIn(query, "serializable") == "1" ? copiesAt_ : std::nullopt;
     if (const auto from = valueIn(query, "watch"); !from.empty()) {
         if (const auto left = swallowed_.find(kind); left != swallowed_.end() && left->second > 0) {
             --left->second;
@@ -130,7 +133,7 @@
     for (; next != objects.end() && items.size() < page_; ++next)
         items.push_back(next->second);
     const bool more = next != objects.end();
-    reply(connection, 200, { { "items", items }, { "more", more }, { "current_rev", revision_ } });
+    reply(connection, 200, { { "items", items }, { "more", more }, { "current_rev", connection->readsUpTo_.value_or(revision_) } });
     if (more && pageAction_)
         pageAction_(kind);
 }
@@ -141,7 +144,7 @@
     connection->timer_.expires_after(longest);
     connection->timer_.async_wait([this, connection](NetError error) {
         if (!error && mood_ == StoreMood::Well && std::erase(watching_, connection) > 0)
-            reply(connection, 200, { { "events", Json::array() }, { "current_rev", revision_ } });
+            reply(connection, 200, { { "events", Json::array() }, { "current_rev", connection->readsUpTo_.value_or(revision_) } });
     });
 }
 
@@ -152,15 +155,16 @@
         reply(connection, 410, { { "error", "gone" } });
         return true;
     }
+    const auto newest = connection->readsUpTo_.value_or(revision_);
     Json events = Json::array();
     for (const auto& change : history_) {
-        if (change.revision_ > connection->watchFrom_ && change.kind_ == connection->kind_)
+        if (change.revision_ > connection->watchFrom_ && change.revision_ <= newest && change.kind_ == connection->kind_)
             events.push_back(change.event_);
     }
     if (events.empty())
         return false;
     connection->timer_.cancel();
-    reply(connection, 200, { { "events", events }, { "current_rev", revision_ } });
+    reply(connection, 200, { { "events", events }, { "current_rev", newest } });
     return true;
 }
 
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -31,6 +31,8 @@
     auto remove(const std::string& kind, const std::string& name) -> void;
     auto removeIfListed(const std::string& kind, const std::string& name) -> void;
     auto setMood(StoreMood mood) -> void { mood_ = mood; }
+    // Reads that may come from a copy are answered as of now from now on.
+    auto freezeCopies() -> void { copiesAt_ = revision_; }
     // Forgets what has changed so far, and cuts the watches that wait.
     auto forgetHistory() -> void;
     auto cutWatches() -> void;
@@ -83,6 +85,7 @@
     StoreMood mood_ = StoreMood::Well;
     std::int64_t revision_ = 100;
     std::int64_t oldest_ = 0;
+    std::optional<std::int64_t> copiesAt_;
     std::size_t page_ = 50;
     std::function<void(const std::string&)> pageAction_;
     std::size_t calls_ = 0;
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -472,6 +472,25 @@
     }
 }
 
+TEST_CASE("a copy of the store that is behind does not confirm a watch that has missed a change", "[store-source][feeds]")
+{
+    SourceFixture fixture;
+    fixture.store_.swallowWatches("servers", 1);
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.store_.isSwallowed("servers") && fixture.store_.watches() == 2; }));
+    fixture.store_.freezeCopies();
+    fixture.store_.remove("servers", "i-0");
+    fixture.store_.put("config", "main", declared(2));
+    // The watch of another feed tells that the store is ahead of its copies.
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.beliefs_.versions_.back() == 2; }));
+    const auto calls = fixture.source_.calls();
+    fixture.source_.verify(Feed::Upstreams);
+    CHECK(runUntil(fixture.loop_, [&] { return !fixture.beliefs_.upstreams_.contains("i-0"); }));
+    CHECK(fixture.beliefs_.missed_ == 1);
+    // The copy, the store, and the watch that replaces the one that hangs and the one after it.
+    CHECK(fixture.source_.calls() <= calls + 5);
+}
+
 // Its return was noticed when the next call was due: until then, and for the grace period after it, upstreams that had left
 // got requests.
 TEST_CASE("the return of a silent store is noticed by a probe although calls wait or hang", "[store-source][feeds]")
