--- a/soak/gateway_process.cpp
+++ b/soak/gateway_process.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace sapphirepass::soak {
 
@@ -33,7 +34,8 @@
     const auto log = fmt::format("{}/{}.log", plan_.folder_, plan_.settings_.name_);
     std::string config = "--config=" + settings;
     std::string subcommand = "gateway";
-    std::string binary = plan_.binary_;
+    const bool isFirst = !std::exchange(wasStarted_, true);
+    std::string binary = isFirst && !plan_.programs_.before_.empty() ? plan_.programs_.before_ : plan_.programs_.current_;
     const std::array<char*, 4> arguments { binary.data(), subcommand.data(), config.data(), nullptr };
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -42,7 +44,7 @@
     const int failure = ::posix_spawn(&pid_, binary.c_str(), &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0)
-        throw std::runtime_error(fmt::format("cannot start {}", plan_.binary_));
+        throw std::runtime_error(fmt::format("cannot start {}", binary));
 }
 
 auto GatewayProcess::signal(int number) -> void
--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -9,8 +9,14 @@
 
 namespace sapphirepass::soak {
 
+struct Programs {
+    std::string current_;
+    // Used for the first start of each gateway, for a rolling replacement; empty for the same.
+    std::string before_;
+};
+
 struct GatewayPlan {
-    std::string binary_;
+    Programs programs_;
     std::string folder_;
     GatewaySettings settings_;
 };
@@ -31,6 +37,7 @@
 
 private:
     GatewayPlan plan_;
+    bool wasStarted_ = false;
     pid_t pid_ = 0;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -15,6 +15,7 @@
 ABSL_FLAG(std::size_t, servers, 6, "upstreams");
 ABSL_FLAG(std::size_t, callers, 24, "callers, each with one request at a time");
 ABSL_FLAG(std::string, binary, "build/sapphirepass", "the program");
+ABSL_FLAG(std::string, before, "", "the program of an earlier build: gateways start with it and are replaced by the other at each restart");
 ABSL_FLAG(std::string, folder, "", "where settings and logs go; the default is a new folder that is removed");
 
 namespace sapphirepass::soak {
@@ -338,7 +339,7 @@
         const auto folder = given.empty() ? std::filesystem::temp_directory_path() / fmt::format("sapphirepass-soak-{}-{}", seed, ::getpid()) : std::filesystem::path(given);
         std::filesystem::create_directories(folder);
         asio::io_context loop;
-        World world(loop, absl::GetFlag(FLAGS_binary), folder.string(), seed);
+        World world(loop, { absl::GetFlag(FLAGS_binary), absl::GetFlag(FLAGS_before) }, folder.string(), seed);
         Soak soak(loop, world);
         soak.run();
         std::map<int, int> statuses;
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -45,10 +45,10 @@
     }
 }
 
-World::World(asio::io_context& loop, std::string binary, std::string folder, std::uint64_t seed)
+World::World(asio::io_context& loop, Programs programs, std::string folder, std::uint64_t seed)
     : loop_(loop)
     , store_(loop)
-    , binary_(std::move(binary))
+    , programs_(std::move(programs))
     , folder_(std::move(folder))
     , random_(seed)
 {
@@ -70,7 +70,7 @@
     settings.store_ = slot->storeProxy_->address();
     for (auto* address : { &settings.front_, &settings.directory_, &settings.ready_, &settings.control_, &settings.peer_ })
         *address = standin::freeAddress(ownHost(number));
-    slot->process_ = std::make_unique<GatewayProcess>(GatewayPlan { binary_, folder_, std::move(settings) });
+    slot->process_ = std::make_unique<GatewayProcess>(GatewayPlan { programs_, folder_, std::move(settings) });
     slot->process_->start();
     gateways_.push_back(std::move(slot));
 }
--- a/soak/world.h
+++ b/soak/world.h
@@ -84,7 +84,7 @@
 
 class World {
 public:
-    World(asio::io_context& loop, std::string binary, std::string folder, std::uint64_t seed);
+    World(asio::io_context& loop, Programs programs, std::string folder, std::uint64_t seed);
 
     auto addGateway(std::size_t number) -> void;
     auto addServer() -> void;
@@ -100,7 +100,7 @@
 
     asio::io_context& loop_;
     standin::PlatformStore store_;
-    std::string binary_;
+    Programs programs_;
     std::string folder_;
     std::mt19937_64 random_;
     std::map<std::string, AttemptRecord> attempts_;
