The grid of silences also with watchers and followers

Ten gateways of a region, two of which watch the store, four silences: all drop the upstreams that leave. It guards followers of a watcher that hangs.

--- a/tests/feed_silence_test.cpp
+++ b/tests/feed_silence_test.cpp
@@ -14,10 +14,10 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
-// One gateway and its store: a change, then a silence, then an upstream that leaves.
+// The gateways of a region and their store: a change, then a silence, then an upstream that leaves.
 class SilenceCase {
 public:
-    SilenceCase(Milliseconds silentFrom, Milliseconds silentFor, bool isDraining)
+    SilenceCase(Milliseconds silentFrom, Milliseconds silentFor, bool isDraining, int gateways = 1)
         : silentFrom_(silentFrom)
         , silentUntil_(silentFrom + silentFor)
         , isDraining_(isDraining)
@@ -26,6 +26,8 @@
             fixture_.store_.put("servers", id, listed(fixture_.server_.address()));
         fixture_.store_.put("config", "main", declared(1));
         fixture_.start();
+        for (int number = 2; number <= gateways; ++number)
+            others_.push_back(std::make_unique<SecondGateway>(fixture_, fmt::format("e{}", number)));
     }
 
     auto poll() -> void
@@ -34,7 +36,10 @@
         fixture_.loop_.poll();
     }
 
-    auto isReady() const -> bool { return fixture_.gateway_->isReady(); }
+    auto isReady() const -> bool
+    {
+        return fixture_.gateway_->isReady() && std::all_of(others_.begin(), others_.end(), [](const auto& other) { return other->gateway_->isReady(); });
+    }
 
     // Advances the case to a time after the change.
     auto advance(Milliseconds since) -> void
@@ -63,22 +68,28 @@
     }
 
     auto hasLeft() const -> bool { return step_ == 4; }
-    // Whether no upstream is left that requests may go to.
+    // Whether no gateway has an upstream left that requests may go to.
     auto isUnserved() -> bool
     {
         if (isUnserved_)
             return true;
-        LoopClient client(fixture_.loop_, fixture_.settings_.front_);
-        client.send(order);
-        isUnserved_ = runUntil(fixture_.loop_, [&client] { return client.count("HTTP/1.1") == 1; }) && client.received().starts_with("HTTP/1.1 503");
+        isUnserved_ = isRefused(fixture_.settings_) && std::all_of(others_.begin(), others_.end(), [this](const auto& other) { return isRefused(other->settings_); });
         return isUnserved_;
     }
     auto describe() const -> std::string { return fmt::format("silent from {} ms until {} ms, draining {}", silentFrom_.count(), silentUntil_.count(), isDraining_); }
 
 private:
+    auto isRefused(const GatewaySettings& settings) -> bool
+    {
+        LoopClient client(fixture_.loop_, settings.front_);
+        client.send(order);
+        return runUntil(fixture_.loop_, [&client] { return client.count("HTTP/1.1") == 1; }) && client.received().starts_with("HTTP/1.1 503");
+    }
+
     static constexpr Milliseconds pauseAfterSilence { 500 };
 
     GatewayFixture fixture_ { [](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; } };
+    std::vector<std::unique_ptr<SecondGateway>> others_;
     Milliseconds silentFrom_;
     Milliseconds silentUntil_;
     bool isDraining_;
@@ -86,15 +97,10 @@
     bool isUnserved_ = false;
 };
 
-}
+using SilenceCases = std::vector<std::unique_ptr<SilenceCase>>;
 
-TEST_CASE("an upstream that leaves after a silence of the store gets no more requests, whenever the silence began", "[gateway][feeds]")
+auto playAll(SilenceCases& cases) -> void
 {
-    std::vector<std::unique_ptr<SilenceCase>> cases;
-    for (const Milliseconds silentFor : { 100ms, 400ms, 1'200ms, 3'500ms }) {
-        for (Milliseconds from { 0 }; from <= 1'000ms; from += 100ms)
-            cases.push_back(std::make_unique<SilenceCase>(from, silentFor, cases.size() % 2 == 0));
-    }
     const auto runAll = [&cases](const auto& isDone, Milliseconds limit, const auto& act) {
         const auto started = std::chrono::steady_clock::now();
         Milliseconds since {};
@@ -116,3 +122,24 @@
         CHECK(silence->isUnserved());
     }
 }
+
+}
+
+TEST_CASE("an upstream that leaves after a silence of the store gets no more requests, whenever the silence began", "[gateway][feeds]")
+{
+    SilenceCases cases;
+    for (const Milliseconds silentFor : { 100ms, 400ms, 1'200ms, 3'500ms }) {
+        for (Milliseconds from { 0 }; from <= 1'000ms; from += 100ms)
+            cases.push_back(std::make_unique<SilenceCase>(from, silentFor, cases.size() % 2 == 0));
+    }
+    playAll(cases);
+}
+
+TEST_CASE("watchers and followers drop an upstream that leaves after a silence of the store", "[gateway][feeds]")
+{
+    constexpr int gateways = 10;
+    SilenceCases cases;
+    for (const auto& [from, silentFor] : std::vector<std::pair<Milliseconds, Milliseconds>> { { 0ms, 400ms }, { 350ms, 400ms }, { 600ms, 1'200ms }, { 900ms, 3'500ms } })
+        cases.push_back(std::make_unique<SilenceCase>(from, silentFor, cases.size() % 2 == 0, gateways));
+    playAll(cases);
+}
