Folders inside src/gateway by decision

Cause: src/gateway held 70 files in one folder, so that a new part had no place of its own. Ruled out: further libraries, as the parts include each other's types. No behaviour and no name changes.

--- a/src/gateway/declaration_index.cpp
+++ b/src/gateway/declaration/declaration_index.cpp
@@ -1,4 +1,4 @@
-#include "gateway/declaration_index.h"
+#include "gateway/declaration/declaration_index.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/gateway/declaration_index.h
+++ b/src/gateway/declaration/declaration_index.h
@@ -1,7 +1,7 @@
 // Lookup tables for one version of the declaration.
 #pragma once
 
-#include "gateway/declaration_type.h"
+#include "gateway/declaration/declaration_type.h"
 
 #include <map>
 #include <string_view>
--- a/src/gateway/change_history.cpp
+++ b/src/gateway/feeds/change_history.cpp
@@ -1,4 +1,4 @@
-#include "gateway/change_history.h"
+#include "gateway/feeds/change_history.h"
 
 #include <algorithm>
 
--- a/src/gateway/discovery_source.h
+++ b/src/gateway/feeds/discovery_source.h
@@ -1,9 +1,9 @@
 // Interface to the platform's discovery: declaration, upstreams, evacuated domains and gateway instances.
 #pragma once
 
-#include "gateway/declaration_type.h"
-#include "gateway/running_request.h"
-#include "gateway/upstream_caller.h"
+#include "gateway/declaration/declaration_type.h"
+#include "gateway/requests/running_request.h"
+#include "gateway/requests/upstream_caller.h"
 
 #include <array>
 #include <cstdint>
--- a/src/gateway/discovery_state.cpp
+++ b/src/gateway/feeds/discovery_state.cpp
@@ -1,4 +1,4 @@
-#include "gateway/discovery_state.h"
+#include "gateway/feeds/discovery_state.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/discovery_state.h
+++ b/src/gateway/feeds/discovery_state.h
@@ -1,12 +1,12 @@
 // The instance's current view of the declaration, the upstreams and the fleet, built from discovery updates.
 #pragma once
 
-#include "gateway/decision_log.h"
-#include "gateway/declaration_index.h"
-#include "gateway/discovery_source.h"
-#include "gateway/evacuation_memory.h"
-#include "gateway/fleet_view.h"
-#include "gateway/upstream_set.h"
+#include "gateway/declaration/declaration_index.h"
+#include "gateway/feeds/discovery_source.h"
+#include "gateway/feeds/evacuation_memory.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/requests/decision_log.h"
+#include "gateway/upstreams/upstream_set.h"
 
 #include <functional>
 
--- a/src/gateway/evacuation_memory.cpp
+++ b/src/gateway/feeds/evacuation_memory.cpp
@@ -1,4 +1,4 @@
-#include "gateway/evacuation_memory.h"
+#include "gateway/feeds/evacuation_memory.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/feed_lag.cpp
+++ b/src/gateway/feeds/feed_lag.cpp
@@ -1,4 +1,4 @@
-#include "gateway/feed_lag.h"
+#include "gateway/feeds/feed_lag.h"
 
 #include <algorithm>
 
--- a/src/gateway/feed_lag.h
+++ b/src/gateway/feeds/feed_lag.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "gateway/discovery_source.h"
+#include "gateway/feeds/discovery_source.h"
 
 #include <array>
 
--- a/src/gateway/feed_source_selector.cpp
+++ b/src/gateway/feeds/feed_source_selector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/feed_source_selector.h"
+#include "gateway/feeds/feed_source_selector.h"
 
 #include <algorithm>
 
--- a/src/gateway/feed_source_selector.h
+++ b/src/gateway/feeds/feed_source_selector.h
@@ -1,7 +1,7 @@
 // Selects the server that a feed is read from: another instance or the platform.
 #pragma once
 
-#include "gateway/discovery_source.h"
+#include "gateway/feeds/discovery_source.h"
 
 #include <optional>
 
--- a/src/gateway/feed_verifier.cpp
+++ b/src/gateway/feeds/feed_verifier.cpp
@@ -1,4 +1,4 @@
-#include "gateway/feed_verifier.h"
+#include "gateway/feeds/feed_verifier.h"
 
 #include <algorithm>
 
--- a/src/gateway/source_keepalive.cpp
+++ b/src/gateway/feeds/source_keepalive.cpp
@@ -1,4 +1,4 @@
-#include "gateway/source_keepalive.h"
+#include "gateway/feeds/source_keepalive.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/datagram_codec.cpp
+++ b/src/gateway/fleet/datagram_codec.cpp
@@ -1,4 +1,4 @@
-#include "gateway/datagram_codec.h"
+#include "gateway/fleet/datagram_codec.h"
 
 #include "wire/datagram.capnp.h"
 
--- a/src/gateway/datagram_codec.h
+++ b/src/gateway/fleet/datagram_codec.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "base/result.h"
-#include "gateway/fleet_view.h"
-#include "gateway/limit_notice.h"
-#include "gateway/rate_type.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/limits/limit_notice.h"
+#include "gateway/limits/rate_type.h"
 
 #include <string>
 #include <string_view>
--- a/src/gateway/delegate_caller.h
+++ b/src/gateway/fleet/delegate_caller.h
@@ -1,8 +1,8 @@
 // Sends delegated requests to peers.
 #pragma once
 
-#include "gateway/fleet_view.h"
-#include "gateway/upstream_caller.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/requests/upstream_caller.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/delegate_selector.cpp
+++ b/src/gateway/fleet/delegate_selector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/delegate_selector.h"
+#include "gateway/fleet/delegate_selector.h"
 
 #include "gateway/hashing.h"
 
--- a/src/gateway/delegate_selector.h
+++ b/src/gateway/fleet/delegate_selector.h
@@ -1,7 +1,7 @@
 // Selects the peer that handles a request which this instance cannot send to upstreams itself.
 #pragma once
 
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 
 #include <map>
 #include <optional>
--- a/src/gateway/delegation.cpp
+++ b/src/gateway/fleet/delegation.cpp
@@ -1,4 +1,4 @@
-#include "gateway/delegation.h"
+#include "gateway/fleet/delegation.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/delegation.h
+++ b/src/gateway/fleet/delegation.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/result.h"
-#include "gateway/declaration_type.h"
-#include "gateway/problem_response.h"
+#include "gateway/declaration/declaration_type.h"
+#include "gateway/requests/problem_response.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet/fleet_view.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 
 #include "gateway/hashing.h"
 
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -3,8 +3,8 @@
 
 #include "base/clock.h"
 #include "base/socket_address.h"
-#include "gateway/discovery_source.h"
-#include "gateway/limit_notice.h"
+#include "gateway/feeds/discovery_source.h"
+#include "gateway/limits/limit_notice.h"
 
 #include <array>
 #include <compare>
--- a/src/gateway/relay_selector.cpp
+++ b/src/gateway/fleet/relay_selector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/relay_selector.h"
+#include "gateway/fleet/relay_selector.h"
 
 #include "gateway/hashing.h"
 
--- a/src/gateway/relay_selector.h
+++ b/src/gateway/fleet/relay_selector.h
@@ -1,8 +1,8 @@
 // Decides whether this instance watches the platform itself or follows an instance of its region that does.
 #pragma once
 
-#include "gateway/discovery_source.h"
-#include "gateway/fleet_view.h"
+#include "gateway/feeds/discovery_source.h"
+#include "gateway/fleet/fleet_view.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/limit_notice.h
+++ b/src/gateway/limits/limit_notice.h
@@ -1,7 +1,7 @@
 // The limit that an upstream has named, as one instance tells another.
 #pragma once
 
-#include "gateway/rate_type.h"
+#include "gateway/limits/rate_type.h"
 
 #include <optional>
 
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits/limits.cpp
@@ -1,4 +1,4 @@
-#include "gateway/limits.h"
+#include "gateway/limits/limits.h"
 
 #include <algorithm>
 
--- a/src/gateway/limits.h
+++ b/src/gateway/limits/limits.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "gateway/fleet_view.h"
+#include "gateway/fleet/fleet_view.h"
 
 #include <cstdint>
 #include <deque>
--- a/src/gateway/rate_limiter.cpp
+++ b/src/gateway/limits/rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/rate_limiter.h"
+#include "gateway/limits/rate_limiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/rate_limiter.h
+++ b/src/gateway/limits/rate_limiter.h
@@ -1,10 +1,10 @@
 // Limits over all instances, such as the rate of a workspace.
 #pragma once
 
-#include "gateway/declaration_type.h"
-#include "gateway/fleet_view.h"
-#include "gateway/rate_type.h"
-#include "gateway/timer_service.h"
+#include "gateway/declaration/declaration_type.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/limits/rate_type.h"
+#include "gateway/requests/timer_service.h"
 
 #include <deque>
 #include <functional>
--- a/src/gateway/upstream_limiter.cpp
+++ b/src/gateway/limits/upstream_limiter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/upstream_limiter.h"
+#include "gateway/limits/upstream_limiter.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/gateway/upstream_limiter.h
+++ b/src/gateway/limits/upstream_limiter.h
@@ -1,10 +1,10 @@
 // Keeps what all instances together send to an upstream within the limit that it names.
 #pragma once
 
-#include "gateway/decision_log.h"
-#include "gateway/limit_notice.h"
-#include "gateway/rate_limiter.h"
-#include "gateway/upstream_set.h"
+#include "gateway/limits/limit_notice.h"
+#include "gateway/limits/rate_limiter.h"
+#include "gateway/requests/decision_log.h"
+#include "gateway/upstreams/upstream_set.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/object_demand.cpp
+++ b/src/gateway/placement/object_demand.cpp
@@ -1,4 +1,4 @@
-#include "gateway/object_demand.h"
+#include "gateway/placement/object_demand.h"
 
 #include <cmath>
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -1,4 +1,4 @@
-#include "gateway/placement.h"
+#include "gateway/placement/placement.h"
 
 #include "gateway/hashing.h"
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement/placement.h
@@ -1,10 +1,10 @@
 // Selects the upstream for a request, or reports why it cannot be placed.
 #pragma once
 
-#include "gateway/fleet_view.h"
-#include "gateway/object_demand.h"
-#include "gateway/region_shares.h"
-#include "gateway/upstream_set.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/placement/object_demand.h"
+#include "gateway/placement/region_shares.h"
+#include "gateway/upstreams/upstream_set.h"
 
 #include <map>
 #include <optional>
--- a/src/gateway/region_shares.cpp
+++ b/src/gateway/placement/region_shares.cpp
@@ -1,4 +1,4 @@
-#include "gateway/region_shares.h"
+#include "gateway/placement/region_shares.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/forwarding.cpp
+++ b/src/gateway/requests/forwarding.cpp
@@ -1,4 +1,4 @@
-#include "gateway/forwarding.h"
+#include "gateway/requests/forwarding.h"
 
 #include "base/field.h"
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/requests/forwarding.h
@@ -1,8 +1,8 @@
 // Reads request and response headers, and builds the forwarded request and response.
 #pragma once
 
-#include "gateway/header_names.h"
-#include "gateway/upstream_caller.h"
+#include "gateway/requests/header_names.h"
+#include "gateway/requests/upstream_caller.h"
 
 #include <optional>
 #include <string>
--- a/src/gateway/problem_response.cpp
+++ b/src/gateway/requests/problem_response.cpp
@@ -1,4 +1,4 @@
-#include "gateway/problem_response.h"
+#include "gateway/requests/problem_response.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/src/gateway/problem_response.h
+++ b/src/gateway/requests/problem_response.h
@@ -1,7 +1,7 @@
 // Responses that the gateway generates itself (application/problem+json).
 #pragma once
 
-#include "gateway/upstream_caller.h"
+#include "gateway/requests/upstream_caller.h"
 
 #include <optional>
 #include <string_view>
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_handler.h"
+#include "gateway/requests/request_handler.h"
 
 #include "gateway/hashing.h"
 
--- a/src/gateway/response_budget.cpp
+++ b/src/gateway/requests/response_budget.cpp
@@ -1,4 +1,4 @@
-#include "gateway/response_budget.h"
+#include "gateway/requests/response_budget.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/traffic_splitter.cpp
+++ b/src/gateway/requests/traffic_splitter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/traffic_splitter.h"
+#include "gateway/requests/traffic_splitter.h"
 
 #include <algorithm>
 
--- a/src/gateway/traffic_splitter.h
+++ b/src/gateway/requests/traffic_splitter.h
@@ -1,7 +1,7 @@
 // Distributes the requests of a split route over its services in exact proportion to their weights.
 #pragma once
 
-#include "gateway/declaration_type.h"
+#include "gateway/declaration/declaration_type.h"
 
 #include <map>
 #include <string>
--- a/src/gateway/upstream_caller.h
+++ b/src/gateway/requests/upstream_caller.h
@@ -1,7 +1,7 @@
 // Sends a request to an upstream. Each attempt sends at most once; requests are never resent implicitly.
 #pragma once
 
-#include "gateway/upstream_set.h"
+#include "gateway/upstreams/upstream_set.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
--- a/src/gateway/cold_detector.cpp
+++ b/src/gateway/upstreams/cold_detector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/cold_detector.h"
+#include "gateway/upstreams/cold_detector.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/cold_detector.h
+++ b/src/gateway/upstreams/cold_detector.h
@@ -1,8 +1,8 @@
 // Detects upstreams that become cold while discovery, which would normally report it, is unavailable.
 #pragma once
 
-#include "gateway/fleet_view.h"
-#include "gateway/upstream_set.h"
+#include "gateway/fleet/fleet_view.h"
+#include "gateway/upstreams/upstream_set.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/departed_upstreams.cpp
+++ b/src/gateway/upstreams/departed_upstreams.cpp
@@ -1,4 +1,4 @@
-#include "gateway/departed_upstreams.h"
+#include "gateway/upstreams/departed_upstreams.h"
 
 #include <algorithm>
 
--- a/src/gateway/departed_upstreams.h
+++ b/src/gateway/upstreams/departed_upstreams.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/clock.h"
-#include "gateway/start_notices.h"
-#include "gateway/upstream_type.h"
+#include "gateway/upstreams/start_notices.h"
+#include "gateway/upstreams/upstream_type.h"
 
 #include <map>
 #include <memory>
--- a/src/gateway/link_detector.cpp
+++ b/src/gateway/upstreams/link_detector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/link_detector.h"
+#include "gateway/upstreams/link_detector.h"
 
 #include "gateway/hashing.h"
 
--- a/src/gateway/link_detector.h
+++ b/src/gateway/upstreams/link_detector.h
@@ -1,7 +1,7 @@
 // Tells a loss of this instance's own links to the upstreams of a region from failures of upstreams.
 #pragma once
 
-#include "gateway/upstream_set.h"
+#include "gateway/upstreams/upstream_set.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/notice_recorder.cpp
+++ b/src/gateway/upstreams/notice_recorder.cpp
@@ -1,4 +1,4 @@
-#include "gateway/notice_recorder.h"
+#include "gateway/upstreams/notice_recorder.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/notice_recorder.h
+++ b/src/gateway/upstreams/notice_recorder.h
@@ -1,9 +1,9 @@
 // Records what upstreams say about themselves in their responses, whichever request a response answers.
 #pragma once
 
-#include "gateway/decision_log.h"
-#include "gateway/upstream_notice.h"
-#include "gateway/upstream_set.h"
+#include "gateway/requests/decision_log.h"
+#include "gateway/upstreams/upstream_notice.h"
+#include "gateway/upstreams/upstream_set.h"
 
 #include <functional>
 
--- a/src/gateway/response_times.cpp
+++ b/src/gateway/upstreams/response_times.cpp
@@ -1,4 +1,4 @@
-#include "gateway/response_times.h"
+#include "gateway/upstreams/response_times.h"
 
 namespace sapphirepass {
 
--- a/src/gateway/upstream_notice.cpp
+++ b/src/gateway/upstreams/upstream_notice.cpp
@@ -1,4 +1,4 @@
-#include "gateway/upstream_notice.h"
+#include "gateway/upstreams/upstream_notice.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/gateway/upstream_notice.h
+++ b/src/gateway/upstreams/upstream_notice.h
@@ -2,8 +2,8 @@
 // takes.
 #pragma once
 
-#include "gateway/header_names.h"
-#include "gateway/upstream_caller.h"
+#include "gateway/requests/header_names.h"
+#include "gateway/requests/upstream_caller.h"
 
 #include <optional>
 
--- a/src/gateway/upstream_set.cpp
+++ b/src/gateway/upstreams/upstream_set.cpp
@@ -1,4 +1,4 @@
-#include "gateway/upstream_set.h"
+#include "gateway/upstreams/upstream_set.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstreams/upstream_set.h
@@ -1,8 +1,8 @@
 // The upstreams known from discovery, each with the load and health that this instance has observed.
 #pragma once
 
-#include "gateway/departed_upstreams.h"
-#include "gateway/upstream_type.h"
+#include "gateway/upstreams/departed_upstreams.h"
+#include "gateway/upstreams/upstream_type.h"
 
 #include <map>
 #include <memory>
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -1,6 +1,6 @@
 #include "loop/caller_channel.h"
 
-#include "gateway/problem_response.h"
+#include "gateway/requests/problem_response.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -1,8 +1,8 @@
 // One connection of a caller: reads requests, has them answered one after the other, notices when the caller leaves.
 #pragma once
 
-#include "gateway/declaration_type.h"
-#include "gateway/running_request.h"
+#include "gateway/declaration/declaration_type.h"
+#include "gateway/requests/running_request.h"
 #include "loop/net_type.h"
 
 #include <functional>
--- a/src/loop/cold_prober.h
+++ b/src/loop/cold_prober.h
@@ -1,9 +1,9 @@
-// Asks upstreams for their health while discovery is away. See gateway/cold_detector.h.
+// Asks upstreams for their health while discovery is away. See gateway/upstreams/cold_detector.h.
 #pragma once
 
-#include "gateway/cold_detector.h"
-#include "gateway/declaration_index.h"
-#include "gateway/header_names.h"
+#include "gateway/declaration/declaration_index.h"
+#include "gateway/requests/header_names.h"
+#include "gateway/upstreams/cold_detector.h"
 #include "loop/call_channel.h"
 
 namespace sapphirepass {
--- a/src/loop/delegate_pool.h
+++ b/src/loop/delegate_pool.h
@@ -1,7 +1,7 @@
 // Connections to peers that take delegated requests.
 #pragma once
 
-#include "gateway/delegate_caller.h"
+#include "gateway/fleet/delegate_caller.h"
 #include "loop/upstream_pool.h"
 
 #include <map>
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -1,7 +1,7 @@
 #include "loop/gateway.h"
 
 #include "base/random.h"
-#include "gateway/datagram_codec.h"
+#include "gateway/fleet/datagram_codec.h"
 #include "gateway/hashing.h"
 
 #include <fmt/format.h>
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -1,12 +1,12 @@
 // The gateway daemon: wires decisions, beliefs and the event loop.
 #pragma once
 
-#include "gateway/discovery_state.h"
-#include "gateway/feed_lag.h"
-#include "gateway/feed_verifier.h"
-#include "gateway/relay_selector.h"
-#include "gateway/request_handler.h"
-#include "gateway/source_keepalive.h"
+#include "gateway/feeds/discovery_state.h"
+#include "gateway/feeds/feed_lag.h"
+#include "gateway/feeds/feed_verifier.h"
+#include "gateway/feeds/source_keepalive.h"
+#include "gateway/fleet/relay_selector.h"
+#include "gateway/requests/request_handler.h"
 #include "loop/caller_listener.h"
 #include "loop/cold_prober.h"
 #include "loop/datagram_socket.h"
--- a/src/loop/line_log.h
+++ b/src/loop/line_log.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "gateway/decision_log.h"
+#include "gateway/requests/decision_log.h"
 
 #include <string>
 
--- a/src/loop/link_prober.h
+++ b/src/loop/link_prober.h
@@ -1,7 +1,7 @@
 // Opens and closes connections to upstreams to find out whether this instance reaches them.
 #pragma once
 
-#include "gateway/link_detector.h"
+#include "gateway/upstreams/link_detector.h"
 #include "loop/net_type.h"
 
 #include <cstdint>
--- a/src/loop/loop_alarm.h
+++ b/src/loop/loop_alarm.h
@@ -1,7 +1,7 @@
 // Alarms on the event loop.
 #pragma once
 
-#include "gateway/timer_service.h"
+#include "gateway/requests/timer_service.h"
 #include "loop/net_type.h"
 
 namespace sapphirepass {
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -1,9 +1,9 @@
 // One connection to an upstream.
 #pragma once
 
-#include "gateway/header_names.h"
-#include "gateway/response_budget.h"
-#include "gateway/upstream_caller.h"
+#include "gateway/requests/header_names.h"
+#include "gateway/requests/response_budget.h"
+#include "gateway/requests/upstream_caller.h"
 #include "loop/net_type.h"
 
 #include <optional>
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -1,5 +1,5 @@
 @0xe2c4b19a7d5f3608;
-# Datagrams between gateway instances. See src/gateway/fleet_view.h and src/gateway/rate_type.h.
+# Datagrams between gateway instances. See src/gateway/fleet/fleet_view.h and src/gateway/limits/rate_type.h.
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("sapphirepass::wire");
@@ -19,7 +19,7 @@
   leftMs @1 :UInt32;
 }
 
-# See src/gateway/limit_notice.h.
+# See src/gateway/limits/limit_notice.h.
 struct UpstreamLimit {
   upstream @0 :Text;
   startMs @1 :Int64;
@@ -38,7 +38,7 @@
   phase @6 :UInt16;
   crashes @7 :List(Crash);
   known @8 :List(PeerAddress);
-  # Revision of the newest change applied in each feed, in the order of Feed in src/gateway/discovery_source.h.
+  # Revision of the newest change applied in each feed, in the order of Feed in src/gateway/feeds/discovery_source.h.
   newestChanges @9 :List(UInt64);
   sourceLost @10 :Bool;
   colds @11 :List(Cold);
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -1,7 +1,7 @@
 // What a test keeps of the news that a source tells, and the objects that it puts into the store.
 #pragma once
 
-#include "gateway/discovery_source.h"
+#include "gateway/feeds/discovery_source.h"
 
 #include <fmt/format.h>
 #include <map>
--- a/standin/kept_log.h
+++ b/standin/kept_log.h
@@ -1,7 +1,7 @@
 // A decision log that tests can look into.
 #pragma once
 
-#include "gateway/decision_log.h"
+#include "gateway/requests/decision_log.h"
 
 #include <algorithm>
 #include <vector>
--- a/standin/manual_alarms.h
+++ b/standin/manual_alarms.h
@@ -1,7 +1,7 @@
 // Alarms that ring when a test advances its clock.
 #pragma once
 
-#include "gateway/timer_service.h"
+#include "gateway/requests/timer_service.h"
 
 #include <map>
 
--- a/standin/scripted_caller.h
+++ b/standin/scripted_caller.h
@@ -1,7 +1,7 @@
 // Upstreams whose outcomes a test decides, one attempt after the other.
 #pragma once
 
-#include "gateway/delegate_caller.h"
+#include "gateway/fleet/delegate_caller.h"
 
 #include <set>
 #include <vector>
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -1,7 +1,7 @@
 // Selection of the peer for a delegated request, and the encoding of delegations.
-#include "gateway/datagram_codec.h"
-#include "gateway/delegate_selector.h"
-#include "gateway/delegation.h"
+#include "gateway/fleet/datagram_codec.h"
+#include "gateway/fleet/delegate_selector.h"
+#include "gateway/fleet/delegation.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
--- a/tests/feed_source_selector_test.cpp
+++ b/tests/feed_source_selector_test.cpp
@@ -1,6 +1,6 @@
 // FeedSourceSelector, FeedProgress and ChangeHistory.
-#include "gateway/change_history.h"
-#include "gateway/feed_source_selector.h"
+#include "gateway/feeds/change_history.h"
+#include "gateway/feeds/feed_source_selector.h"
 #include "standin/kept_beliefs.h"
 
 #include <catch2/catch.hpp>
--- a/tests/feed_verifier_test.cpp
+++ b/tests/feed_verifier_test.cpp
@@ -1,5 +1,5 @@
 // When a feed that waits for changes is verified.
-#include "gateway/feed_verifier.h"
+#include "gateway/feeds/feed_verifier.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway_cold_detector_test.cpp
+++ b/tests/gateway_cold_detector_test.cpp
@@ -1,5 +1,5 @@
 // Tests of upstreams that become cold during a discovery outage.
-#include "gateway/cold_detector.h"
+#include "gateway/upstreams/cold_detector.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/tests/gateway_discovery_state_test.cpp
+++ b/tests/gateway_discovery_state_test.cpp
@@ -1,5 +1,5 @@
 // An instance's discovery state after updates, cut watches and outages of the platform's store.
-#include "gateway/discovery_state.h"
+#include "gateway/feeds/discovery_state.h"
 #include "standin/kept_log.h"
 
 #include <catch2/catch.hpp>
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -1,7 +1,7 @@
 // FleetView, FeedLag and the encoding of datagrams.
-#include "gateway/datagram_codec.h"
-#include "gateway/feed_lag.h"
-#include "gateway/fleet_view.h"
+#include "gateway/feeds/feed_lag.h"
+#include "gateway/fleet/datagram_codec.h"
+#include "gateway/fleet/fleet_view.h"
 #include "gateway/hashing.h"
 
 #include <catch2/catch.hpp>
--- a/tests/gateway_limits_test.cpp
+++ b/tests/gateway_limits_test.cpp
@@ -1,7 +1,7 @@
 // Tests of fleet-wide limits, enforced by instances that only exchange heartbeats and token requests.
-#include "gateway/datagram_codec.h"
-#include "gateway/limits.h"
-#include "gateway/rate_limiter.h"
+#include "gateway/fleet/datagram_codec.h"
+#include "gateway/limits/limits.h"
+#include "gateway/limits/rate_limiter.h"
 #include "standin/manual_alarms.h"
 
 #include <catch2/catch.hpp>
--- a/tests/gateway_placement_test.cpp
+++ b/tests/gateway_placement_test.cpp
@@ -1,6 +1,6 @@
 // Tests of placement: instances agree on owners, requests go to warm upstreams, and no upstream is overloaded.
 #include "gateway/hashing.h"
-#include "gateway/placement.h"
+#include "gateway/placement/placement.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -1,5 +1,5 @@
 // Tests of a request from its arrival to its final response, with scripted outcomes of attempts.
-#include "gateway/request_handler.h"
+#include "gateway/requests/request_handler.h"
 #include "standin/kept_log.h"
 #include "standin/manual_alarms.h"
 #include "standin/scripted_caller.h"
--- a/tests/link_detector_test.cpp
+++ b/tests/link_detector_test.cpp
@@ -1,6 +1,6 @@
 // LinkDetector: loss of an instance's own links as opposed to failures of upstreams.
-#include "gateway/limits.h"
-#include "gateway/link_detector.h"
+#include "gateway/limits/limits.h"
+#include "gateway/upstreams/link_detector.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
--- a/tests/region_shares_test.cpp
+++ b/tests/region_shares_test.cpp
@@ -1,5 +1,5 @@
 // Tests of how traffic is split over regions of unequal capacity, and how fast the split may change.
-#include "gateway/region_shares.h"
+#include "gateway/placement/region_shares.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
--- a/tests/relay_selector_test.cpp
+++ b/tests/relay_selector_test.cpp
@@ -1,5 +1,5 @@
 // Which instances watch the platform, and which follow another instance.
-#include "gateway/relay_selector.h"
+#include "gateway/fleet/relay_selector.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/tests/response_budget_test.cpp
+++ b/tests/response_budget_test.cpp
@@ -1,5 +1,5 @@
 // ResponseBudget: how many bytes responses may hold while they arrive.
-#include "gateway/response_budget.h"
+#include "gateway/requests/response_budget.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
--- a/tests/restore_model_test.cpp
+++ b/tests/restore_model_test.cpp
@@ -1,7 +1,7 @@
 // Explores every order of events around restores of the store: a watcher, a follower, one upstream, one key.
-#include "gateway/discovery_state.h"
-#include "gateway/feed_source_selector.h"
-#include "gateway/notice_recorder.h"
+#include "gateway/feeds/discovery_state.h"
+#include "gateway/feeds/feed_source_selector.h"
+#include "gateway/upstreams/notice_recorder.h"
 #include "standin/kept_log.h"
 
 #include <catch2/catch.hpp>
--- a/tests/restored_state_test.cpp
+++ b/tests/restored_state_test.cpp
@@ -1,10 +1,10 @@
 // What an instance knows does not fall back when the platform's store returns from an older copy.
-#include "gateway/cold_detector.h"
-#include "gateway/datagram_codec.h"
-#include "gateway/discovery_state.h"
-#include "gateway/feed_lag.h"
-#include "gateway/feed_source_selector.h"
-#include "gateway/placement.h"
+#include "gateway/feeds/discovery_state.h"
+#include "gateway/feeds/feed_lag.h"
+#include "gateway/feeds/feed_source_selector.h"
+#include "gateway/fleet/datagram_codec.h"
+#include "gateway/placement/placement.h"
+#include "gateway/upstreams/cold_detector.h"
 #include "standin/kept_log.h"
 
 #include <catch2/catch.hpp>
--- a/tests/source_keepalive_test.cpp
+++ b/tests/source_keepalive_test.cpp
@@ -1,6 +1,6 @@
 // A store that stops answering while watches wait there, without any connection being cut or refused.
-#include "gateway/discovery_state.h"
-#include "gateway/source_keepalive.h"
+#include "gateway/feeds/discovery_state.h"
+#include "gateway/feeds/source_keepalive.h"
 #include "platform/store_source.h"
 #include "standin/kept_beliefs.h"
 #include "standin/kept_log.h"
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -1,5 +1,5 @@
 // Fleets in which a part of the instances loses its links to all upstreams, on a virtual clock.
-#include "gateway/request_handler.h"
+#include "gateway/requests/request_handler.h"
 #include "standin/kept_log.h"
 #include "standin/manual_alarms.h"
 
--- a/tests/upstream_limiter_test.cpp
+++ b/tests/upstream_limiter_test.cpp
@@ -1,6 +1,6 @@
 // A limit that an upstream names, kept by many instances that only exchange heartbeats and token requests.
-#include "gateway/notice_recorder.h"
-#include "gateway/upstream_limiter.h"
+#include "gateway/limits/upstream_limiter.h"
+#include "gateway/upstreams/notice_recorder.h"
 #include "standin/kept_log.h"
 #include "standin/manual_alarms.h"
 
--- a/tests/upstream_notice_read_test.cpp
+++ b/tests/upstream_notice_read_test.cpp
@@ -1,6 +1,6 @@
 // Reading what an upstream says about itself in a response.
-#include "gateway/discovery_state.h"
-#include "gateway/notice_recorder.h"
+#include "gateway/feeds/discovery_state.h"
+#include "gateway/upstreams/notice_recorder.h"
 #include "standin/kept_log.h"
 
 #include <catch2/catch.hpp>
--- a/tests/upstream_start_test.cpp
+++ b/tests/upstream_start_test.cpp
@@ -1,5 +1,5 @@
 // What an upstream has said about itself stays with its start, through removal and return of its entry.
-#include "gateway/notice_recorder.h"
+#include "gateway/upstreams/notice_recorder.h"
 #include "standin/kept_log.h"
 
 #include <catch2/catch.hpp>
