Load headers with four figures, downloads that may be repeated, priorities

Downloads were never repeated, and priorities were decoded and read by nothing. Ruled out: to read the first three figures only, as the fourth is what tells slow machines. Change: the header's figures are checked one by one, and those that are not valid are counted (gateway_load_reports_invalid_total) and logged once for each start; downloads are idempotent; the priority of the workspace, then the route, is part of the placement query and of delegations.

--- a/src/gateway/declaration/declaration_type.h
+++ b/src/gateway/declaration/declaration_type.h
@@ -67,6 +67,12 @@
     auto operator<=>(const DeclaredWorkspace&) const = default;
 };
 
+// Priority of a workspace's requests on a route; 0 is the highest. The workspace's own one goes first.
+inline auto effectivePriority(const DeclaredRoute& route, const DeclaredWorkspace* workspace) -> int
+{
+    return workspace != nullptr && workspace->priority_ ? *workspace->priority_ : route.priority_;
+}
+
 // Size limits and timeouts for callers' requests and connections.
 struct CallerLimits {
     std::size_t headerBytes_ = 16 * 1024;
--- a/src/gateway/fleet/delegation.cpp
+++ b/src/gateway/fleet/delegation.cpp
@@ -33,6 +33,7 @@
             throw std::out_of_range("attempts");
         delegation.timeLeft_ = readTime(object, "left_ms");
         delegation.latencyTarget_ = readTime(object, "target_ms");
+        delegation.priority_ = object.value("priority", 0);
         if (object.contains("object"))
             delegation.object_ = object.at("object").get<std::uint64_t>();
         return delegation;
@@ -62,7 +63,7 @@
 
 auto encodeDelegation(const Delegation& delegation) -> std::string
 {
-    Json object { { "origin", delegation.origin_ }, { "route", delegation.route_ }, { "service", delegation.service_ }, { "workspace", delegation.workspace_ }, { "homes", delegation.homeRegions_ }, { "idempotent", delegation.repeat_ == RepeatRule::Idempotent }, { "attempts", delegation.maxAttempts_ }, { "left_ms", delegation.timeLeft_ / millisecond }, { "target_ms", delegation.latencyTarget_ / millisecond } };
+    Json object { { "origin", delegation.origin_ }, { "route", delegation.route_ }, { "service", delegation.service_ }, { "workspace", delegation.workspace_ }, { "homes", delegation.homeRegions_ }, { "idempotent", delegation.repeat_ == RepeatRule::Idempotent }, { "attempts", delegation.maxAttempts_ }, { "left_ms", delegation.timeLeft_ / millisecond }, { "target_ms", delegation.latencyTarget_ / millisecond }, { "priority", delegation.priority_ } };
     if (delegation.object_)
         object["object"] = *delegation.object_;
     // Header values are ASCII.
--- a/src/gateway/fleet/delegation.h
+++ b/src/gateway/fleet/delegation.h
@@ -28,6 +28,8 @@
     Duration timeLeft_ {};
     Duration latencyTarget_ {};
     std::optional<std::uint64_t> object_;
+    // 0 is the highest; also the value of instances that name none.
+    int priority_ = 0;
 
     auto operator<=>(const Delegation&) const = default;
 };
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -35,6 +35,8 @@
     // Requests per second that a cold upstream can take; 0 for no limit.
     double coldPerSecond_ = 0;
     Duration typicalResponseTime_ {};
+    // 0 is the highest.
+    int priority_ = 0;
     // Latency target of the route.
     Duration latencyTarget_ {};
     // Longest wait for a slot after which the request can still finish in time.
@@ -49,6 +51,9 @@
     int occupied_ = 0;
     // Number of upstreams that currently share the object.
     std::size_t ownerCount_ = 1;
+    // Whether expectedWait_ and expectedRun_ come from estimates of the end of the request at each candidate.
+    bool isEstimated_ = false;
+    Duration expectedRun_ {};
 };
 
 enum class PlacementRefusal {
--- a/src/gateway/requests/forwarding.cpp
+++ b/src/gateway/requests/forwarding.cpp
@@ -26,6 +26,21 @@
         return text;
     }
 
+    // Bytes of an invalid header that are logged.
+    constexpr std::size_t maxLoggedHeader = 64;
+
+    auto splitFigures(std::string_view text) -> std::vector<std::string_view>
+    {
+        std::vector<std::string_view> figures;
+        for (auto rest = text;;) {
+            const auto comma = rest.find(',');
+            figures.push_back(trimmed(rest.substr(0, comma)));
+            if (comma == std::string_view::npos)
+                return figures;
+            rest = rest.substr(comma + 1);
+        }
+    }
+
     auto readKey(const OutgoingRequest& request, const std::string& scheme) -> std::optional<std::string>
     {
         const auto value = view(request[http::field::authorization]);
@@ -100,20 +115,34 @@
     return response;
 }
 
-auto readLoad(const UpstreamResponse& response, const HeaderNames& names) -> std::optional<ReportedLoad>
+auto readLoad(const UpstreamResponse& response, const HeaderNames& names) -> LoadHeader
 {
-    const auto text = view(response[view(names.load_)]);
-    const auto first = text.find(',');
-    const auto second = first == std::string_view::npos ? first : text.find(',', first + 1);
-    if (second == std::string_view::npos)
-        return std::nullopt;
+    constexpr std::size_t countFigures = 3;
+    constexpr std::size_t maxFigures = 4;
     constexpr Bounds counts { 0, 1'000'000 };
-    const auto running = parseNumber(trimmed(text.substr(0, first)), counts);
-    const auto waiting = parseNumber(trimmed(text.substr(first + 1, second - first - 1)), counts);
-    const auto slots = parseNumber(trimmed(text.substr(second + 1)), counts);
+    // In percent. Beyond a hundred times the usual duration the upstream does not work at all.
+    constexpr Bounds percents { 1, 10'000 };
+    constexpr double percentPerUnit = 100;
+    const auto text = view(response[view(names.load_)]);
+    if (text.empty())
+        return {};
+    const auto figures = splitFigures(text);
+    const LoadHeader invalid { std::nullopt, std::string(text.substr(0, maxLoggedHeader)) };
+    if (figures.size() < countFigures || figures.size() > maxFigures)
+        return invalid;
+    const auto running = parseNumber(figures[0], counts);
+    const auto waiting = parseNumber(figures[1], counts);
+    const auto slots = parseNumber(figures[2], counts);
     if (!running || !waiting || !slots)
-        return std::nullopt;
-    return ReportedLoad { static_cast<int>(*running), static_cast<int>(*waiting), static_cast<int>(*slots) };
+        return invalid;
+    ReportedLoad load { static_cast<int>(*running), static_cast<int>(*waiting), static_cast<int>(*slots), std::nullopt };
+    if (figures.size() == countFigures)
+        return { load, {} };
+    const auto percent = parseNumber(figures[countFigures], percents);
+    if (!percent)
+        return { load, invalid.invalid_ };
+    load.slowdown_ = static_cast<double>(*percent) / percentPerUnit;
+    return { load, {} };
 }
 
 } // namespace sapphirepass
--- a/src/gateway/requests/forwarding.h
+++ b/src/gateway/requests/forwarding.h
@@ -27,6 +27,17 @@
 auto addAttemptHeaders(OutgoingRequest& request, const HeaderNames& names, const UpstreamEntry& upstream, Duration timeLeft) -> void;
 // The upstream's response without hop-by-hop headers.
 auto forwardedResponse(UpstreamResponse response) -> UpstreamResponse;
-auto readLoad(const UpstreamResponse& response, const HeaderNames& names) -> std::optional<ReportedLoad>;
+
+// The load header of a response. A figure that cannot be read or is out of range decides nothing: without valid counts
+// there is no load, without a valid slowdown it is unknown.
+struct LoadHeader {
+    std::optional<ReportedLoad> load_;
+    // Text of the header if a figure in it is not valid; empty otherwise.
+    std::string invalid_;
+
+    auto operator==(const LoadHeader&) const -> bool = default;
+};
+
+auto readLoad(const UpstreamResponse& response, const HeaderNames& names) -> LoadHeader;
 
 } // namespace sapphirepass
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
+#include <utility>
 
 namespace sapphirepass {
 
@@ -101,6 +102,7 @@
     delegatedRoute_.maxAttempts_ = delegation_->maxAttempts_;
     delegatedRoute_.timeout_ = delegation_->timeLeft_;
     delegatedRoute_.latencyTarget_ = delegation_->latencyTarget_;
+    delegatedRoute_.priority_ = delegation_->priority_;
     route_ = &delegatedRoute_;
     serviceName_ = delegation_->service_;
     homeRegions_ = delegation_->homeRegions_;
@@ -219,6 +221,7 @@
     query_.requestHash_ = stableHash(metadata_.attempt_);
     query_.coldPerSecond_ = service_ == nullptr ? 0 : service_->coldPerSecond_;
     query_.latencyTarget_ = route_->latencyTarget_;
+    query_.priority_ = effectivePriority(*route_, workspace_);
     query_.typicalResponseTime_ = context_.responseTimes_.typical(route_->name_, route_->latencyTarget_ * initialTargetFactor);
     forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.headerNames_, workspaceName()));
 }
@@ -280,7 +283,7 @@
 
 auto RequestHandler::delegateTo(const MemberReport& peer) -> void
 {
-    const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, timeLeft() - delegationMargin, route_->latencyTarget_, query_.object_ };
+    const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, timeLeft() - delegationMargin, route_->latencyTarget_, query_.object_, query_.priority_ };
     auto request = std::make_shared<OutgoingRequest>(*forwarded_);
     request->set({ delegationHeader.data(), delegationHeader.size() }, encodeDelegation(delegation));
     delegate_ = peer.name_;
@@ -334,8 +337,7 @@
     // What the upstream says about itself binds this instance too, which passes it on.
     const auto upstream = context_.upstreams_.ofStart(outcome.upstream_, outcome.startTimeMs_);
     context_.noticeRecorder_.record(*upstream, response, lastAttempt_.at_);
-    if (const auto load = readLoad(response, context_.headerNames_))
-        context_.upstreams_.noteLoad(*upstream, *load);
+    recordLoad(*upstream, response);
     finish(forwardedResponse(std::move(response)), "answered-by-delegate");
 }
 
@@ -468,8 +470,7 @@
 {
     context_.linkDetector_.recordResponse(*lastAttempt_.upstream_);
     context_.noticeRecorder_.record(*lastAttempt_.upstream_, response, lastAttempt_.at_);
-    if (const auto load = readLoad(response, context_.headerNames_))
-        context_.upstreams_.noteLoad(*lastAttempt_.upstream_, *load);
+    recordLoad(*lastAttempt_.upstream_, response);
     const auto status = response.result_int();
     const bool notRun = response.count({ context_.headerNames_.notExecuted_.data(), context_.headerNames_.notExecuted_.size() }) > 0 || status == 421;
     if (notRun)
@@ -486,6 +487,18 @@
     onFailure(std::move(response));
 }
 
+auto RequestHandler::recordLoad(Upstream& upstream, const UpstreamResponse& response) -> void
+{
+    const auto header = readLoad(response, context_.headerNames_);
+    if (!header.invalid_.empty()) {
+        context_.metrics_.increment({ "gateway_load_reports_invalid_total", {} });
+        if (!std::exchange(upstream.isInvalidLoadLogged_, true))
+            context_.log_.write(EventId::LoadReportInvalid, { { "upstream", upstream.entry_.id_ }, { "value", header.invalid_ } });
+    }
+    if (header.load_)
+        context_.upstreams_.noteLoad(upstream, *header.load_);
+}
+
 auto RequestHandler::onNotRun(const UpstreamResponse& response) -> void
 {
     context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, response.result_int() == 421 ? AttemptHealth::WrongUpstream : AttemptHealth::Shed);
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -102,6 +102,7 @@
     auto onNotRun(const UpstreamResponse& response) -> void;
     auto onFailure(UpstreamResponse response) -> void;
     auto onTimeout() -> void;
+    auto recordLoad(Upstream& upstream, const UpstreamResponse& response) -> void;
     auto isSignedResponse(const UpstreamResponse& response) const -> bool;
     // Whether the request may be sent to another upstream, depending on whether the last one may have run it. Spends a
     // retry.
--- a/src/gateway/upstreams/upstream_set.h
+++ b/src/gateway/upstreams/upstream_set.h
@@ -33,6 +33,8 @@
     std::multiset<MonotonicTime> sentAt_;
     ReportedLoad load_;
     MonotonicTime loadAt_ {};
+    // An invalid load report of this start has been logged.
+    bool isInvalidLoadLogged_ = false;
     MonotonicTime coldUntil_ {};
     // The same without this instance's own suspicion after lost connections.
     MonotonicTime reportedColdUntil_ {};
--- a/src/gateway/upstreams/upstream_type.h
+++ b/src/gateway/upstreams/upstream_type.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sapphirepass {
@@ -36,11 +37,13 @@
     return a.id_ == b.id_ && a.startTimeMs_ == b.startTimeMs_ && a.address_ == b.address_ && a.service_ == b.service_;
 }
 
-// Load that an upstream reported in the header of an answer.
+// Load that an upstream reported in the header of a response.
 struct ReportedLoad {
     int running_ = 0;
     int waiting_ = 0;
     int slots_ = 0;
+    // How long work takes on the upstream's machine now, as a multiple of the usual time; empty if the upstream does not say.
+    std::optional<double> slowdown_ {};
 
     auto operator<=>(const ReportedLoad&) const = default;
 };
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -50,6 +50,14 @@
     CHECK(declaration.workspaces_[0].ratePerSecond_ == 269);
 }
 
+// Downloads were never repeated, although they may run twice as reads may.
+TEST_CASE("downloads may be repeated", "[platform]")
+{
+    auto changed = manifest();
+    changed["routes"][0]["kind"] = "download";
+    CHECK(valueOf(platform::decodeDeclaration(changed)).routes_[0].repeat_ == RepeatRule::Idempotent);
+}
+
 TEST_CASE("a kind that may not repeat is never taken for one that may", "[platform]")
 {
     auto changed = manifest();
