Load exchange: observations of upstreams merged and carried in heartbeats

Cause: an instance contacts an upstream every 6 to 16 s while a run takes 0.3 to 1 s, so its own observations are too old to choose by (part A of docs/design/uneven-load.md). Ruled out: 64-bit hashes of id and object with the start time apart, as 32 such entries exceed 1,000 bytes by calculation; a list that is always written, as an unset field at the end of a heartbeat still took bytes. Datagrams are encoded in canonical form, which leaves out unset fields at the end.

--- a/src/gateway/fleet/datagram_codec.cpp
+++ b/src/gateway/fleet/datagram_codec.cpp
@@ -51,6 +51,32 @@
         return !notice.upstream_.empty() && std::isfinite(notice.perSecond_.value_or(0)) && notice.perSecond_.value_or(0) >= 0;
     }
 
+    // Figures are validated where they are used, so that an invalid one does not cost the rest of the heartbeat.
+    auto readObservation(wire::Observation::Reader reader) -> Observation
+    {
+        ReportedLoad load { reader.getRunning(), reader.getWaiting(), reader.getSlots(), reader.getSlowdownPercent() / percentPerUnit };
+        return { reader.getUpstream(), reader.getObject(), load, std::chrono::milliseconds(reader.getAgeMs()), reader.getIsRejection() };
+    }
+
+    // Greater figures than fit are sent as the greatest that fits.
+    auto asUInt16(std::int64_t figure) -> std::uint16_t
+    {
+        return static_cast<std::uint16_t>(std::clamp<std::int64_t>(figure, 0, std::numeric_limits<std::uint16_t>::max()));
+    }
+
+    auto write(wire::Observation::Builder builder, const Observation& observation) -> void
+    {
+        const auto& load = observation.load_;
+        builder.setUpstream(observation.upstream_);
+        builder.setObject(observation.object_);
+        builder.setSlowdownPercent(asUInt16(std::llround(load.slowdown_.value_or(0) * percentPerUnit)));
+        builder.setAgeMs(asUInt16(observation.age_.count()));
+        builder.setRunning(asUInt16(load.running_));
+        builder.setWaiting(asUInt16(load.waiting_));
+        builder.setSlots(asUInt16(load.slots_));
+        builder.setIsRejection(observation.isRejection_);
+    }
+
     auto readAsk(wire::RateAsk::Reader reader) -> RateAsk
     {
         return { reader.getNumber(), reader.getWorkspace().cStr(), reader.getWanted() };
@@ -94,6 +120,8 @@
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
         for (const auto limit : reader.getLimits())
             report.limitNotices_.push_back(readNotice(limit));
+        for (const auto observation : reader.getObservations())
+            report.observations_.push_back(readObservation(observation));
         return report;
     }
 
@@ -145,6 +173,11 @@
         auto limits = heartbeat.initLimits(static_cast<unsigned>(report.limitNotices_.size()));
         for (unsigned i = 0; i < limits.size(); ++i)
             write(limits[i], report.limitNotices_[i]);
+        if (report.observations_.empty())
+            return;
+        auto observations = heartbeat.initObservations(static_cast<unsigned>(report.observations_.size()));
+        for (unsigned i = 0; i < observations.size(); ++i)
+            write(observations[i], report.observations_[i]);
     }
 
     auto write(wire::RateAsk::Builder builder, const RateAsk& ask) -> void
@@ -210,8 +243,12 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::PeerDatagram>();
     std::visit([&root](const auto& content) { write(root, content); }, datagram);
+    // The canonical form leaves out what is unset at the end of a struct: a field that is added to the schema then costs no
+    // bytes where it is not used.
+    const auto words = capnp::canonicalize(root.asReader());
+    const kj::ArrayPtr<const capnp::word> segment = words;
     kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
+    capnp::writePackedMessage(out, kj::arrayPtr(&segment, 1));
     const auto bytes = out.getArray();
     return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
--- a/src/gateway/fleet/fleet_view.cpp
+++ b/src/gateway/fleet/fleet_view.cpp
@@ -44,6 +44,8 @@
         return;
     auto& member = members_[report.name_];
     member.report_ = report;
+    // Observations are applied as they arrive.
+    member.report_.observations_ = {};
     member.lastSeenAt_ = clock_.now();
     member.hasReported_ = true;
     lostAt_.erase(report.peer_);
@@ -132,6 +134,16 @@
     return addresses;
 }
 
+auto FleetView::peerAddressesBeyond(std::string_view region) const -> std::vector<SocketAddress>
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& [name, member] : members_) {
+        if (member.hasReported_ && member.report_.region_ != region)
+            addresses.push_back(member.report_.peer_);
+    }
+    return addresses;
+}
+
 auto FleetView::livePeerAddresses() const -> std::vector<SocketAddress>
 {
     std::vector<SocketAddress> addresses;
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -5,6 +5,7 @@
 #include "base/socket_address.h"
 #include "gateway/feeds/discovery_source.h"
 #include "gateway/limits/limit_notice.h"
+#include "gateway/upstreams/observation.h"
 
 #include <array>
 #include <compare>
@@ -69,6 +70,8 @@
     bool wantsPeers_ = false;
     // Hashes of the names of instances that the sender no longer receives heartbeats from.
     std::vector<std::uint64_t> silentMembers_;
+    // Newest first; for instances of the sender's region only.
+    std::vector<Observation> observations_;
 
     auto operator<=>(const MemberReport&) const = default;
 };
@@ -118,6 +121,8 @@
     // Addresses that heartbeats are sent to: all, or only those in a region and those not heard from yet.
     auto peerAddresses() const -> std::vector<SocketAddress>;
     auto peerAddressesNear(std::string_view region) const -> std::vector<SocketAddress>;
+    // The rest: those of instances known to be in other regions.
+    auto peerAddressesBeyond(std::string_view region) const -> std::vector<SocketAddress>;
     // Addresses of the instances that send heartbeats.
     auto livePeerAddresses() const -> std::vector<SocketAddress>;
     // Up to maxCount of these, others in each round.
--- a/src/gateway/requests/forwarding.cpp
+++ b/src/gateway/requests/forwarding.cpp
@@ -119,26 +119,22 @@
 {
     constexpr std::size_t countFigures = 3;
     constexpr std::size_t maxFigures = 4;
-    constexpr Bounds counts { 0, 1'000'000 };
-    // In percent. Beyond a hundred times the usual duration the upstream does not work at all.
-    constexpr Bounds percents { 1, 10'000 };
-    constexpr double percentPerUnit = 100;
     const auto text = view(response[view(names.load_)]);
     if (text.empty())
         return {};
     const auto figures = splitFigures(text);
-    const LoadHeader invalid { std::nullopt, std::string(text.substr(0, maxLoggedHeader)) };
+    LoadHeader invalid { std::nullopt, std::string(text.substr(0, maxLoggedHeader)) };
     if (figures.size() < countFigures || figures.size() > maxFigures)
         return invalid;
-    const auto running = parseNumber(figures[0], counts);
-    const auto waiting = parseNumber(figures[1], counts);
-    const auto slots = parseNumber(figures[2], counts);
+    const auto running = parseNumber(figures[0], loadCountBounds);
+    const auto waiting = parseNumber(figures[1], loadCountBounds);
+    const auto slots = parseNumber(figures[2], loadCountBounds);
     if (!running || !waiting || !slots)
         return invalid;
     ReportedLoad load { static_cast<int>(*running), static_cast<int>(*waiting), static_cast<int>(*slots), std::nullopt };
     if (figures.size() == countFigures)
         return { load, {} };
-    const auto percent = parseNumber(figures[countFigures], percents);
+    const auto percent = parseNumber(figures[countFigures], slowdownPercentBounds);
     if (!percent)
         return { load, invalid.invalid_ };
     load.slowdown_ = static_cast<double>(*percent) / percentPerUnit;
--- a/src/gateway/upstreams/upstream_set.cpp
+++ b/src/gateway/upstreams/upstream_set.cpp
@@ -107,6 +107,7 @@
         if (slot)
             retire(*slot);
         slot = makeUpstream(entry);
+        byKey_.emplace(upstreamKey(entry), slot);
     }
     slot->listedColdUntil_ = now + entry.coldLeft_;
     if (!sameStart && entry.coldLeft_ > Duration::zero())
@@ -137,6 +138,17 @@
     if (upstream.entry_.state_ == UpstreamState::Draining)
         upstream.notices_->isLeaving_ = true;
     departed_.record({ upstream.entry_, upstream.notices_ });
+    const auto [first, last] = byKey_.equal_range(upstreamKey(upstream.entry_));
+    const auto found = std::find_if(first, last, [&upstream](const auto& item) { return item.second.get() == &upstream; });
+    if (found != last)
+        byKey_.erase(found);
+}
+
+// Keys are short, so two upstreams can have the same one. An observation of either is then of no use.
+auto UpstreamSet::ofKey(UpstreamKey key) const -> UpstreamPtr
+{
+    const auto [first, last] = byKey_.equal_range(key);
+    return first != last && std::next(first) == last ? first->second : nullptr;
 }
 
 auto UpstreamSet::removeExpired() -> std::vector<std::string>
@@ -292,4 +304,19 @@
     upstream.loadAt_ = clock_.now();
 }
 
+// Of observations at the same time the greater load counts, so that the order in which they arrive makes no difference.
+auto UpstreamSet::recordSharedLoad(Upstream& upstream, const ReportedLoad& load, MonotonicTime at) -> void
+{
+    const bool isKnownLater = upstream.sharedLoadAt_ > at || (upstream.sharedLoadAt_ == at && upstream.sharedLoad_ >= load);
+    if (upstream.sharedLoad_ && isKnownLater)
+        return;
+    upstream.sharedLoad_ = load;
+    upstream.sharedLoadAt_ = at;
+}
+
+auto UpstreamSet::freshSharedLoad(const Upstream& upstream) const -> std::optional<ReportedLoad>
+{
+    return clock_.now() - upstream.sharedLoadAt_ <= maxSharedLoadAge ? upstream.sharedLoad_ : std::nullopt;
+}
+
 } // namespace sapphirepass
--- a/src/gateway/upstreams/upstream_set.h
+++ b/src/gateway/upstreams/upstream_set.h
@@ -33,6 +33,9 @@
     std::multiset<MonotonicTime> sentAt_;
     ReportedLoad load_;
     MonotonicTime loadAt_ {};
+    // The newest load that this instance or a peer has observed, and when; see UpstreamSet::freshSharedLoad().
+    std::optional<ReportedLoad> sharedLoad_;
+    MonotonicTime sharedLoadAt_ {};
     // An invalid load report of this start has been logged.
     bool isInvalidLoadLogged_ = false;
     MonotonicTime coldUntil_ {};
@@ -65,6 +68,9 @@
 
 class UpstreamSet {
 public:
+    // A shared load that is older says nothing about the present one.
+    static constexpr Duration maxSharedLoadAge = std::chrono::seconds(2);
+
     UpstreamSet(const Clock& clock, std::map<std::string, std::string> regionOfDomain);
 
     // Replaces all entries. Upstreams that are no longer listed are removed after the grace period, or immediately if it
@@ -86,6 +92,8 @@
     auto byId() const -> const std::map<std::string, UpstreamPtr>& { return byId_; }
     // The upstream with this id and start. If it is not listed, its notices are kept and apply once it is.
     auto ofStart(const std::string& id, std::int64_t startTimeMs) -> UpstreamPtr;
+    // The listed upstream with this key; null if there is none, or if several have it.
+    auto ofKey(UpstreamKey key) const -> UpstreamPtr;
     auto coldCount() const -> std::size_t;
     auto size() const -> std::size_t { return byId_.size(); }
     // Whether the upstream may receive requests: still listed, not draining, and its failure domain not evacuated.
@@ -102,6 +110,10 @@
     // Extends the upstream's cold time; never shortens it.
     auto noteCold(const std::string& id, Duration left) -> void;
     auto noteLoad(Upstream& upstream, ReportedLoad load) -> void;
+    // Keeps the load unless a later observation is known.
+    auto recordSharedLoad(Upstream& upstream, const ReportedLoad& load, MonotonicTime at) -> void;
+    // The shared load, if it is recent enough to be used.
+    auto freshSharedLoad(const Upstream& upstream) const -> std::optional<ReportedLoad>;
     // The upstream gets no further requests under its current start.
     auto recordLeaving(Upstream& upstream) -> void { upstream.notices_->isLeaving_ = true; }
     // The upstream gets no requests, probes included, for this long. Never shortens an earlier pause.
@@ -127,6 +139,7 @@
     std::set<std::string> regions_;
     std::map<std::string, UpstreamPtr> byId_;
     std::map<std::string, ServiceUpstreams> byService_;
+    std::multimap<UpstreamKey, UpstreamPtr> byKey_;
     std::map<std::string, Duration> coldDurations_;
     DepartedUpstreams departed_;
     // Outdated entries listed after a restore, by id.
--- a/src/gateway/upstreams/upstream_type.h
+++ b/src/gateway/upstreams/upstream_type.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/field.h"
 #include "base/socket_address.h"
+#include "gateway/hashing.h"
 
 #include <compare>
 #include <cstdint>
@@ -37,6 +39,15 @@
     return a.id_ == b.id_ && a.startTimeMs_ == b.startTimeMs_ && a.address_ == b.address_ && a.service_ == b.service_;
 }
 
+// Identifies a start of an upstream among those of a deployment in few bytes. The start time is part of the hash, so that
+// a restart under the same id has another key.
+using UpstreamKey = std::uint32_t;
+
+inline auto upstreamKey(const UpstreamEntry& entry) -> UpstreamKey
+{
+    return static_cast<UpstreamKey>(stableHash(entry.id_, static_cast<std::uint64_t>(entry.startTimeMs_)));
+}
+
 // Load that an upstream reported in the header of a response.
 struct ReportedLoad {
     int running_ = 0;
@@ -48,4 +59,17 @@
     auto operator<=>(const ReportedLoad&) const = default;
 };
 
+// Bounds of the figures of a load, whether an upstream or a peer names them.
+constexpr Bounds loadCountBounds { 0, 1'000'000 };
+// In percent. Beyond a hundred times the usual duration the upstream does not work at all.
+constexpr Bounds slowdownPercentBounds { 1, 10'000 };
+constexpr double percentPerUnit = 100;
+
+inline auto isValid(const ReportedLoad& load) -> bool
+{
+    const auto isCount = [](int figure) { return figure >= loadCountBounds.min_ && figure <= loadCountBounds.max_; };
+    const double percent = load.slowdown_.value_or(1) * percentPerUnit;
+    return isCount(load.running_) && isCount(load.waiting_) && isCount(load.slots_) && percent >= static_cast<double>(slowdownPercentBounds.min_) && percent <= static_cast<double>(slowdownPercentBounds.max_);
+}
+
 } // namespace sapphirepass
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -28,6 +28,18 @@
   ageMs @4 :UInt32;
 }
 
+# See src/gateway/upstreams/observation.h. Fields are as small as their values allow: 32 of them go with each heartbeat.
+struct Observation {
+  upstream @0 :UInt32;
+  object @1 :UInt64;
+  slowdownPercent @2 :UInt16;
+  ageMs @3 :UInt16;
+  running @4 :UInt16;
+  waiting @5 :UInt16;
+  slots @6 :UInt16;
+  isRejection @7 :Bool;
+}
+
 struct Heartbeat {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -54,6 +66,8 @@
   acceptsDelegation @18 :Bool;
   # Hashes of the names of instances that have fallen silent for the sender; empty from instances that tell none.
   silentMembers @19 :List(UInt64);
+  # Newest first; empty from instances that share none, and to other regions.
+  observations @20 :List(Observation);
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(9b098ece84c22746);
 CAPNP_DECLARE_SCHEMA(b1b066e62197077c);
 CAPNP_DECLARE_SCHEMA(b4490938ad03d7e1);
+CAPNP_DECLARE_SCHEMA(88cc815551d0b1f2);
 CAPNP_DECLARE_SCHEMA(aa7ec1c83d57622d);
 CAPNP_DECLARE_SCHEMA(fa08a84e24f86d01);
 CAPNP_DECLARE_SCHEMA(cc9baa8e38a35541);
@@ -93,6 +94,21 @@
   };
 };
 
+struct Observation {
+  Observation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88cc815551d0b1f2, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -101,7 +117,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 14)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 15)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -546,6 +562,117 @@
 };
 #endif  // !CAPNP_LITE
 
+class Observation::Reader {
+public:
+  typedef Observation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream() const;
+
+  inline  ::uint64_t getObject() const;
+
+  inline  ::uint16_t getSlowdownPercent() const;
+
+  inline  ::uint16_t getAgeMs() const;
+
+  inline  ::uint16_t getRunning() const;
+
+  inline  ::uint16_t getWaiting() const;
+
+  inline  ::uint16_t getSlots() const;
+
+  inline bool getIsRejection() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Observation::Builder {
+public:
+  typedef Observation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getUpstream();
+  inline void setUpstream( ::uint32_t value);
+
+  inline  ::uint64_t getObject();
+  inline void setObject( ::uint64_t value);
+
+  inline  ::uint16_t getSlowdownPercent();
+  inline void setSlowdownPercent( ::uint16_t value);
+
+  inline  ::uint16_t getAgeMs();
+  inline void setAgeMs( ::uint16_t value);
+
+  inline  ::uint16_t getRunning();
+  inline void setRunning( ::uint16_t value);
+
+  inline  ::uint16_t getWaiting();
+  inline void setWaiting( ::uint16_t value);
+
+  inline  ::uint16_t getSlots();
+  inline void setSlots( ::uint16_t value);
+
+  inline bool getIsRejection();
+  inline void setIsRejection(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Observation::Pipeline {
+public:
+  typedef Observation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -617,6 +744,9 @@
   inline bool hasSilentMembers() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSilentMembers() const;
 
+  inline bool hasObservations() const;
+  inline  ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Reader getObservations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -765,6 +895,13 @@
   inline void adoptSilentMembers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSilentMembers();
 
+  inline bool hasObservations();
+  inline  ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Builder getObservations();
+  inline void setObservations( ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Builder initObservations(unsigned int size);
+  inline void adoptObservations(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>> disownObservations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1516,6 +1653,118 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Observation::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Observation::Builder::getUpstream() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setUpstream( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Observation::Reader::getObject() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Observation::Builder::getObject() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setObject( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Observation::Reader::getSlowdownPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Observation::Builder::getSlowdownPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setSlowdownPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Observation::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Observation::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Observation::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Observation::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Observation::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Observation::Builder::getWaiting() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setWaiting( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Observation::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Observation::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Observation::Reader::getIsRejection() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<176>() * ::capnp::ELEMENTS);
+}
+
+inline bool Observation::Builder::getIsRejection() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<176>() * ::capnp::ELEMENTS);
+}
+inline void Observation::Builder::setIsRejection(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<176>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2107,6 +2356,40 @@
       ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasObservations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasObservations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getObservations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getObservations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setObservations( ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initObservations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptObservations(
+    ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownObservations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::Observation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<14>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -211,6 +211,7 @@
     sent.knownPeers_ = { { "127.0.0.1", 8009 } };
     sent.lastChangeRevisions_ = { { { 3, 5 }, {}, { 2, 1'000'000'000'000 } } };
     sent.limitNotices_ = { { "i-1", 7, 4.9, 120ms }, { "i-2", 8, std::nullopt, 4s } };
+    sent.observations_ = { { 5, 6, { 3, 1, 6, 1.5 }, 40ms, true }, { 7, 0, { 0, 0, 6, 0.5 }, 390ms, false } };
     const auto datagram = GENERATE_COPY(PeerDatagram(sent), PeerDatagram(RateAsk { 5, "acme", 3 }), PeerDatagram(RateGrant { 5, "acme", 0, 250ms }), PeerDatagram(LimitAsk { { 6, "i-1@7", 2 }, { "i-1", 7, 4.9, 120ms } }), PeerDatagram(LimitGrant { { 6, "i-1@7", 1, 250ms }, { "i-1", 7, std::nullopt, 4s } }));
     const auto received = decodeDatagram(encodeDatagram(datagram));
     REQUIRE(isOk(received));
@@ -221,6 +222,7 @@
 {
     auto sent = report("a");
     sent.crashes_ = { { 9, 2 } };
+    sent.observations_ = { { 5, 6, { 3, 1, 6, 1.5 }, 40ms, true } };
     std::mt19937_64 random(20261203);
     int refused = 0;
     for (const auto& bytes : { encodeDatagram(sent), encodeDatagram(RateAsk { 5, "acme", 3 }), encodeDatagram(RateGrant { 5, "acme", 2, 0ms }), encodeDatagram(LimitAsk { { 6, "i-1@7", 2 }, { "i-1", 7, 4.9, 120ms } }) }) {
