Gateways share observations of upstreams within their region

Ruled out: one datagram for all peers, as bytes to other regions are priced; taking the load of a 421 response, which another upstream has sent. The metric of sent ones is counted here.

--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -472,8 +472,7 @@
     context_.noticeRecorder_.record(*lastAttempt_.upstream_, response, lastAttempt_.at_);
     recordLoad(*lastAttempt_.upstream_, response);
     const auto status = response.result_int();
-    const bool notRun = response.count({ context_.headerNames_.notExecuted_.data(), context_.headerNames_.notExecuted_.size() }) > 0 || status == 421;
-    if (notRun)
+    if (isNotRun(response))
         return onNotRun(response);
     mayHaveRun_ = true;
     context_.crashTracker_.recordResponse(fingerprint_);
@@ -487,6 +486,12 @@
     onFailure(std::move(response));
 }
 
+auto RequestHandler::isNotRun(const UpstreamResponse& response) const -> bool
+{
+    const auto& name = context_.headerNames_.notExecuted_;
+    return response.count({ name.data(), name.size() }) > 0 || response.result() == http::status::misdirected_request;
+}
+
 auto RequestHandler::recordLoad(Upstream& upstream, const UpstreamResponse& response) -> void
 {
     const auto header = readLoad(response, context_.headerNames_);
@@ -495,8 +500,13 @@
         if (!std::exchange(upstream.isInvalidLoadLogged_, true))
             context_.log_.write(EventId::LoadReportInvalid, { { "upstream", upstream.entry_.id_ }, { "value", header.invalid_ } });
     }
-    if (header.load_)
-        context_.upstreams_.noteLoad(upstream, *header.load_);
+    if (!header.load_)
+        return;
+    context_.upstreams_.noteLoad(upstream, *header.load_);
+    // Another upstream has answered: its load must not be shared as that of this one.
+    if (response.result() == http::status::misdirected_request)
+        return;
+    context_.loadExchange_.record({ upstreamKey(upstream.entry_), query_.object_.value_or(0), *header.load_, {}, isNotRun(response) });
 }
 
 auto RequestHandler::onNotRun(const UpstreamResponse& response) -> void
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -17,6 +17,7 @@
 #include "gateway/requests/traffic_splitter.h"
 #include "gateway/requests/upstream_caller.h"
 #include "gateway/upstreams/link_detector.h"
+#include "gateway/upstreams/load_exchange.h"
 #include "gateway/upstreams/notice_recorder.h"
 #include "gateway/upstreams/response_times.h"
 
@@ -44,6 +45,7 @@
     DelegateSelector& delegateSelector_;
     DelegateCaller& delegateCaller_;
     NoticeRecorder& noticeRecorder_;
+    LoadExchange& loadExchange_;
     DecisionLog& log_;
     Metrics& metrics_;
 };
@@ -103,6 +105,8 @@
     auto onFailure(UpstreamResponse response) -> void;
     auto onTimeout() -> void;
     auto recordLoad(Upstream& upstream, const UpstreamResponse& response) -> void;
+    // Whether the response says that the request was not run.
+    auto isNotRun(const UpstreamResponse& response) const -> bool;
     auto isSignedResponse(const UpstreamResponse& response) const -> bool;
     // Whether the request may be sent to another upstream, depending on whether the last one may have run it. Spends a
     // retry.
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -160,7 +160,8 @@
     , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_ }
+    , loadExchange_(clock, upstreams_, metrics_)
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -389,10 +390,18 @@
     report.crashes_ = crashes_.counts();
     if (ticks_ % (heartbeatTicks * gossipHeartbeats) == 0)
         gossipPeers();
-    auto to = reach == Reach::All ? fleet_.peerAddresses() : fleet_.peerAddressesNear(settings_.region_);
+    // Taken even if there is nobody to send them to: by the next heartbeat they are old.
+    auto observations = loadExchange_.takeForHeartbeat();
     if (fleet_.memberCount() == 1)
-        to = seedPeers();
-    datagrams_.send(encodeDatagram(report), to);
+        return datagrams_.send(encodeDatagram(report), seedPeers());
+    if (reach == Reach::All)
+        datagrams_.send(encodeDatagram(report), fleet_.peerAddressesBeyond(settings_.region_));
+    // Bytes to other regions are priced, and their instances send few requests to the upstreams of this one.
+    const auto nearPeers = fleet_.peerAddressesNear(settings_.region_);
+    report.observations_ = std::move(observations);
+    if (!nearPeers.empty() && !report.observations_.empty())
+        metrics_.increment({ "gateway_observations_sent_total", {} }, static_cast<std::int64_t>(report.observations_.size()));
+    datagrams_.send(encodeDatagram(report), nearPeers);
 }
 
 auto Gateway::gossipPeers() -> void
@@ -467,6 +476,7 @@
     fleet_.updateMember(report);
     coldWatch_.applyNotices(report.coldNotices_);
     upstreamLimits_.applyNotices(report.limitNotices_);
+    loadExchange_.apply(report.observations_);
     if (!report.knownPeers_.empty())
         beliefs_.peerListReceived();
     if (report.wantsPeers_)
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/feeds/source_keepalive.h"
 #include "gateway/fleet/relay_selector.h"
 #include "gateway/requests/request_handler.h"
+#include "gateway/upstreams/load_exchange.h"
 #include "loop/caller_listener.h"
 #include "loop/cold_prober.h"
 #include "loop/datagram_socket.h"
@@ -173,6 +174,7 @@
     DelegatePool delegatePool_;
     ColdProber coldProber_;
     Metrics metrics_;
+    LoadExchange loadExchange_;
     RequestContext context_;
     FrontHandler frontHandler_;
     DelegationHandler delegationHandler_;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -166,7 +166,8 @@
     standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_ };
+    LoadExchange exchange_ { clock_, upstreams_, metrics_ };
+    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
@@ -453,6 +454,45 @@
     CHECK(fixture.caller_.calls().front().upstream_->sentAt_.empty());
 }
 
+TEST_CASE("what a response says about its upstream is shared if it names a slowdown", "[request][load-exchange]")
+{
+    Fixture fixture;
+    auto declared = declaration();
+    declared.routes_.front().affinity_ = true;
+    fixture.context_.index_ = std::make_shared<const DeclarationIndex>(declared);
+    auto request = fixture.request("/read/1");
+    request.set(http::field::cookie, names.objectCookie_ + "=cart-9");
+    const auto answer = [&](UpstreamResponse response, const std::string& load) {
+        fixture.start(request);
+        response.set(names.load_, load);
+        auto upstream = fixture.caller_.calls().back().upstream_;
+        fixture.caller_.finish(std::move(response));
+        return upstream;
+    };
+
+    const auto upstream = answer(fixture.success(), "3,1,6,150");
+    auto shared = fixture.exchange_.takeForHeartbeat();
+    REQUIRE(shared.size() == 1);
+    CHECK(shared.front().upstream_ == upstreamKey(upstream->entry_));
+    CHECK(shared.front().load_ == ReportedLoad { 3, 1, 6, 1.5 });
+    CHECK(shared.front().object_ == stableHash("cart-9", stableHash("read")));
+    CHECK_FALSE(shared.front().isRejection_);
+    CHECK(fixture.upstreams_.freshSharedLoad(*upstream) == shared.front().load_);
+
+    answer(fixture.success(), "3,1,6");
+    answer(fixture.success(), "3,1,6,fast");
+    CHECK(fixture.exchange_.takeForHeartbeat().empty());
+
+    answer(fixture.failure(503, true), "6,2,6,100");
+    shared = fixture.exchange_.takeForHeartbeat();
+    REQUIRE(shared.size() == 1);
+    CHECK(shared.front().isRejection_);
+
+    // Another upstream has answered at the address: its load is not that of the one that was asked.
+    answer(fixture.failure(421), "0,0,6,100");
+    CHECK(fixture.exchange_.takeForHeartbeat().empty());
+}
+
 // A server that had lost power got requests until its connections timed out.
 TEST_CASE("an upstream that answers no requests is ejected after a caller disconnects or a request times out", "[request]")
 {
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -434,6 +434,42 @@
     CHECK(runUntil(fixture.loop_, [&] { return fixture.ask(fixture.settings_.directory_, "/-/resolve?region=north").find(formatSocketAddress(second.front_)) == std::string::npos; }));
 }
 
+// An instance contacts an upstream too rarely to know its load by itself.
+TEST_CASE("what one gateway observes of an upstream reaches another of its region, and none of another region", "[gateway][load-exchange]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes {
+        auto answer = orderAnswer;
+        answer.insert(answer.find("Content-Length"), "Server-Load: 3,0,6,120\r\n");
+        return { answer };
+    });
+    fixture.settings_.domains_ = { { "north-a", "north" }, { "south-a", "south" } };
+    fixture.store_.put("servers", "i-1", listed(fixture.server_.address()));
+    fixture.store_.put("config", "main", declared(1));
+    fixture.start();
+    const SecondGateway nearPeer(fixture, "e2");
+    auto inNorth = std::exchange(fixture.settings_.region_, "south");
+    const SecondGateway farPeer(fixture, "e3");
+    fixture.settings_.region_ = std::move(inNorth);
+    const auto received = [&](const GatewaySettings& settings) {
+        const auto metrics = fixture.ask(settings.control_, "/metrics");
+        const std::string name = "\nsapphirepass_gateway_observations_received_total ";
+        const auto found = metrics.find(name);
+        return found == std::string::npos ? 0 : std::stoi(metrics.substr(found + name.size()));
+    };
+    const auto peersReady = [&](const GatewaySettings& settings) { return fixture.ask(settings.control_, "/metrics").find("sapphirepass_gateway_peers_ready 2") != std::string::npos; };
+    REQUIRE(runUntil(fixture.loop_, [&] { return peersReady(fixture.settings_) && peersReady(nearPeer.settings_) && peersReady(farPeer.settings_); }));
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&client] { return client.count("HTTP/1.1") == 1; }));
+    REQUIRE(client.received().starts_with("HTTP/1.1 200"));
+    CHECK(runUntil(fixture.loop_, [&] { return received(nearPeer.settings_) == 1; }));
+    // Past the next heartbeat to all regions.
+    const auto until = fixture.clock_.now() + 1s;
+    runUntil(fixture.loop_, [&] { return fixture.clock_.now() >= until; });
+    CHECK(received(nearPeer.settings_) == 1);
+    CHECK(received(farPeer.settings_) == 0);
+}
+
 // A watch that the store takes in a short silence is never answered, and looked like one without changes for 20 s.
 TEST_CASE("a change is received although the store never answers the watch for it", "[gateway][feeds]")
 {
