--- a/src/gateway/placement/run_times.cpp
+++ b/src/gateway/placement/run_times.cpp
@@ -45,26 +45,27 @@
     const double minGap = std::log(1.5);
     const double separationGap = std::log(1.8);
     const double maxGap = std::log(4.0);
-    // Runs after which older ones no longer count. Cold runs are fewer, and the share may change within minutes.
+    // Runs after which older ones no longer count. Cold runs are fewer. The share may jump; while it is outdated, each run counts
+    // against the two groups.
     constexpr double warmMemory = 100;
     constexpr double coldMemory = 40;
-    constexpr double shareMemory = 150;
+    constexpr double shareMemory = 20;
     // Shares that are tried at the start.
     constexpr std::array startColdShares { 0.05, 0.2, 0.6 };
     constexpr double minColdShare = 0.01;
     // Above this share, the group taken for cold is the only one.
-    constexpr double maxColdShare = 0.85;
+    constexpr double maxColdShare = 0.95;
     // The start is chosen from this many runs at once: a single one may be cold or slow. With a cold share of 0.6, all of
     // twelve are cold in 0.2% of starts.
     constexpr std::size_t startRuns = 12;
     // Learning starts again if this share of recent runs fits no group or only as slow runs.
     constexpr double maxMisfitShare = 0.3;
     constexpr double misfitMemory = 25;
-    // Log likelihood of two groups over one, summed over recent runs. A rare cold run adds about 3, so two of them
-    // separate the groups, and one does not. Recent runs must include several cold ones at a share of 0.02.
-    constexpr double separationEvidence = 5;
+    // Log likelihood of two groups over one, summed over recent runs. A rare cold run adds up to 4, so that one alone does not
+    // separate the groups. At a share of 0.02, recent runs must include several cold ones.
+    constexpr double separationEvidence = 6;
     constexpr double mergeEvidence = 2;
-    constexpr double maxEvidence = 30;
+    constexpr double maxEvidence = 40;
     constexpr double evidenceMemory = 1'000;
     constexpr double maxEvidencePerRun = 4;
     // A run moves the typical time as if it was at most this far away.
