--- a/src/gateway/placement/run_times.cpp
+++ b/src/gateway/placement/run_times.cpp
@@ -41,7 +41,8 @@
     // Cold runs that the expected gap counts for.
     constexpr double expectedGapWeight = 2;
     // Groups closer than minGap count as one. To be told apart they must be further apart, as the upper tail of a single
-    // group can pass for a cold group at 1.5 times. The upper limit is below the offset of slow runs.
+    // group can pass for a cold group at 1.5 times and would hold the estimate there. The upper limit is below the offset of
+    // slow runs.
     const double minGap = std::log(1.5);
     const double separationGap = std::log(1.8);
     const double maxGap = std::log(4.0);
@@ -265,7 +266,7 @@
 
         if (misfitShare_ > maxMisfitShare || coldShare_ > maxColdShare)
             startAgain();
-        else if (cold_ - warm_ < minGap)
+        else if (cold_ - warm_ < (isSeparated_ ? minGap : separationGap))
             merge();
         else
             cold_ = std::min(cold_, warm_ + maxGap);
