Placement by expected end

Change: EndEstimator estimates distance, wait, run and rejections of a candidate from loads and objects shared in the region; Placer chooses the earliest end among the first owners of the object, more of them for popular objects. On where the deployment's features ask for it or upstreams report how long work takes, setting [placement] expected-end.

--- /dev/null
+++ b/src/gateway/placement/expected_end.cpp
@@ -0,0 +1,48 @@
+#include "gateway/placement/expected_end.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirepass {
+
+using namespace std::chrono_literals;
+
+namespace {
+    // Part of the additional time of a cold run that counts. At 1, no second owner would become warm before the first one has a
+    // long queue.
+    constexpr double coldRunWeight = 0.5;
+    // Keeps objects on their first owners while these are about equally loaded.
+    constexpr Duration rankCost = 2ms;
+    // What a request from another failure domain costs, so that bytes between domains are spent only for a gain.
+    constexpr Duration otherDomainCost = 15ms;
+    // Owners of each object. With two or three to choose from by load, no upstream is loaded far beyond the mean (the power of two
+    // choices; Mitzenmacher, 2001), and an upstream keeps few enough objects that all stay warm.
+    constexpr std::size_t minOwners = 3;
+    // Part of its owners' slots that an object may use, so that other objects find room there.
+    constexpr double maxOwnerUtilization = 0.4;
+}
+
+auto comparedEnd(const EndCandidate& candidate) -> Duration
+{
+    const auto& estimate = candidate.estimate_;
+    const auto warm = fromSeconds(inSeconds(candidate.warmRun_) * estimate.slowdown_);
+    const auto additional = std::max(Duration::zero(), estimate.run_ - warm);
+    const auto run = estimate.run_ - additional + fromSeconds(inSeconds(additional) * coldRunWeight);
+    return estimate.distance_ + estimate.wait_ + run + estimate.rejections_ + rankCost * candidate.rank_ + (candidate.isNear_ ? Duration::zero() : otherDomainCost);
+}
+
+auto chooseByExpectedEnd(const std::vector<EndCandidate>& candidates) -> std::optional<std::size_t>
+{
+    if (candidates.empty())
+        return std::nullopt;
+    const auto first = std::min_element(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return comparedEnd(a) < comparedEnd(b); });
+    return static_cast<std::size_t>(first - candidates.begin());
+}
+
+auto ownersForDemand(double requestsPerSecond, Duration warmRun, int slots) -> std::size_t
+{
+    const double needed = requestsPerSecond * inSeconds(warmRun) / (std::max(1, slots) * maxOwnerUtilization);
+    return std::max(minOwners, static_cast<std::size_t>(std::ceil(std::max(0.0, needed))) + 1);
+}
+
+} // namespace sapphirepass
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -35,6 +35,8 @@
     constexpr int stalledFactor = 2;
     // Fraction of the maximum queue wait below which no request is shed.
     constexpr double sheddingStart = 0.25;
+    // Gain for which a request leaves the region that its object belongs to, where it finds the object warm less often.
+    constexpr Duration minSpillGain = 100ms;
     // An upstream that fails or sheds more than this fraction of its attempts is only used as a last resort.
     constexpr double maxFailureRate = 0.5;
 }
@@ -55,11 +57,13 @@
     }
 }
 
-Placer::Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion)
+Placer::Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion, std::string ownDomain, const EndEstimator* estimator)
     : clock_(clock)
     , upstreams_(upstreams)
     , fleet_(fleet)
     , ownRegion_(std::move(ownRegion))
+    , ownDomain_(std::move(ownDomain))
+    , estimator_(estimator)
     , regionShares_(clock)
     , objectDemand_(clock)
     , spillLimiter_(clock)
@@ -291,6 +295,41 @@
     return Placement { least->upstream_, static_cast<int>(least - owners.begin()), wait, least->occupied_, owners.size() };
 }
 
+auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>
+{
+    const auto endQuery = query.endQuery();
+    const auto warmRun = estimator_->runTimes(endQuery).warm_;
+    std::vector<EndCandidate> estimated;
+    estimated.reserve(owners.size());
+    for (const auto& owner : owners)
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), owner.upstream_->entry_.domain_ == ownDomain_ });
+    return estimated;
+}
+
+// The owners of the object in its region, and one in another region at a limited rate. A request is refused if it would still wait
+// for a slot when it has to be running.
+auto Placer::placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult
+{
+    const auto& home = near.empty() ? far : near;
+    const auto warmRun = estimator_->runTimes(query.endQuery()).warm_;
+    const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
+    const auto owners = firstOwners(home, ownersForDemand(rate, warmRun, home.front().upstream_->entry_.slots_));
+    const auto estimates = estimateOwners(query, owners);
+    const auto best = chooseByExpectedEnd(estimates).value_or(0);
+    const auto placed = [](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
+        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_ };
+    };
+    if (!near.empty() && !far.empty()) {
+        const auto other = firstOwners(far, maxRemoteOwners);
+        const auto otherEnd = estimateOwners(query, other).front();
+        if (comparedEnd(otherEnd) + minSpillGain < comparedEnd(estimates[best]) && spillLimiter_.takeSpill())
+            return placed(other.front(), otherEnd, owners.size() + 1);
+    }
+    if (estimates[best].estimate_.wait_ > query.maxQueueWait_)
+        return PlacementRefusal::Full;
+    return placed(owners[best], estimates[best], owners.size());
+}
+
 // Prefers owners in the object's region, even after a short wait. Owners in other regions take requests that spill
 // over, at a limited rate.
 auto Placer::place(const PlacementQuery& query) -> PlacementResult
@@ -302,6 +341,8 @@
     const auto region = targetRegion(query.object_.value_or(query.requestHash_), query);
     const auto elsewhere = std::stable_partition(found.begin(), found.end(), [&region](const auto& candidate) { return candidate.upstream_->region_ == region; });
     const Candidates nearby(found.begin(), elsewhere);
+    if (estimator_ != nullptr && estimator_->isServiceEstimated(query.service_))
+        return placeByExpectedEnd(query, nearby, Candidates(elsewhere, found.end()));
     const auto near = firstOwners(nearby, ownersNeeded(query, nearby));
     const auto far = firstOwners(Candidates(elsewhere, found.end()), std::max(maxRemoteOwners, near.empty() ? ownersNeeded(query, found) : 1));
     if (near.empty()) {
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/fleet/fleet_view.h"
+#include "gateway/placement/expected_end.h"
 #include "gateway/placement/object_demand.h"
 #include "gateway/placement/region_shares.h"
 #include "gateway/upstreams/upstream_set.h"
@@ -16,6 +17,7 @@
 
 struct PlacementQuery {
     std::string service_;
+    std::string route_;
     // Hash of the object that the request concerns, if it names one.
     std::optional<std::uint64_t> object_;
     // Differs between requests; spreads requests that name no object.
@@ -41,6 +43,8 @@
     Duration latencyTarget_ {};
     // Longest wait for a slot after which the request can still finish in time.
     Duration maxQueueWait_ {};
+
+    auto endQuery() const -> EndQuery { return { route_, object_, latencyTarget_ }; }
 };
 
 struct Placement {
@@ -85,8 +89,9 @@
 
 class Placer {
 public:
-    // ownRegion is the region of this instance and of its callers.
-    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion);
+    // ownRegion and ownDomain are those of this instance and of its callers. With an estimator, requests for services that it
+    // covers are placed by their expected end.
+    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion, std::string ownDomain = {}, const EndEstimator* estimator = nullptr);
 
     auto place(const PlacementQuery& query) -> PlacementResult;
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
@@ -115,6 +120,8 @@
     auto firstOwners(Candidates candidates, std::size_t maxCount) const -> Candidates;
     // Number of owners that an object needs for its current request rate.
     auto ownersNeeded(const PlacementQuery& query, const Candidates& near) -> std::size_t;
+    auto placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult;
+    auto estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>;
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
@@ -130,6 +137,8 @@
     const UpstreamSet& upstreams_;
     const FleetView& fleet_;
     std::string ownRegion_;
+    std::string ownDomain_;
+    const EndEstimator* estimator_;
     RegionShares regionShares_;
     ObjectDemand objectDemand_;
     SpillLimiter spillLimiter_;
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -216,6 +216,7 @@
 {
     service_ = index_->service(serviceName_);
     query_.service_ = serviceName_;
+    query_.route_ = route_->name_;
     query_.homeRegions_ = &homeRegions_;
     query_.homeRegionShares_ = &index_->homeRegionShares();
     query_.requestHash_ = stableHash(metadata_.attempt_);
@@ -480,6 +481,8 @@
         context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, AttemptHealth::Answered);
         const auto work = context_.clock_.now() - lastAttempt_.at_;
         context_.responseTimes_.record(route_->name_, work);
+        if (const auto load = readLoad(response, context_.headerNames_).load_)
+            context_.endEstimator_.recordResponse(*lastAttempt_.upstream_, query_.endQuery(), *load, work);
         context_.metrics_.observe({ "gateway_upstream_seconds", {} }, inSeconds(work));
         return finish(forwardedResponse(std::move(response)), "answered");
     }
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -40,6 +40,7 @@
     CrashTracker& crashTracker_;
     TrafficSplitter& trafficSplitter_;
     ResponseTimes& responseTimes_;
+    EndEstimator& endEstimator_;
     UpstreamCaller& upstreamCaller_;
     LinkDetector& linkDetector_;
     DelegateSelector& delegateSelector_;
--- a/src/gateway/upstreams/load_exchange.cpp
+++ b/src/gateway/upstreams/load_exchange.cpp
@@ -5,16 +5,24 @@
 
 namespace sapphirepass {
 
-LoadExchange::LoadExchange(const Clock& clock, UpstreamSet& upstreams, Metrics& metrics)
+namespace {
+    constexpr double usualSpeed = 1;
+}
+
+LoadExchange::LoadExchange(const Clock& clock, UpstreamSet& upstreams, Metrics& metrics, Scope scope)
     : clock_(clock)
     , upstreams_(upstreams)
     , metrics_(metrics)
+    , scope_(scope)
 {
 }
 
 // Without the slowdown, peers place requests as before and have no use for the observation: it would only cost bytes.
-auto LoadExchange::record(const Observation& observation) -> void
+auto LoadExchange::record(const Observation& response) -> void
 {
+    auto observation = response;
+    if (!observation.load_.slowdown_ && scope_ == Scope::AllUpstreams)
+        observation.load_.slowdown_ = usualSpeed;
     if (!merge(observation, true) || !observation.load_.slowdown_)
         return;
     pending_.push_back({ observation, clock_.now() - observation.age_ });
@@ -71,10 +79,8 @@
     }
     const auto at = clock_.now() - observation.age_;
     upstreams_.recordSharedLoad(*upstream, observation.load_, at);
-    if (observation.object_ == 0 || observation.isRejection_)
-        return true;
     for (auto* listener : listeners_)
-        listener->onObservation(*upstream, observation.object_, at, isOwn);
+        listener->onObservation(*upstream, observation, at, isOwn);
     return true;
 }
 
--- a/src/gateway/upstreams/load_exchange.h
+++ b/src/gateway/upstreams/load_exchange.h
@@ -13,9 +13,8 @@
 class ObservationListener {
 public:
     virtual ~ObservationListener() = default;
-    // The upstream has run a request for the object; at is when the response arrived. Observations can be reported late, out
-    // of order and more than once.
-    virtual auto onObservation(const Upstream& upstream, std::uint64_t object, MonotonicTime at, bool isOwn) -> void = 0;
+    // at is when the response arrived. Observations can be reported late, out of order and more than once.
+    virtual auto onObservation(const Upstream& upstream, const Observation& observation, MonotonicTime at, bool isOwn) -> void = 0;
 };
 
 // An instance alone hears from an upstream too rarely to know its load. Own observations and those of peers are merged into
@@ -25,12 +24,16 @@
     // Bounds the size of a heartbeat.
     static constexpr std::size_t maxObservations = 32;
 
-    LoadExchange(const Clock& clock, UpstreamSet& upstreams, Metrics& metrics);
+    // Which upstreams are shared: those that report a slowdown, or all, with the usual speed for those that report none.
+    enum class Scope { ReportedSpeeds,
+        AllUpstreams };
+
+    LoadExchange(const Clock& clock, UpstreamSet& upstreams, Metrics& metrics, Scope scope = Scope::ReportedSpeeds);
 
     // The listener must outlive this object.
     auto addListener(ObservationListener& listener) -> void { listeners_.push_back(&listener); }
     // Records an observation from a response to this instance.
-    auto record(const Observation& observation) -> void;
+    auto record(const Observation& response) -> void;
     // Removes and returns the own observations since the last call, newest first, at most maxObservations.
     auto takeForHeartbeat() -> std::vector<Observation>;
     // Applies the observations in the heartbeat of a peer.
@@ -49,6 +52,7 @@
     const Clock& clock_;
     UpstreamSet& upstreams_;
     Metrics& metrics_;
+    Scope scope_;
     std::vector<ObservationListener*> listeners_;
     // Own observations for the next heartbeat, in the order of their arrival.
     std::deque<Pending> pending_;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -61,6 +61,11 @@
     // What a delegation adds to the header of a request.
     constexpr std::size_t maxDelegationBytes = 16 * 1024;
 
+    auto isExpectedEndAsked(const GatewaySettings& settings, const GatewayAdapter& adapter) -> bool
+    {
+        return settings.expectedEnd_ == "always" || (settings.expectedEnd_ == "auto" && adapter.asksForExpectedEnd_);
+    }
+
     auto asMetric(std::uint64_t value) -> std::int64_t { return static_cast<std::int64_t>(value); }
 }
 
@@ -146,7 +151,8 @@
     , pulse_(clock)
     , relayChoice_(fleet_, settings_.region_)
     , coldWatch_(clock, upstreams_, fleet_)
-    , placer_(clock, upstreams_, fleet_, settings_.region_)
+    , endEstimator_(clock, upstreams_)
+    , placer_(clock, upstreams_, fleet_, settings_.region_, settings_.domain_, settings_.expectedEnd_ == "never" ? nullptr : &endEstimator_)
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
     , upstreamLimits_(clock, alarms_, fleet_, upstreams_, *this, log_, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
@@ -156,12 +162,12 @@
     , linkProber_(loop, clock, links_)
     , delegates_(clock, fleet_, settings_.region_, upstreams_.regions())
     , pool_(
-          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { links_.recordConnect(upstream, startedAt, isConnected); })
+          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { onConnect(upstream, startedAt, isConnected); })
     , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , loadExchange_(clock, upstreams_, metrics_)
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_ }
+    , loadExchange_(clock, upstreams_, metrics_, isExpectedEndAsked(settings_, adapter_) ? LoadExchange::Scope::AllUpstreams : LoadExchange::Scope::ReportedSpeeds)
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -180,6 +186,7 @@
     , timer_(loop)
     , startedAt_(clock.now())
 {
+    loadExchange_.addListener(endEstimator_);
     beliefs_.onDeclaration([this] { onDeclaration(); });
 }
 
@@ -310,6 +317,7 @@
     ++ticks_;
     beliefs_.removeExpiredUpstreams();
     upstreamLimits_.removeExpired();
+    endEstimator_.removeExpired();
     beliefs_.releaseKeptEvacuations();
     fleet_.setSourceLost(beliefs_.outageDuration(Feed::Upstreams) > Duration::zero());
     if (context_.index_)
@@ -471,6 +479,13 @@
         upstreamLimits_.onGrant(std::get<LimitGrant>(datagram));
 }
 
+auto Gateway::onConnect(const Upstream& upstream, MonotonicTime startedAt, bool isConnected) -> void
+{
+    links_.recordConnect(upstream, startedAt, isConnected);
+    if (isConnected)
+        endEstimator_.recordConnect(upstream, clock_.now() - startedAt);
+}
+
 auto Gateway::onReport(const MemberReport& report) -> void
 {
     fleet_.updateMember(report);
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -32,6 +32,8 @@
     HeaderNames headers_;
     GatewayPaths paths_;
     std::unique_ptr<DiscoverySource> source_;
+    // Whether the deployment's features ask for placement by expected end, whatever its upstreams report.
+    bool asksForExpectedEnd_ = false;
 };
 
 class Gateway final : private RateAskSender, private LimitAskSender {
@@ -126,6 +128,7 @@
     auto answerNewcomer(const MemberReport& newcomer) -> void;
     auto ownReport() const -> MemberReport;
     auto onDatagram(std::string_view bytes, const SocketAddress& from) -> void;
+    auto onConnect(const Upstream& upstream, MonotonicTime startedAt, bool isConnected) -> void;
     auto onReport(const MemberReport& report) -> void;
     auto sendAsk(const Coordinator& keeper, const RateAsk& ask) -> void override;
     auto sendLimitAsk(const Coordinator& coordinator, const LimitAsk& ask) -> void override;
@@ -159,6 +162,7 @@
     SourceKeepalive pulse_;
     RelaySelector relayChoice_;
     ColdDetector coldWatch_;
+    EndEstimator endEstimator_;
     Placer placer_;
     RateLimiter rates_;
     UpstreamLimiter upstreamLimits_;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -26,6 +26,10 @@
         return first && (comma == std::string_view::npos || isSeedList(text.substr(comma + 1)));
     }
 
+    auto isExpectedEndMode(std::string_view text) -> bool { return text == "auto" || text == "always" || text == "never"; }
+
+    auto isAnyText(std::string_view) -> bool { return true; }
+
     constexpr std::array table {
         Row { "instance", textField<&Settings::name_, isName>("name", required, "a name, unique among the instances") },
         Row { "instance", textField<&Settings::region_, isName>("region", required, "the name of a region") },
@@ -38,6 +42,7 @@
         Row { "instance", valueField<&Settings::grace_>("grace", optional, shortTimeExpected, shortTime) },
         Row { "store", valueField<&Settings::store_>("address", required, addressExpected) },
         Row { "store", valueField<&Settings::storeTimeout_>("timeout", optional, shortTimeExpected, shortTime) },
+        Row { "deployment", textField<&Settings::features_, isAnyText>("features", optional, "names separated by commas; the platform's adapter reads them") },
         Row { "fleet", textField<&Settings::seeds_, isSeedList>("seeds", optional, "addresses IP:PORT separated by commas") },
         Row { "fleet", valueField<&Settings::silence_>("silence", optional, shortTimeExpected, shortTime) },
         Row { "fleet", valueField<&Settings::reserve_>("reserve", optional, shortTimeExpected, shortTime) },
@@ -50,6 +55,7 @@
         Row { "retries", valueField<&Settings::retrySlack_>("slack", optional, "retries, 0 to 1000000", Bounds { 0, 1'000'000 }) },
         Row { "retries", valueField<&Settings::retryWindow_>("window", optional, shortTimeExpected, shortTime) },
         Row { "memory", valueField<&Settings::memoryMb_>("process-mb", optional, "megabytes, 32 to 1000000", Bounds { 32, 1'000'000 }) },
+        Row { "placement", textField<&Settings::expectedEnd_, isExpectedEndMode>("expected-end", optional, "auto, always or never") },
         Row { "log", valueField<&Settings::logBytesPerSecond_>("bytes-per-second", optional, "bytes, 1024 to 10000000", Bounds { 1'024, 10'000'000 }) },
         Row { "log", valueField<&Settings::logSuccessSample_>("success-sample", optional, "one of so many, 1 to 1000000", Bounds { 1, 1'000'000 }) },
     };
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -42,6 +42,11 @@
     double retryRatio_ = 0.2;
     double retrySlack_ = 0;
     std::chrono::milliseconds retryWindow_ { 10'000 };
+    // Names of what the platform offers the deployment or asks of it, in the platform's words; its adapter reads them.
+    std::string features_;
+    // Whether requests are placed by their expected end. auto: where upstreams report how long work takes, or the deployment's
+    // features ask for it.
+    std::string expectedEnd_ = "auto";
     std::int64_t logBytesPerSecond_ = 24 * 1024;
     // One ordinary success of so many is logged.
     std::int64_t logSuccessSample_ = 100;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -159,6 +159,7 @@
     CrashTracker crashes_ { clock_, fleet_ };
     TrafficSplitter split_;
     ResponseTimes workTimes_;
+    EndEstimator estimator_ { advancing_, upstreams_ };
     standin::ScriptedCaller caller_;
     standin::KeptLog log_;
     LinkDetector links_ { advancing_, upstreams_ };
@@ -167,7 +168,7 @@
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
     LoadExchange exchange_ { clock_, upstreams_, metrics_ };
-    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_ };
+    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, estimator_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
--- a/tests/load_exchange_test.cpp
+++ b/tests/load_exchange_test.cpp
@@ -47,7 +47,11 @@
 
 class KeptRuns final : public ObservationListener {
 public:
-    auto onObservation(const Upstream& upstream, std::uint64_t object, MonotonicTime at, bool isOwn) -> void override { runs_.push_back({ upstream.entry_.id_, object, at, isOwn }); }
+    auto onObservation(const Upstream& upstream, const Observation& observation, MonotonicTime at, bool isOwn) -> void override
+    {
+        if (observation.object_ != 0 && !observation.isRejection_)
+            runs_.push_back({ upstream.entry_.id_, observation.object_, at, isOwn });
+    }
 
     std::vector<SeenRun> runs_;
 };
