--- /dev/null
+++ b/src/gateway/requests/run_quantiles.h
@@ -0,0 +1,39 @@
+// Quantiles of the run times of routes.
+#pragma once
+
+#include "base/clock.h"
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace sapphirepass {
+
+class RunQuantiles {
+public:
+    virtual ~RunQuantiles() = default;
+    virtual auto record(const std::string& route, Duration run) -> void = 0;
+    // Time that 95 of 100 recent runs of the route did not exceed; empty if too few runs are known.
+    virtual auto p95(const std::string& route) const -> std::optional<Duration> = 0;
+};
+
+// Keeps a histogram per route in which older runs weigh less.
+class DecayingRunQuantiles final : public RunQuantiles {
+public:
+    auto record(const std::string& route, Duration run) -> void override;
+    auto p95(const std::string& route) const -> std::optional<Duration> override;
+
+private:
+    static constexpr std::size_t bucketCount = 256;
+
+    struct Histogram {
+        std::array<float, bucketCount> weights_ {};
+        double total_ = 0;
+    };
+
+    std::map<std::string, Histogram> histograms_;
+};
+
+} // namespace sapphirepass
