Second attempts in RequestHandler, kept apart per attempt

The handler now sets a timer at the p95 of the route's runs, sends the request to another upstream if SecondAttemptPolicy allows it, and passes on the first success. AttemptsInFlight holds the attempts; the in-flight count, health, load, crash and link records are those of the attempt's own upstream. A failure waits for the other attempt; the failure of both ends as that of a single one. Requests whose placement has no estimate get no timer, so other deployments send as before.

Passing on a 5xx while the other attempt runs was ruled out, as a success may follow; a signed client error is final, as it is without a second attempt. The loser of a race is recorded as after a timeout, so that a frozen upstream is found although second attempts save its requests. Placer::place is virtual, for the placer with estimates and for tests.

--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -87,8 +87,11 @@
 public:
     // ownRegion is the region of this instance and of its callers.
     Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion);
+    virtual ~Placer() = default;
+    Placer(const Placer&) = delete;
+    auto operator=(const Placer&) -> Placer& = delete;
 
-    auto place(const PlacementQuery& query) -> PlacementResult;
+    virtual auto place(const PlacementQuery& query) -> PlacementResult;
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
     // Whether the request may still be sent to the upstream, some time after it was placed there.
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -80,6 +80,7 @@
     , delegation_(std::move(delegation))
     , index_(context.index_)
     , arrivedAt_(context.clock_.now())
+    , attempts_(context.upstreams_)
 {
 }
 
@@ -210,6 +211,7 @@
     if (route_->affinity_ && metadata_.object_)
         query_.object_ = stableHash(*metadata_.object_, stableHash(route_->name_));
     context_.retryLimiter_.countRequest(serviceName_);
+    context_.secondAttempts_.countRequest(serviceName_);
 }
 
 auto RequestHandler::prepareQuery() -> void
@@ -287,10 +289,10 @@
     auto request = std::make_shared<OutgoingRequest>(*forwarded_);
     request->set({ delegationHeader.data(), delegationHeader.size() }, encodeDelegation(delegation));
     delegate_ = peer.name_;
-    lastAttempt_.at_ = context_.clock_.now();
+    delegatedAt_ = context_.clock_.now();
     context_.delegateSelector_.recordSent(delegate_);
     const auto self = weak_from_this();
-    attempt_ = context_.delegateCaller_.call(peer, request, [self](AttemptOutcome outcome) {
+    delegateCall_ = context_.delegateCaller_.call(peer, request, [self](AttemptOutcome outcome) {
         if (const auto handler = self.lock())
             handler->onDelegateOutcome(std::move(outcome));
     });
@@ -302,7 +304,7 @@
 {
     if (isDone_)
         return;
-    releaseAttempt();
+    releaseAttempts();
     if (auto* response = std::get_if<UpstreamResponse>(&outcome)) {
         const auto decoded = decodeDelegationOutcome(view((*response)[{ delegationOutcomeHeader.data(), delegationOutcomeHeader.size() }]));
         if (isOk(decoded))
@@ -313,7 +315,7 @@
     const bool sent = error.kind_ != TransportErrorKind::NotSent;
     context_.delegateSelector_.recordResult(delegate_, DelegateResult::Failed);
     context_.metrics_.increment({ "gateway_requests_delegated_total", sent ? "outcome=\"lost\"" : "outcome=\"not-sent\"" });
-    context_.log_.write(EventId::DelegationLost, { { "request", metadata_.attempt_ }, { "peer", delegate_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - lastAttempt_.at_) } });
+    context_.log_.write(EventId::DelegationLost, { { "request", metadata_.attempt_ }, { "peer", delegate_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - delegatedAt_) } });
     if (sent) {
         mayHaveRun_ = true;
         return finishWithProblem(502, "delegate-lost", Executed::Unknown);
@@ -336,7 +338,7 @@
     mayHaveRun_ = true;
     // What the upstream says about itself binds this instance too, which passes it on.
     const auto upstream = context_.upstreams_.ofStart(outcome.upstream_, outcome.startTimeMs_);
-    context_.noticeRecorder_.record(*upstream, response, lastAttempt_.at_);
+    context_.noticeRecorder_.record(*upstream, response, delegatedAt_);
     recordLoad(*upstream, response);
     finish(forwardedResponse(std::move(response)), "answered-by-delegate");
 }
@@ -395,35 +397,108 @@
 auto RequestHandler::send(const Placement& placement) -> void
 {
     delegate_.clear();
-    lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_ };
+    sendAttempt(placement, false);
+    startSecondAttemptTimer(placement);
+}
+
+auto RequestHandler::sendAttempt(const Placement& placement, bool isSecond) -> void
+{
+    lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_, isSecond };
     auto request = std::make_shared<OutgoingRequest>(*forwarded_);
     addAttemptHeaders(*request, context_.headerNames_, placement.upstream_->entry_, timeLeft());
     context_.placer_.recordColdSend(*placement.upstream_, query_);
     context_.upstreams_.noteSent(*placement.upstream_, lastAttempt_.at_);
     ++sends_;
     const auto self = weak_from_this();
-    attempt_ = context_.upstreamCaller_.call(placement.upstream_, request, [self](AttemptOutcome outcome) {
+    attempts_.add(lastAttempt_, context_.upstreamCaller_.call(placement.upstream_, request, [self, isSecond](AttemptOutcome outcome) {
+        if (const auto handler = self.lock())
+            handler->onOutcome(isSecond, std::move(outcome));
+    }));
+}
+
+auto RequestHandler::startSecondAttemptTimer(const Placement& placement) -> void
+{
+    const bool mayGetOne = placement.isEstimated_ && secondAttempt_ == SecondAttemptState::None && !delegation_ && route_->repeat_ == RepeatRule::Idempotent && sends_ < route_->maxAttempts_;
+    const auto delay = mayGetOne ? context_.secondAttempts_.delay(route_->name_, timeLeft()) : std::nullopt;
+    if (!delay)
+        return;
+    const auto self = weak_from_this();
+    secondAttemptTimer_ = context_.timers_.after(*delay, [self] {
         if (const auto handler = self.lock())
-            handler->onOutcome(std::move(outcome));
+            handler->onSecondAttemptDue();
     });
 }
 
-auto RequestHandler::releaseAttempt() -> void
+auto RequestHandler::onSecondAttemptDue() -> void
 {
-    if (!attempt_)
+    if (isDone_ || attempts_.empty())
         return;
-    attempt_.reset();
-    if (delegate_.empty())
-        context_.upstreams_.noteEnded(*lastAttempt_.upstream_, lastAttempt_.at_);
-    else
-        context_.delegateSelector_.recordEnded(delegate_);
+    if (const auto refusal = trySecondAttempt())
+        context_.metrics_.increment({ "gateway_second_attempts_not_started_total", fmt::format("cause=\"{}\"", secondAttemptRefusalName(*refusal)) });
+}
+
+// The service is checked before an upstream is chosen, as placing a request counts it as demand.
+auto RequestHandler::trySecondAttempt() -> std::optional<SecondAttemptRefusal>
+{
+    if (const auto refusal = context_.secondAttempts_.refusal(serviceName_))
+        return refusal;
+    if (context_.crashTracker_.isBlocked(fingerprint_))
+        return SecondAttemptRefusal::Crashes;
+    const auto first = lastAttempt_;
+    auto query = query_;
+    query.tried_.push_back(first.upstream_->entry_.id_);
+    query.skipsLimited_ = true;
+    query.unreachableRegions_ = context_.linkDetector_.unreachableRegions(query.requestHash_);
+    query.maxQueueWait_ = std::chrono::duration_cast<Duration>(timeLeft() * maxWaitFraction);
+    const auto result = context_.placer_.place(query);
+    const auto* placement = std::get_if<Placement>(&result);
+    if (placement == nullptr)
+        return std::get<PlacementRefusal>(result) == PlacementRefusal::Full ? SecondAttemptRefusal::ShortOfCapacity : SecondAttemptRefusal::NoUpstream;
+    if (const auto refusal = context_.secondAttempts_.take(serviceName_, *placement, timeLeft()))
+        return refusal;
+    secondAttempt_ = SecondAttemptState::Running;
+    context_.metrics_.increment({ "gateway_second_attempts_started_total", {} });
+    context_.log_.write(EventId::SecondAttemptStarted, { { "request", metadata_.attempt_ }, { "first", first.upstream_->entry_.id_ }, { "upstream", placement->upstream_->entry_.id_ }, { "after_ms", milliseconds(context_.clock_.now() - first.at_) }, { "left_ms", milliseconds(timeLeft()) } });
+    sendAttempt(*placement, true);
+    return std::nullopt;
+}
+
+auto RequestHandler::awaitsOtherAttempt() -> bool
+{
+    if (lastAttempt_.isSecond_)
+        recordSecondAttempt(false);
+    return !attempts_.empty();
 }
 
-auto RequestHandler::onOutcome(AttemptOutcome outcome) -> void
+auto RequestHandler::recordSecondAttempt(bool isFirst) -> void
+{
+    if (secondAttempt_ != SecondAttemptState::Running)
+        return;
+    secondAttempt_ = SecondAttemptState::Ended;
+    context_.secondAttempts_.recordEnd(serviceName_, isFirst);
+    if (isFirst)
+        context_.metrics_.increment({ "gateway_second_attempts_won_total", {} });
+}
+
+auto RequestHandler::releaseAttempts() -> void
+{
+    secondAttemptTimer_.reset();
+    attempts_.releaseAll();
+    if (!delegateCall_)
+        return;
+    delegateCall_.reset();
+    context_.delegateSelector_.recordEnded(delegate_);
+}
+
+auto RequestHandler::onOutcome(bool isSecond, AttemptOutcome outcome) -> void
 {
     if (isDone_)
         return;
-    releaseAttempt();
+    const auto sent = attempts_.release(isSecond);
+    if (!sent)
+        return;
+    lastAttempt_ = *sent;
+    secondAttemptTimer_.reset();
     if (auto* response = std::get_if<UpstreamResponse>(&outcome))
         onResponse(std::move(*response));
     else
@@ -434,30 +509,38 @@
 {
     const bool sent = error.kind_ != TransportErrorKind::NotSent;
     context_.metrics_.increment({ "gateway_attempts_lost_total", fmt::format("sent=\"{}\",reason=\"{}\"", sent, error.reason_) });
-    const bool isLinkLoss = error.kind_ != TransportErrorKind::InvalidResponse && mayBeLinkLoss();
+    const bool isLinkLoss = error.kind_ != TransportErrorKind::InvalidResponse && mayBeLinkLoss(lastAttempt_);
     if (!isLinkLoss)
         context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, error.kind_ == TransportErrorKind::InvalidResponse ? AttemptHealth::Failed : AttemptHealth::Lost);
     context_.log_.write(EventId::AttemptLost, { { "request", metadata_.attempt_ }, { "upstream", lastAttempt_.upstream_->entry_.id_ }, { "sent", sent }, { "reason", error.reason_ }, { "after_ms", milliseconds(context_.clock_.now() - lastAttempt_.at_) } });
     if (error.kind_ == TransportErrorKind::InvalidResponse)
         context_.metrics_.increment({ "gateway_responses_invalid_total", fmt::format("reason=\"{}\"", error.reason_) });
     query_.tried_.push_back(lastAttempt_.upstream_->entry_.id_);
+    const bool awaitsOther = awaitsOtherAttempt();
     if (!sent) {
         --sends_;
-        if (++failedConnects_ < maxFailedConnects)
+        ++failedConnects_;
+        if (awaitsOther)
+            return;
+        // The other of two attempts may have been lost with its upstream, so that the request counts as one that crashes them.
+        const bool isBlocked = secondAttempt_ != SecondAttemptState::None && context_.crashTracker_.isBlocked(fingerprint_);
+        if (failedConnects_ < maxFailedConnects && !isBlocked)
             return tryUpstream();
         return finishWithProblem(mayHaveRun_ ? 502 : 503, "no-connection", mayHaveRun_ ? Executed::Unknown : Executed::No, minRetryAfter);
     }
     mayHaveRun_ = true;
     if (error.kind_ == TransportErrorKind::ConnectionLost && !isLinkLoss)
         context_.crashTracker_.recordLostConnection(fingerprint_, lastAttempt_.upstream_->entry_.id_);
+    if (awaitsOther)
+        return;
     if (mayRetry(true) && !context_.crashTracker_.isBlocked(fingerprint_))
         return tryUpstream();
     finishWithProblem(502, "upstream-lost", Executed::Unknown);
 }
 
-auto RequestHandler::mayBeLinkLoss() const -> bool
+auto RequestHandler::mayBeLinkLoss(const SentAttempt& sent) const -> bool
 {
-    return context_.linkDetector_.wasUnreachableSince(lastAttempt_.upstream_->region_, lastAttempt_.at_);
+    return context_.linkDetector_.wasUnreachableSince(sent.upstream_->region_, sent.at_);
 }
 
 auto RequestHandler::isSignedResponse(const UpstreamResponse& response) const -> bool
@@ -481,6 +564,9 @@
         context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, AttemptHealth::Answered);
         const auto work = context_.clock_.now() - lastAttempt_.at_;
         context_.responseTimes_.record(route_->name_, work);
+        // Second attempts of long runs are cancelled, so that their run times would make runs look shorter than they are.
+        if (!lastAttempt_.isSecond_)
+            context_.secondAttempts_.recordRun(route_->name_, work);
         context_.metrics_.observe({ "gateway_upstream_seconds", {} }, inSeconds(work));
         return finish(forwardedResponse(std::move(response)), "answered");
     }
@@ -504,6 +590,8 @@
     context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, response.result_int() == 421 ? AttemptHealth::WrongUpstream : AttemptHealth::Shed);
     context_.log_.write(EventId::AttemptNotRun, { { "request", metadata_.attempt_ }, { "upstream", lastAttempt_.upstream_->entry_.id_ }, { "status", response.result_int() }, { "occupied", lastAttempt_.occupied_ } });
     query_.tried_.push_back(lastAttempt_.upstream_->entry_.id_);
+    if (awaitsOtherAttempt())
+        return;
     if (mayRetry(false))
         return tryUpstream();
     finishWithProblem(mayHaveRun_ ? 502 : 503, "upstream-full", mayHaveRun_ ? Executed::Unknown : Executed::No, std::max<Duration>(minRetryAfter, query_.typicalResponseTime_));
@@ -515,15 +603,19 @@
     const auto status = response.result_int();
     const bool serverError = status / 100 == 5;
     const bool unsigned2xx = status / 100 == 2;
+    // To the caller, these statuses mean that the request has not run, which the upstream has not confirmed.
+    const bool claimsNotRun = status == 503 || status == 429 || status == 408;
     context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, serverError || unsigned2xx ? AttemptHealth::Failed : AttemptHealth::Answered);
     context_.log_.write(EventId::AttemptFailed, { { "request", metadata_.attempt_ }, { "upstream", lastAttempt_.upstream_->entry_.id_ }, { "status", status } });
     query_.tried_.push_back(lastAttempt_.upstream_->entry_.id_);
+    // Another upstream would return the same client error, so its response is not waited for.
+    if ((serverError || unsigned2xx || claimsNotRun) && awaitsOtherAttempt())
+        return;
     if ((serverError || unsigned2xx) && mayRetry(true))
         return tryUpstream();
     if (unsigned2xx)
         return finishWithProblem(502, "answer-unsigned", Executed::Unknown);
-    // To the caller, these statuses mean that the request has not run, which the upstream has not confirmed.
-    if (status == 503 || status == 429 || status == 408)
+    if (claimsNotRun)
         return finishWithProblem(502, "upstream-failed", Executed::Unknown);
     finish(forwardedResponse(std::move(response)), "upstream-failed");
 }
@@ -564,10 +656,9 @@
 {
     if (isDone_)
         return;
-    const bool ran = mayHaveRun_ || attempt_ != nullptr;
-    if (attempt_ && !delegate_.empty())
+    const bool ran = mayHaveRun_ || delegateCall_ != nullptr || !attempts_.empty();
+    if (delegateCall_)
         context_.delegateSelector_.recordResult(delegate_, DelegateResult::Failed);
-    recordUnanswered();
     finishWithProblem(ran ? 504 : 503, "timeout", ran ? Executed::Unknown : Executed::No);
 }
 
@@ -577,7 +668,7 @@
         return;
     isDone_ = true;
     recordUnanswered();
-    releaseAttempt();
+    releaseAttempts();
     deadline_.reset();
     recordEnd(0, "caller-left");
 }
@@ -585,13 +676,15 @@
 // An upstream that has not responded to any request since this one was sent is unreachable rather than slow.
 auto RequestHandler::recordUnanswered() -> void
 {
-    if (!attempt_ || !delegate_.empty() || mayBeLinkLoss())
-        return;
-    const auto waited = context_.clock_.now() - lastAttempt_.at_;
-    if (waited < query_.typicalResponseTime_ * unansweredFactor)
-        return;
-    const bool isSilent = lastAttempt_.upstream_->loadAt_ < lastAttempt_.at_;
-    context_.upstreams_.noteAttempt(*lastAttempt_.upstream_, isSilent ? AttemptHealth::Lost : AttemptHealth::Failed);
+    for (const auto& sent : attempts_.sent()) {
+        const auto waited = context_.clock_.now() - sent.at_;
+        if (!sent.isSecond_)
+            context_.secondAttempts_.recordAbandonedRun(route_->name_, waited);
+        if (waited < query_.typicalResponseTime_ * unansweredFactor || mayBeLinkLoss(sent))
+            continue;
+        const bool isSilent = sent.upstream_->loadAt_ < sent.at_;
+        context_.upstreams_.noteAttempt(*sent.upstream_, isSilent ? AttemptHealth::Lost : AttemptHealth::Failed);
+    }
 }
 
 auto RequestHandler::finishWithProblem(unsigned status, std::string_view reason, Executed executed, std::optional<Duration> retryAfter) -> void
@@ -605,7 +698,9 @@
 auto RequestHandler::finish(UpstreamResponse response, std::string_view reason) -> void
 {
     isDone_ = true;
-    releaseAttempt();
+    recordSecondAttempt(lastAttempt_.isSecond_ && !ownVerdict_);
+    recordUnanswered();
+    releaseAttempts();
     deadline_.reset();
     recordEnd(response.result_int(), reason);
     if (delegation_) {
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -10,9 +10,11 @@
 #include "gateway/limits/rate_limiter.h"
 #include "gateway/limits/upstream_limiter.h"
 #include "gateway/placement/placement.h"
+#include "gateway/requests/attempts_in_flight.h"
 #include "gateway/requests/decision_log.h"
 #include "gateway/requests/forwarding.h"
 #include "gateway/requests/problem_response.h"
+#include "gateway/requests/second_attempt.h"
 #include "gateway/requests/timer_service.h"
 #include "gateway/requests/traffic_splitter.h"
 #include "gateway/requests/upstream_caller.h"
@@ -46,6 +48,7 @@
     NoticeRecorder& noticeRecorder_;
     DecisionLog& log_;
     Metrics& metrics_;
+    SecondAttemptPolicy& secondAttempts_;
 };
 
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
@@ -56,16 +59,15 @@
     RequestHandler(RequestContext& context, OutgoingRequest request, ResponseCallback respond, std::optional<Delegation> delegation = std::nullopt);
 
     auto start() -> void;
-    // The caller has disconnected: ends the attempt; nothing more is sent.
+    // The caller has disconnected: ends all attempts; nothing more is sent.
     auto cancel() -> void;
 
 private:
-    struct SentAttempt {
-        UpstreamPtr upstream_;
-        MonotonicTime at_ {};
-        int rank_ = 0;
-        int occupied_ = 0;
-        std::size_t ownerCount_ = 0;
+    enum class SecondAttemptState {
+        None,
+        Running,
+        // Ended, or the request has.
+        Ended,
     };
 
     auto startDelegated() -> void;
@@ -96,7 +98,17 @@
     auto sendWithinLimit(const Placement& placement) -> void;
     auto onLimitVerdict(const Placement& placement, const RateVerdict& verdict) -> void;
     auto send(const Placement& placement) -> void;
-    auto onOutcome(AttemptOutcome outcome) -> void;
+    auto sendAttempt(const Placement& placement, bool isSecond) -> void;
+    // Sets when a second attempt is due, if the request may get one.
+    auto startSecondAttemptTimer(const Placement& placement) -> void;
+    auto onSecondAttemptDue() -> void;
+    // Sends the second attempt, or returns why it is not sent.
+    auto trySecondAttempt() -> std::optional<SecondAttemptRefusal>;
+    // After a failure of the last attempt: whether the other one still runs, so that its outcome decides.
+    auto awaitsOtherAttempt() -> bool;
+    // Records whether the second attempt, if there was one, was the first to end with a response that counts.
+    auto recordSecondAttempt(bool isFirst) -> void;
+    auto onOutcome(bool isSecond, AttemptOutcome outcome) -> void;
     auto onTransportError(const TransportError& error) -> void;
     auto onResponse(UpstreamResponse response) -> void;
     auto onNotRun(const UpstreamResponse& response) -> void;
@@ -112,13 +124,13 @@
     auto finish(UpstreamResponse response, std::string_view reason) -> void;
     auto recordEnd(unsigned status, std::string_view reason) -> void;
     auto timeLeft() const -> Duration { return endsAt_ - context_.clock_.now(); }
-    auto releaseAttempt() -> void;
+    auto releaseAttempts() -> void;
     // Keeps why no upstream of the service was a candidate, for the log and the metrics.
     auto recordExclusions() -> void;
-    // Updates the health of an upstream whose response is no longer awaited.
+    // Updates what is known of the upstreams whose responses are no longer awaited.
     auto recordUnanswered() -> void;
-    // Whether the last attempt may have failed because this instance had lost its links.
-    auto mayBeLinkLoss() const -> bool;
+    // Whether the attempt may have failed because this instance had lost its links.
+    auto mayBeLinkLoss(const SentAttempt& sent) const -> bool;
 
     RequestContext& context_;
     OutgoingRequest request_;
@@ -153,9 +165,14 @@
     std::optional<Executed> ownVerdict_;
     bool mayHaveRun_ = false;
     bool isDone_ = false;
+    // The attempt whose outcome came last, or that was sent last if there was no outcome.
     SentAttempt lastAttempt_;
-    std::unique_ptr<Attempt> attempt_;
+    AttemptsInFlight attempts_;
+    MonotonicTime delegatedAt_ {};
+    std::unique_ptr<Attempt> delegateCall_;
     std::unique_ptr<PendingTimer> deadline_;
+    std::unique_ptr<PendingTimer> secondAttemptTimer_;
+    SecondAttemptState secondAttempt_ = SecondAttemptState::None;
 };
 
 } // namespace sapphirepass
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -151,6 +151,7 @@
     , upstreamLimits_(clock, alarms_, fleet_, upstreams_, *this, log_, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
+    , secondAttempts_(clock, retries_, runQuantiles_)
     , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
     , links_(clock, upstreams_, [this](const LinkChange& change) { onLinkChange(change); })
     , linkProber_(loop, clock, links_)
@@ -160,7 +161,7 @@
     , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_ }
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_, secondAttempts_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -165,6 +165,8 @@
     CrashTracker crashes_;
     TrafficSplitter split_;
     ResponseTimes workTimes_;
+    DecayingRunQuantiles runQuantiles_;
+    SecondAttemptPolicy secondAttempts_;
     NoticeRecorder notices_;
     LinkDetector links_;
     LinkProber linkProber_;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -159,6 +159,8 @@
     CrashTracker crashes_ { clock_, fleet_ };
     TrafficSplitter split_;
     ResponseTimes workTimes_;
+    DecayingRunQuantiles runQuantiles_;
+    SecondAttemptPolicy secondAttempts_ { clock_, retries_, runQuantiles_ };
     standin::ScriptedCaller caller_;
     standin::KeptLog log_;
     LinkDetector links_ { advancing_, upstreams_ };
@@ -166,7 +168,7 @@
     standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_ };
+    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_, secondAttempts_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -82,6 +82,8 @@
     CrashTracker crashes_;
     TrafficSplitter split_;
     ResponseTimes times_;
+    DecayingRunQuantiles runQuantiles_;
+    SecondAttemptPolicy secondAttempts_;
     LinkDetector links_;
     DelegateSelector selector_;
     NoticeRecorder notices_;
@@ -223,13 +225,14 @@
     , rates_(fleet.clock_, fleet.alarms_, view_, *this, { 5s, 0.1, 20 }, number)
     , retries_(fleet.clock_, view_, { 0.2, 64, 10s })
     , crashes_(fleet.clock_, view_)
+    , secondAttempts_(fleet.clock_, retries_, runQuantiles_)
     , links_(fleet.clock_, upstreams_, [this](const LinkChange& change) {
         if (change.state_ == LinkState::Unreachable)
             upstreams_.revertLosses(change.region_, change.since_);
     })
     , selector_(fleet.clock_, view_, region_, upstreams_.regions())
     , notices_(upstreams_, names, log_)
-    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, times_, *this, links_, selector_, *this, notices_, log_, metrics_ }
+    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, times_, *this, links_, selector_, *this, notices_, log_, metrics_, secondAttempts_ }
 {
     view_.setReady(true);
     upstreams_.setColdDuration("core", 3s);
