--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -157,6 +157,7 @@
     , upstreamLimits_(clock, alarms_, fleet_, upstreams_, *this, log_, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
+    , secondAttempts_(clock, retries_, runQuantiles_)
     , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
     , links_(clock, upstreams_, [this](const LinkChange& change) { onLinkChange(change); })
     , linkProber_(loop, clock, links_)
@@ -167,7 +168,7 @@
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , loadExchange_(clock, upstreams_, metrics_, isExpectedEndAsked(settings_, adapter_) ? LoadExchange::Scope::AllUpstreams : LoadExchange::Scope::ReportedSpeeds)
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_ }
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, secondAttempts_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
