--- a/src/gateway/limits/room_gate.cpp
+++ b/src/gateway/limits/room_gate.cpp
@@ -21,14 +21,14 @@
     // Shortage begins above the first and ends below the second. At higher ones, run times that vary make requests late that are
     // on time at 0.9 of capacity.
     constexpr double highPressure = 0.06;
-    constexpr double lowPressure = 0.015;
+    constexpr double lowPressure = 0.02;
     // Change of the refused share per unit of pressure: at once when the pressure changes, and per second while it is too high
     // or too low. Larger ones make the share swing, as pressure follows it with the delay of the mean.
     constexpr double proportionalGain = 0.4;
     constexpr double integralGain = 0.5;
     // Decrease of the refused share per second, growing by the first for each second that the pressure stays too low, up to the
     // second. A fast decrease at once makes the waits swing under a shortage that lasts.
-    constexpr double recoveryGrowth = 0.03;
+    constexpr double recoveryGrowth = 0.06;
     constexpr double maxRecovery = 0.3;
     constexpr double maxStep = 0.06;
     constexpr double maxRefusedShare = 0.9;
@@ -370,7 +370,7 @@
     if (pressure > highPressure)
         step = integralGain * (pressure - highPressure) * elapsedSeconds;
     else if (pressure < lowPressure)
-        step = -std::min(recoveryGrowth * inSeconds(now - service.pressedAt_), maxRecovery) * (1 - pressure / lowPressure) * elapsedSeconds;
+        step = -std::min(recoveryGrowth * inSeconds(now - service.pressedAt_), maxRecovery) * elapsedSeconds;
     if (pressure >= lowPressure)
         service.pressedAt_ = now;
     if (service.refusedShare_ > 0 || pressure > highPressure)
