--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -152,9 +152,9 @@
     EventDescription { EventId::AttemptFailed, LogLevel::Warning, "attempt-failed", "An upstream returned an error, or a response without its valid signature." },
     EventDescription { EventId::DelegationLost, LogLevel::Warning, "delegation-lost", "A peer that was to handle a request gave no response; the line says whether the request had been sent." },
     EventDescription { EventId::DelegationRefused, LogLevel::Warning, "delegation-refused", "A peer did not run a delegated request; another peer is asked, or the request is refused." },
+    EventDescription { EventId::DelegationInvalid, LogLevel::Warning, "delegation-invalid", "A request to the delegation address could not be read, or came from no known instance; it is refused and has not run." },
     EventDescription { EventId::LoadReportInvalid, LogLevel::Warning, "load-report-invalid", "An upstream reported a load with a figure that cannot be read or is out of range; that figure decides nothing. Logged once for each start of an upstream." },
     EventDescription { EventId::RoomThresholdChanged, LogLevel::Info, "room-threshold-changed", "This instance starts or stops refusing requests of a priority for a service, as its upstreams have too little room or enough again; the line has the priority and the fraction that is admitted." },
-    EventDescription { EventId::DelegationInvalid, LogLevel::Warning, "delegation-invalid", "A request to the delegation address could not be read, or came from no known instance; it is refused and has not run." },
     EventDescription { EventId::RequestAnswered, LogLevel::Info, "request-answered", "A request succeeded; only a sample of these, chosen by request id, is logged." },
     EventDescription { EventId::RequestEnded, LogLevel::Warning, "request-ended", "A request was refused, failed, or was abandoned by its caller; the line has the reason and the state it was based on." },
 };
