--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -6,6 +6,7 @@
 #include "gateway/feeds/discovery_source.h"
 #include "gateway/limits/limit_notice.h"
 #include "gateway/upstreams/observation.h"
+#include "gateway/limits/room_use.h"
 
 #include <array>
 #include <compare>
@@ -72,6 +73,10 @@
     std::vector<std::uint64_t> silentMembers_;
     // Newest first; for instances of the sender's region only.
     std::vector<Observation> observations_;
+    // Requests at the sender since its last heartbeat to the region, by service.
+    std::vector<RoomUse> roomUse_;
+    // Number of entries of roomUse_ that could not be taken over.
+    std::uint32_t invalidRoomUses_ = 0;
 
     auto operator<=>(const MemberReport&) const = default;
 };
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -167,8 +167,9 @@
     , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
+    , roomGate_(clock, log_, metrics_, incarnation_)
     , loadExchange_(clock, upstreams_, metrics_, isExpectedEndAsked(settings_, adapter_) ? LoadExchange::Scope::AllUpstreams : LoadExchange::Scope::ReportedSpeeds)
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, secondAttempts_ }
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, secondAttempts_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -325,6 +326,7 @@
         coldProber_.tick(*context_.index_);
     links_.update();
     linkProber_.tick();
+    roomGate_.update();
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.removeSilent();
         rates_.refillShared();
@@ -401,6 +403,7 @@
         gossipPeers();
     // Taken even if there is nobody to send them to: by the next heartbeat they are old.
     auto observations = loadExchange_.takeForHeartbeat();
+    auto roomUse = roomGate_.takeForHeartbeat();
     if (fleet_.memberCount() == 1)
         return datagrams_.send(encodeDatagram(report), seedPeers());
     if (reach == Reach::All)
@@ -408,6 +411,7 @@
     // Bytes to other regions are priced, and their instances send few requests to the upstreams of this one.
     const auto nearPeers = fleet_.peerAddressesNear(settings_.region_);
     report.observations_ = std::move(observations);
+    report.roomUse_ = std::move(roomUse);
     if (!nearPeers.empty() && !report.observations_.empty())
         metrics_.increment({ "gateway_observations_sent_total", {} }, static_cast<std::int64_t>(report.observations_.size()));
     datagrams_.send(encodeDatagram(report), nearPeers);
@@ -493,6 +497,8 @@
     coldWatch_.applyNotices(report.coldNotices_);
     upstreamLimits_.applyNotices(report.limitNotices_);
     loadExchange_.apply(report.observations_);
+    if (report.region_ == settings_.region_ && report.name_ != settings_.name_)
+        roomGate_.apply(report);
     if (!report.knownPeers_.empty())
         beliefs_.peerListReceived();
     if (report.wantsPeers_)
@@ -511,6 +517,7 @@
 {
     context_.index_ = beliefs_.index();
     rates_.setLimits(beliefs_.index()->declaration().workspaces_);
+    roomGate_.setWorkspaces(beliefs_.index()->declaration().workspaces_);
 }
 
 // A watch whose answer was lost on a connection that stays open would else keep its feed behind until its time limit.
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -40,6 +40,21 @@
   isRejection @7 :Bool;
 }
 
+# See src/gateway/limits/room_use.h.
+struct WorkspaceUse {
+  workspace @0 :UInt64;
+  priority @1 :UInt8;
+  offered @2 :UInt32;
+}
+
+struct RoomUse {
+  service @0 :Text;
+  # By priority, from 0.
+  offered @1 :List(UInt32);
+  admitted @2 :List(UInt32);
+  workspaces @3 :List(WorkspaceUse);
+}
+
 struct Heartbeat {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -68,6 +83,8 @@
   silentMembers @19 :List(UInt64);
   # Newest first; empty from instances that share none, and to other regions.
   observations @20 :List(Observation);
+  # Requests since the last heartbeat to the region, by service; empty from instances that know no admission by room.
+  roomUse @21 :List(RoomUse);
 }
 
 struct RateAsk {
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -169,8 +169,9 @@
     standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
+    RoomGate roomGate_ { clock_, log_, metrics_, 1 };
     LoadExchange exchange_ { clock_, upstreams_, metrics_ };
-    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, estimator_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_, secondAttempts_ };
+    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, workTimes_, estimator_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_, secondAttempts_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -90,6 +90,7 @@
     NoticeRecorder notices_;
     Metrics metrics_;
     LoadExchange exchange_;
+    RoomGate roomGate_;
     RequestContext context_;
 };
 
@@ -235,8 +236,9 @@
     })
     , selector_(fleet.clock_, view_, region_, upstreams_.regions())
     , notices_(upstreams_, names, log_)
+    , roomGate_(fleet.clock_, log_, metrics_, number)
     , exchange_(fleet.clock_, upstreams_, metrics_)
-    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, times_, estimator_, *this, links_, selector_, *this, notices_, exchange_, log_, metrics_, secondAttempts_ }
+    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, times_, estimator_, *this, links_, selector_, *this, notices_, exchange_, log_, metrics_, secondAttempts_ }
 {
     view_.setReady(true);
     upstreams_.setColdDuration("core", 3s);
