--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -5,8 +5,8 @@
 #include "base/socket_address.h"
 #include "gateway/feeds/discovery_source.h"
 #include "gateway/limits/limit_notice.h"
-#include "gateway/upstreams/observation.h"
 #include "gateway/limits/room_use.h"
+#include "gateway/upstreams/observation.h"
 
 #include <array>
 #include <compare>
--- a/tests/second_attempt_test.cpp
+++ b/tests/second_attempt_test.cpp
@@ -204,7 +204,10 @@
     standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { clock_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, responseTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_, policy_ };
+    LoadExchange exchange_ { clock_, upstreams_, metrics_ };
+    EndEstimator estimator_ { clock_, upstreams_ };
+    RoomGate roomGate_ { clock_, log_, metrics_, 1 };
+    RequestContext context_ { clock_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, responseTimes_, estimator_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_, policy_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -236,8 +236,8 @@
     })
     , selector_(fleet.clock_, view_, region_, upstreams_.regions())
     , notices_(upstreams_, names, log_)
-    , roomGate_(fleet.clock_, log_, metrics_, number)
     , exchange_(fleet.clock_, upstreams_, metrics_)
+    , roomGate_(fleet.clock_, log_, metrics_, number)
     , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, times_, estimator_, *this, links_, selector_, *this, notices_, exchange_, log_, metrics_, secondAttempts_ }
 {
     view_.setReady(true);
