--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -248,7 +248,7 @@
 // admission when it is placed again, and one of a peer was admitted there.
 auto RequestHandler::checkRoom(const Placement& placement) -> bool
 {
-    if (!placement.isEstimated_ || delegation_ || std::exchange(isRoomChecked_, true))
+    if (!context_.admitsByRoom_ || !placement.isEstimated_ || delegation_ || std::exchange(isRoomChecked_, true))
         return true;
     const auto verdict = context_.roomGate_.admit({ serviceName_, workspaceName(), query_.priority_, query_.latencyTarget_, timeLeft(), placement.expectedWait_, placement.expectedRun_ });
     if (verdict.isAdmitted())
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -54,6 +54,8 @@
     DecisionLog& log_;
     Metrics& metrics_;
     SecondAttemptPolicy& secondAttempts_;
+    // Whether the room gate is asked.
+    bool admitsByRoom_ = false;
 };
 
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -169,7 +169,7 @@
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , loadExchange_(clock, upstreams_, metrics_, isExpectedEndAsked(settings_, adapter_) ? LoadExchange::Scope::AllUpstreams : LoadExchange::Scope::ReportedSpeeds)
     , roomGate_(clock, log_, metrics_, incarnation_)
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, secondAttempts_ }
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, secondAttempts_, settings_.admissionByRoom_ == "on" }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
