Memory: one budget for bodies, arriving and waiting responses

Cause: ResponseBudget bounds responses only while they arrive. Bodies of requests and responses that wait for slow callers are counted nowhere, nor are the bytes of bodies that an upstream holds.

Change: MemoryBudget counts the three kinds, lets large bodies wait for a bounded time or refuses them, and names the callers to cut. ResponseBudget keeps its own rule and counts in it.

Ruled out: counting bodies and responses as they arrive.

--- a/src/gateway/requests/response_budget.h
+++ b/src/gateway/requests/response_budget.h
@@ -1,8 +1,11 @@
 // Bounds the memory that responses of upstreams take while they arrive.
 #pragma once
 
+#include "gateway/requests/memory_budget.h"
+
 #include <compare>
 #include <cstddef>
+#include <optional>
 
 namespace sapphirepass {
 
@@ -19,8 +22,10 @@
 // there is always room for a small one (dynamic thresholds; Choudhury and Hahne, 1998).
 class ResponseBudget {
 public:
-    explicit ResponseBudget(ResponseBounds bounds)
+    // Responses count in the memory too, if there is one, and are read only while it has room.
+    explicit ResponseBudget(ResponseBounds bounds, MemoryBudget* memory = nullptr)
         : bounds_(bounds)
+        , memory_(memory)
     {
     }
 
@@ -32,6 +37,7 @@
     friend class ResponseHold;
 
     ResponseBounds bounds_;
+    MemoryBudget* memory_;
     std::size_t held_ = 0;
 };
 
@@ -41,6 +47,8 @@
     explicit ResponseHold(ResponseBudget& budget)
         : budget_(budget)
     {
+        if (budget.memory_ != nullptr)
+            counted_.emplace(*budget.memory_, MemoryKind::ArrivingResponse);
     }
     ~ResponseHold() { release(); }
     ResponseHold(const ResponseHold&) = delete;
@@ -48,11 +56,24 @@
 
     // Sets the bytes held. False if they are too many: the response must then be given up.
     auto set(std::size_t bytes) -> bool;
-    auto release() -> void { static_cast<void>(set(0)); }
+    // Whether the memory has room for more of the response now. A large response with a stated length is then counted whole.
+    auto mayReadOn(std::size_t statedBytes) -> bool;
+    // Does not refer to the budget if nothing is held: a connection may outlive its pool.
+    auto release() -> void
+    {
+        reserved_ = 0;
+        if (counted_)
+            counted_->set(0);
+        if (bytes_ > 0)
+            static_cast<void>(set(0));
+    }
 
 private:
     ResponseBudget& budget_;
+    std::optional<MemoryHold> counted_;
     std::size_t bytes_ = 0;
+    // Stated bytes of the response that the memory has room for.
+    std::size_t reserved_ = 0;
 };
 
 } // namespace sapphirepass
