Gateway: connections ask the memory budget; large bodies bounded by upstream

Cause: uploads and responses for slow callers took memory without bound, and an upstream got bodies regardless of what it had. The kernel moreover took megabytes of a response that nobody read (3.9 MB on loopback, measured) and ended connections to readers that paused 3.5 s (TCP_USER_TIMEOUT of 3 s), so the write limit of 30 s was never reached.

Change: connections ask before they read a large body, count what they hand over, and see progress from acknowledged bytes; the write limit counts from the last progress. Unsent bytes in the kernel are bounded and its patience is 35 s from the start of a large response. Responses that find no room are not read on; a timeout then says nothing about the upstream. A refused upload is discarded for 2 s so that the 503 arrives. A request holds one copy of its body instead of three. Placement excludes upstreams at their body limit. Listeners close their connections when they end, before the budget does.

Ruled out: cutting by time since the response began, which cuts steady readers; closing at once after a refusal, which resets the connection.

--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -85,6 +85,8 @@
         return "stalled";
     case Exclusion::Unreachable:
         return "unreachable";
+    case Exclusion::BodyLimit:
+        return "body-limit";
     }
     return "";
 }
@@ -124,6 +126,8 @@
         return Exclusion::Cold;
     if (isStalled(upstream, query))
         return Exclusion::Stalled;
+    if (query.bodyLimiter_ != nullptr && !query.bodyLimiter_->mayTakeBody(upstream, query.bodyBytes_))
+        return Exclusion::BodyLimit;
     return std::nullopt;
 }
 
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/fleet/fleet_view.h"
+#include "gateway/limits/body_limiter.h"
 #include "gateway/placement/object_demand.h"
 #include "gateway/placement/region_shares.h"
 #include "gateway/upstreams/upstream_set.h"
@@ -32,6 +33,9 @@
     std::set<std::string> unreachableRegions_;
     // No upstream that names a limit is considered.
     bool skipsLimited_ = false;
+    // Bytes of the body, and what bounds those that an upstream has at a time; null for no bound.
+    std::size_t bodyBytes_ = 0;
+    const BodyLimiter* bodyLimiter_ = nullptr;
     // Requests per second that a cold upstream can take; 0 for no limit.
     double coldPerSecond_ = 0;
     Duration typicalResponseTime_ {};
@@ -79,6 +83,8 @@
     Stalled,
     // In a region that this instance does not reach.
     Unreachable,
+    // The body and those outstanding there exceed the bytes that it is given at a time.
+    BodyLimit,
 };
 
 auto exclusionName(Exclusion exclusion) -> std::string_view;
--- a/src/gateway/requests/forwarding.cpp
+++ b/src/gateway/requests/forwarding.cpp
@@ -87,9 +87,9 @@
     return metadata;
 }
 
-auto forwardedRequest(const OutgoingRequest& request, const HeaderNames& names, const std::string& workspace) -> OutgoingRequest
+auto forwardedRequest(OutgoingRequest request, const HeaderNames& names, const std::string& workspace) -> OutgoingRequest
 {
-    OutgoingRequest forwarded = request;
+    auto forwarded = std::move(request);
     forwarded.version(11);
     removeHopByHopHeaders(forwarded);
     forwarded.erase(http::field::authorization);
--- a/src/gateway/requests/forwarding.h
+++ b/src/gateway/requests/forwarding.h
@@ -23,7 +23,7 @@
 auto readMetadata(const OutgoingRequest& request, const HeaderNames& names) -> RequestMetadata;
 
 // The caller's request without its key and hop-by-hop headers.
-auto forwardedRequest(const OutgoingRequest& request, const HeaderNames& names, const std::string& workspace) -> OutgoingRequest;
+auto forwardedRequest(OutgoingRequest request, const HeaderNames& names, const std::string& workspace) -> OutgoingRequest;
 auto addAttemptHeaders(OutgoingRequest& request, const HeaderNames& names, const UpstreamEntry& upstream, Duration timeLeft) -> void;
 // The upstream's response without hop-by-hop headers.
 auto forwardedResponse(UpstreamResponse response) -> UpstreamResponse;
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -223,7 +223,9 @@
     query_.latencyTarget_ = route_->latencyTarget_;
     query_.priority_ = effectivePriority(*route_, workspace_);
     query_.typicalResponseTime_ = context_.responseTimes_.typical(route_->name_, route_->latencyTarget_ * initialTargetFactor);
-    forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.headerNames_, workspaceName()));
+    query_.bodyBytes_ = request_.body().size();
+    query_.bodyLimiter_ = &context_.bodyLimiter_;
+    forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(std::move(request_), context_.headerNames_, workspaceName()));
 }
 
 auto RequestHandler::tryUpstream() -> void
@@ -284,7 +286,9 @@
 auto RequestHandler::delegateTo(const MemberReport& peer) -> void
 {
     const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, timeLeft() - delegationMargin, route_->latencyTarget_, query_.object_, query_.priority_ };
-    auto request = std::make_shared<OutgoingRequest>(*forwarded_);
+    auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
+    request->body() = takeBody();
+    sent_ = request;
     request->set({ delegationHeader.data(), delegationHeader.size() }, encodeDelegation(delegation));
     delegate_ = peer.name_;
     lastAttempt_.at_ = context_.clock_.now();
@@ -396,10 +400,13 @@
 {
     delegate_.clear();
     lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_ };
-    auto request = std::make_shared<OutgoingRequest>(*forwarded_);
+    auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
+    request->body() = takeBody();
+    sent_ = request;
     addAttemptHeaders(*request, context_.headerNames_, placement.upstream_->entry_, timeLeft());
     context_.placer_.recordColdSend(*placement.upstream_, query_);
     context_.upstreams_.noteSent(*placement.upstream_, lastAttempt_.at_);
+    context_.bodyLimiter_.recordSent(*placement.upstream_, query_.bodyBytes_);
     ++sends_;
     const auto self = weak_from_this();
     attempt_ = context_.upstreamCaller_.call(placement.upstream_, request, [self](AttemptOutcome outcome) {
@@ -408,14 +415,20 @@
     });
 }
 
+auto RequestHandler::takeBody() -> std::string
+{
+    return sent_ ? sent_->body() : std::move(forwarded_->body());
+}
+
 auto RequestHandler::releaseAttempt() -> void
 {
     if (!attempt_)
         return;
     attempt_.reset();
-    if (delegate_.empty())
+    if (delegate_.empty()) {
         context_.upstreams_.noteEnded(*lastAttempt_.upstream_, lastAttempt_.at_);
-    else
+        context_.bodyLimiter_.recordEnded(*lastAttempt_.upstream_, query_.bodyBytes_);
+    } else
         context_.delegateSelector_.recordEnded(delegate_);
 }
 
@@ -423,6 +436,9 @@
 {
     if (isDone_)
         return;
+    const auto* error = std::get_if<TransportError>(&outcome);
+    if (error != nullptr && error->kind_ == TransportErrorKind::ConnectionLost && !mayBeLinkLoss())
+        context_.bodyLimiter_.recordLost(*lastAttempt_.upstream_);
     releaseAttempt();
     if (auto* response = std::get_if<UpstreamResponse>(&outcome))
         onResponse(std::move(*response));
@@ -550,8 +566,10 @@
         recordExclusions();
     const auto pause = refusal == PlacementRefusal::NoUpstream ? context_.placer_.shortestPause(query_) : std::nullopt;
     const bool isLimited = refusal == PlacementRefusal::NoUpstream && limitRetryAfter_;
+    const bool isBodyLimited = exclusions_.contains(Exclusion::BodyLimit);
     const std::string_view reason = refusal == PlacementRefusal::Full ? "all-full" : isLimited ? "all-limited"
         : pause                                                                                ? "all-paused"
+        : isBodyLimited                                                                        ? "all-body-limited"
                                                                                                : "no-upstream";
     if (mayHaveRun_)
         return finishWithProblem(502, reason, Executed::Unknown);
@@ -585,7 +603,7 @@
 // An upstream that has not responded to any request since this one was sent is unreachable rather than slow.
 auto RequestHandler::recordUnanswered() -> void
 {
-    if (!attempt_ || !delegate_.empty() || mayBeLinkLoss())
+    if (!attempt_ || attempt_->isHeldBack() || !delegate_.empty() || mayBeLinkLoss())
         return;
     const auto waited = context_.clock_.now() - lastAttempt_.at_;
     if (waited < query_.typicalResponseTime_ * unansweredFactor)
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -6,6 +6,7 @@
 #include "gateway/fleet/delegate_caller.h"
 #include "gateway/fleet/delegate_selector.h"
 #include "gateway/fleet/delegation.h"
+#include "gateway/limits/body_limiter.h"
 #include "gateway/limits/limits.h"
 #include "gateway/limits/rate_limiter.h"
 #include "gateway/limits/upstream_limiter.h"
@@ -46,6 +47,7 @@
     NoticeRecorder& noticeRecorder_;
     DecisionLog& log_;
     Metrics& metrics_;
+    BodyLimiter& bodyLimiter_;
 };
 
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
@@ -113,6 +115,8 @@
     auto recordEnd(unsigned status, std::string_view reason) -> void;
     auto timeLeft() const -> Duration { return endsAt_ - context_.clock_.now(); }
     auto releaseAttempt() -> void;
+    // The body for the next attempt. It is moved to the first one, so that a request holds one copy.
+    auto takeBody() -> std::string;
     // Keeps why no upstream of the service was a candidate, for the log and the metrics.
     auto recordExclusions() -> void;
     // Updates the health of an upstream whose response is no longer awaited.
@@ -134,7 +138,9 @@
     std::string serviceName_;
     std::vector<std::string> homeRegions_;
     PlacementQuery query_;
-    std::shared_ptr<const OutgoingRequest> forwarded_;
+    // Without its body after the first attempt, which then has it.
+    std::shared_ptr<OutgoingRequest> forwarded_;
+    std::shared_ptr<const OutgoingRequest> sent_;
     MonotonicTime arrivedAt_;
     MonotonicTime endsAt_ {};
     std::uint64_t fingerprint_ = 0;
--- a/src/gateway/requests/upstream_caller.h
+++ b/src/gateway/requests/upstream_caller.h
@@ -37,6 +37,8 @@
 class Attempt {
 public:
     virtual ~Attempt() = default;
+    // Whether a response has begun and is not read on, as this instance lacks memory for it.
+    virtual auto isHeldBack() const -> bool { return false; }
 };
 
 class UpstreamCaller {
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -1,5 +1,6 @@
 #include "loop/caller_channel.h"
 
+#include "base/random.h"
 #include "gateway/requests/problem_response.h"
 
 #include <boost/asio/buffer.hpp>
@@ -16,8 +17,16 @@
     constexpr std::size_t mostAhead = 64 * 1024;
     // Longest time for a body to arrive, beyond that of its header.
     constexpr Duration bodyLimit = 10s;
-    // An answer that the caller does not read is given up.
+    // An answer of which the caller reads nothing for so long is given up.
     constexpr Duration writeLimit = 30s;
+    // Longest time in which a refused body is discarded after the refusal was written.
+    constexpr Duration drainLimit = 2s;
+    // Callers whose bodies were refused are told to return after one to two times this: about the time of the requests under way.
+    constexpr Duration bodyRetryAfter = 500ms;
+    // Only responses above this size may have to wait for their caller, as the kernel takes smaller ones at once.
+    constexpr std::size_t largeResponse = 16 * 1024;
+    // Large enough for a write to the kernel to be one block of async_write.
+    constexpr int maxUnsent = 64 * 1024;
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
     auto renderHead(const HttpResponse& response, std::size_t bodyBytes, bool keep, Duration idle) -> std::string
@@ -55,6 +64,10 @@
     , handler_(handler)
     , clock_(clock)
 {
+    if (auto* memory = handler.memory()) {
+        bodyHold_.emplace(*memory);
+        readerHold_.emplace(*memory, [this] { close(); });
+    }
 }
 
 auto CallerChannel::start() -> void
@@ -72,6 +85,8 @@
     parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
     parser_->body_limit(limits_.bodyBytes_);
     hasHeader_ = false;
+    mustContinue_ = false;
+    waiting_.reset();
     hasBytes_ = buffer_.size() > 0;
     since_ = clock_.now();
     state_ = State::Reading;
@@ -95,11 +110,16 @@
     if (error)
         return close();
     buffer_.commit(count);
+    if (isDiscarding_)
+        buffer_.clear();
     if (state_ != State::Reading)
         return readMore();
     if (!hasBytes_) {
         hasBytes_ = true;
         since_ = clock_.now();
+        // The kernel had the rest of a large response after it was written; by now the caller has read it.
+        if (std::exchange(isLarge_, false))
+            detectDeadPeer(socket_, PeerPatience::Long);
     }
     parseBuffer();
 }
@@ -110,6 +130,8 @@
         return refuse(error);
     if (!hasHeader_ && parser_->is_header_done() && !onHeader())
         return;
+    if (hasHeader_ && !takeBody())
+        return;
     if (!parser_->is_done())
         return readMore();
     onWholeRequest();
@@ -124,13 +146,50 @@
         refuse(http::error::body_limit);
         return false;
     }
-    if (!parser_->is_done() && boost::beast::iequals(request[http::field::expect], "100-continue")) {
-        NetError ignored;
-        asio::write(socket_, asio::buffer(continueLine), ignored);
+    mustContinue_ = !parser_->is_done() && boost::beast::iequals(request[http::field::expect], "100-continue");
+    return true;
+}
+
+// A body with a length is asked for whole: if parts of several were held, none might find room for its rest.
+auto CallerChannel::takeBody() -> bool
+{
+    if (bodyHold_) {
+        const auto& body = parser_->get().body();
+        const auto verdict = bodyHold_->ask(parser_->content_length().value_or(body.empty() ? 0 : body.capacity()));
+        waiting_ = verdict == BodyVerdict::Wait ? shared_from_this() : nullptr;
+        if (verdict == BodyVerdict::Refused)
+            refuseBody();
+        if (verdict != BodyVerdict::Granted)
+            return false;
     }
+    if (std::exchange(mustContinue_, false))
+        sendContinue();
     return true;
 }
 
+auto CallerChannel::sendContinue() -> void
+{
+    NetError ignored;
+    asio::write(socket_, asio::buffer(continueLine), ignored);
+}
+
+auto CallerChannel::refuseBody() -> void
+{
+    constexpr std::uint64_t steps = 1'000;
+    const auto spread = bodyRetryAfter * static_cast<std::int64_t>(randomNumber() % steps) / static_cast<std::int64_t>(steps);
+    isDiscarding_ = true;
+    buffer_.clear();
+    state_ = State::Answering;
+    answer(problemResponse(503, "memory", Executed::No, bodyRetryAfter + spread), false);
+    readMore();
+}
+
+auto CallerChannel::resume() -> void
+{
+    if (state_ == State::Reading && waiting_)
+        parseBuffer();
+}
+
 auto CallerChannel::onWholeRequest() -> void
 {
     state_ = State::Answering;
@@ -159,14 +218,28 @@
         return;
     state_ = State::Writing;
     running_.reset();
+    if (bodyHold_)
+        bodyHold_->release();
     since_ = clock_.now();
     keepAfter_ = mayKeep && !handler_.isClosing();
     body_ = std::move(response.body());
     head_ = renderHead(response, body_.size(), keepAfter_, limits_.idleTimeout_);
     if (isHead_)
         body_.clear();
+    if (readerHold_)
+        readerHold_->begin(head_.size() + body_.capacity());
+    if (body_.size() > largeResponse && !std::exchange(isLarge_, true)) {
+        limitUnsent(socket_, maxUnsent);
+        detectDeadPeer(socket_, PeerPatience::Reading);
+    }
+    written_ = 0;
+    acknowledged_ = 0;
     const std::array<asio::const_buffer, 2> parts { asio::buffer(head_), asio::buffer(body_) };
-    asio::async_write(socket_, parts, [self = shared_from_this()](NetError error, std::size_t) { self->onWritten(error); });
+    const auto nextBytes = [this](NetError error, std::size_t count) {
+        written_ = count;
+        return asio::transfer_all()(error, count);
+    };
+    asio::async_write(socket_, parts, nextBytes, [self = shared_from_this()](NetError error, std::size_t) { self->onWritten(error); });
 }
 
 auto CallerChannel::onWritten(NetError error) -> void
@@ -174,12 +247,18 @@
     if (state_ == State::Closed)
         return;
     ++answered_;
+    body_ = std::string();
+    if (readerHold_)
+        readerHold_->release();
     if (error || !keepAfter_) {
         NetError ignored;
         socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-        return close();
+        if (error || !isDiscarding_)
+            return close();
+        state_ = State::Draining;
+        since_ = clock_.now();
+        return;
     }
-    body_ = std::string();
     beginRequest();
     if (buffer_.size() > 0)
         parseBuffer();
@@ -195,11 +274,15 @@
 
 auto CallerChannel::checkTime() -> void
 {
+    if (state_ == State::Writing)
+        return checkWriting();
     const auto age = clock_.now() - since_;
-    if (state_ == State::Writing && age > writeLimit)
+    if (state_ == State::Draining && age > drainLimit)
         return close();
     if (state_ != State::Reading)
         return;
+    if (waiting_)
+        return resume();
     if (!hasBytes_ && age > limits_.idleTimeout_)
         return close();
     const auto most = hasHeader_ ? limits_.headerTimeout_ + bodyLimit : limits_.headerTimeout_;
@@ -209,12 +292,32 @@
     }
 }
 
+// The kernel takes bytes in large blocks; what the caller's machine acknowledges tells of a slow reader too.
+auto CallerChannel::checkWriting() -> void
+{
+    const auto pending = unacknowledged(socket_);
+    const auto acknowledged = written_ - std::min(written_, pending);
+    if (acknowledged > acknowledged_) {
+        acknowledged_ = acknowledged;
+        since_ = clock_.now();
+        if (readerHold_)
+            readerHold_->recordProgress();
+    }
+    if (clock_.now() - since_ > writeLimit)
+        close();
+}
+
 auto CallerChannel::close() -> void
 {
     state_ = State::Closed;
+    waiting_.reset();
     closeQuietly(socket_);
     if (const auto running = std::exchange(running_, nullptr))
         running->cancel();
+    if (bodyHold_)
+        bodyHold_->release();
+    if (readerHold_)
+        readerHold_->release();
 }
 
 } // namespace sapphirepass
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/declaration/declaration_type.h"
+#include "gateway/requests/memory_budget.h"
 #include "gateway/requests/running_request.h"
 #include "loop/net_type.h"
 
@@ -21,6 +22,8 @@
     virtual auto limits() const -> CallerLimits = 0;
     // Connections end after the answer under way.
     virtual auto isClosing() const -> bool = 0;
+    // Where the bytes of requests and responses count; null if they do not.
+    virtual auto memory() -> MemoryBudget* { return nullptr; }
 };
 
 class CallerChannel : public std::enable_shared_from_this<CallerChannel> {
@@ -32,12 +35,18 @@
     auto closeIfIdle() -> void;
     // Ends a connection that has been idle, or a request that has been arriving, for too long.
     auto checkTime() -> void;
+    // Reads on if the connection waits for memory and there is room.
+    auto resume() -> void;
+    // Ends the connection and the request under way. Holds no memory after that.
+    auto close() -> void;
     auto isOpen() const -> bool { return state_ != State::Closed; }
 
 private:
     enum class State { Reading,
         Answering,
         Writing,
+        // A refusal was written; what the caller still sends is discarded, as closing at once could destroy the refusal.
+        Draining,
         Closed };
     using Parser = http::request_parser<http::string_body>;
 
@@ -46,11 +55,14 @@
     auto onRead(NetError error, std::size_t count) -> void;
     auto parseBuffer() -> void;
     auto onHeader() -> bool;
+    auto takeBody() -> bool;
+    auto sendContinue() -> void;
+    auto refuseBody() -> void;
     auto onWholeRequest() -> void;
     auto refuse(NetError error) -> void;
     auto answer(HttpResponse response, bool mayKeep) -> void;
     auto onWritten(NetError error) -> void;
-    auto close() -> void;
+    auto checkWriting() -> void;
 
     Tcp::socket socket_;
     CallerHandler& handler_;
@@ -59,15 +71,26 @@
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::shared_ptr<RunningRequest> running_;
+    std::optional<BodyHold> bodyHold_;
+    std::optional<ReaderHold> readerHold_;
     std::string head_;
     std::string body_;
     State state_ = State::Reading;
     bool isReading_ = false;
     bool hasHeader_ = false;
+    bool mustContinue_ = false;
     bool keepAfter_ = false;
     bool isHead_ = false;
+    // Set while the connection waits for memory: it is not read on, so nothing else keeps it.
+    std::shared_ptr<CallerChannel> waiting_;
+    // The body is refused: what arrives is discarded.
+    bool isDiscarding_ = false;
+    // The response under way or the last one is large.
+    bool isLarge_ = false;
+    std::size_t written_ = 0;
+    std::size_t acknowledged_ = 0;
     std::uint64_t answered_ = 0;
-    // When the request under way began to arrive, or the connection became idle.
+    // When the request under way began to arrive, the connection became idle, or the caller last read some of the response.
     MonotonicTime since_ {};
     bool hasBytes_ = false;
 };
--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -20,6 +20,15 @@
 {
 }
 
+// The event loop keeps connections for longer than this, and their handlers.
+CallerListener::~CallerListener()
+{
+    for (const auto& entry : channels_) {
+        if (const auto channel = entry.lock(); channel && channel->isOpen())
+            channel->close();
+    }
+}
+
 auto CallerListener::listen(const SocketAddress& address) -> std::string
 {
     const Tcp::endpoint endpoint { asio::ip::make_address_v4(address.host_), address.port_ };
@@ -83,6 +92,14 @@
     }
 }
 
+auto CallerListener::resumeWaiting() -> void
+{
+    for (const auto& entry : channels_) {
+        if (const auto channel = entry.lock())
+            channel->resume();
+    }
+}
+
 auto CallerListener::sweep() -> void
 {
     for (const auto& entry : channels_) {
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -16,11 +16,17 @@
 
     CallerListener(asio::io_context& loop, CallerHandler& handler, const Clock& clock);
     CallerListener(asio::io_context& loop, HandlerSelector selectHandler, const Clock& clock);
+    // Closes all connections.
+    ~CallerListener();
+    CallerListener(const CallerListener&) = delete;
+    auto operator=(const CallerListener&) -> CallerListener& = delete;
 
     // An error message, or nothing.
     auto listen(const SocketAddress& address) -> std::string;
     auto stopAccepting() -> void;
     auto closeIdle() -> void;
+    // Lets connections read on that wait for memory.
+    auto resumeWaiting() -> void;
     // Applies time limits and forgets closed connections. Called now and then.
     auto sweep() -> void;
     auto openCount() const -> std::size_t { return channels_.size(); }
--- a/src/loop/delegate_pool.cpp
+++ b/src/loop/delegate_pool.cpp
@@ -2,9 +2,9 @@
 
 namespace sapphirepass {
 
-DelegatePool::DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, const std::string& ownHost)
+DelegatePool::DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, const std::string& ownHost, MemoryBudget* memory)
     : pool_(
-        loop, clock, names, bounds, [](Upstream&, const HttpResponse&) {}, {}, ownHost)
+        loop, clock, names, bounds, [](Upstream&, const HttpResponse&) {}, {}, ownHost, memory)
 {
 }
 
--- a/src/loop/delegate_pool.h
+++ b/src/loop/delegate_pool.h
@@ -12,7 +12,7 @@
 class DelegatePool final : public DelegateCaller {
 public:
     // Connections leave from the own host, by which peers recognize this instance.
-    DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, const std::string& ownHost);
+    DelegatePool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, const std::string& ownHost, MemoryBudget* memory);
 
     auto call(const MemberReport& peer, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     auto sweep() -> void { pool_.sweep(); }
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -58,6 +58,12 @@
         return { static_cast<std::size_t>(settings.memoryMb_) * 1024 * 1024 / parts, guaranteedResponseBytes };
     }
 
+    // Half of the memory for all that is held for callers; the rest is for code, tables and the kernel's socket buffers.
+    auto memoryBounds(const GatewaySettings& settings) -> MemoryBounds
+    {
+        return { static_cast<std::size_t>(settings.memoryMb_) * 1024 * 1024 / 2, guaranteedResponseBytes };
+    }
+
     // What a delegation adds to the header of a request.
     constexpr std::size_t maxDelegationBytes = 16 * 1024;
 
@@ -151,16 +157,19 @@
     , upstreamLimits_(clock, alarms_, fleet_, upstreams_, *this, log_, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
+    , bodyLimits_(clock)
     , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
     , links_(clock, upstreams_, [this](const LinkChange& change) { onLinkChange(change); })
     , linkProber_(loop, clock, links_)
     , delegates_(clock, fleet_, settings_.region_, upstreams_.regions())
+    , resumeTimer_(loop)
+    , memory_(clock, memoryBounds(settings_), *this)
     , pool_(
-          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { links_.recordConnect(upstream, startedAt, isConnected); })
-    , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_)
+          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { links_.recordConnect(upstream, startedAt, isConnected); }, {}, &memory_)
+    , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_, &memory_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_ }
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_, bodyLimits_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -269,6 +278,10 @@
     metrics_.set({ "gateway_upstream_connections_opened_total", {} }, asMetric(pool_.counts().opened_));
     metrics_.set({ "gateway_upstream_connections_reused_total", {} }, asMetric(pool_.counts().reused_));
     metrics_.set({ "gateway_response_bytes_held", {} }, asMetric(pool_.heldBytes()));
+    for (const auto kind : allMemoryKinds)
+        metrics_.set({ "gateway_memory_bytes_held", fmt::format("kind=\"{}\"", memoryKindName(kind)) }, asMetric(memory_.held(kind)));
+    metrics_.set({ "gateway_body_limits_lowered_total", {} }, asMetric(bodyLimits_.lowered()));
+    metrics_.set({ "gateway_memory_body_waits_total", {} }, asMetric(memory_.waits()));
     metrics_.set({ "gateway_store_calls_total", {} }, asMetric(adapter_.source_->calls()));
     metrics_.set({ "gateway_upstream_health_requests_total", {} }, asMetric(coldProber_.count()));
     metrics_.set({ "gateway_declaration_version", {} }, asMetric(context_.index_ ? context_.index_->declaration().version_ : 0));
@@ -331,6 +344,7 @@
         adapter_.source_->probe();
     for (auto* listener : { &front_, &directory_, &ready_, &control_, &delegated_ })
         listener->sweep();
+    memory_.relieve();
     pool_.sweep();
     delegatePool_.sweep();
     if (ticks_ % statusTicks == 0)
@@ -426,6 +440,33 @@
     datagrams_.send(encodeDatagram(ask), { coordinator.peer_ });
 }
 
+auto Gateway::bodyRefused(BodyRefusal cause, std::size_t bytes) -> void
+{
+    metrics_.increment({ "gateway_memory_bodies_refused_total", fmt::format("cause=\"{}\"", bodyRefusalName(cause)) });
+    log_.write(EventId::UploadRefused, { { "cause", bodyRefusalName(cause) }, { "bytes", bytes }, { "held", memory_.held() } });
+}
+
+auto Gateway::callerCut(std::size_t bytes, Duration silence) -> void
+{
+    metrics_.increment({ "gateway_memory_callers_cut_total", {} });
+    log_.write(EventId::CallerCutForMemory, { { "bytes", bytes }, { "silent_ms", silence / 1ms }, { "held", memory_.held() } });
+}
+
+// Called while a connection releases its bytes, so others read on later.
+auto Gateway::roomFreed() -> void
+{
+    if (std::exchange(isResumeDue_, true))
+        return;
+    resumeTimer_.expires_after(Duration::zero());
+    resumeTimer_.async_wait([this](NetError error) {
+        if (error)
+            return;
+        isResumeDue_ = false;
+        front_.resumeWaiting();
+        delegated_.resumeWaiting();
+    });
+}
+
 auto Gateway::answerLimitAsk(const LimitAsk& ask, const SocketAddress& from) -> void
 {
     const auto grant = upstreamLimits_.onAsk(ask);
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -33,7 +33,7 @@
     std::unique_ptr<DiscoverySource> source_;
 };
 
-class Gateway final : private RateAskSender, private LimitAskSender {
+class Gateway final : private RateAskSender, private LimitAskSender, private MemoryListener {
 public:
     Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter);
 
@@ -55,6 +55,7 @@
         auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
         auto limits() const -> CallerLimits override { return gateway_.callerLimits(); }
         auto isClosing() const -> bool override { return gateway_.isStopping_; }
+        auto memory() -> MemoryBudget* override { return &gateway_.memory_; }
 
     private:
         Gateway& gateway_;
@@ -69,6 +70,7 @@
         auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
         auto limits() const -> CallerLimits override;
         auto isClosing() const -> bool override { return gateway_.isStopping_; }
+        auto memory() -> MemoryBudget* override { return &gateway_.memory_; }
 
     private:
         Gateway& gateway_;
@@ -84,6 +86,7 @@
         auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override;
         auto limits() const -> CallerLimits override { return gateway_.delegationHandler_.limits(); }
         auto isClosing() const -> bool override { return true; }
+        auto memory() -> MemoryBudget* override { return &gateway_.memory_; }
 
     private:
         Gateway& gateway_;
@@ -128,6 +131,9 @@
     auto onReport(const MemberReport& report) -> void;
     auto sendAsk(const Coordinator& keeper, const RateAsk& ask) -> void override;
     auto sendLimitAsk(const Coordinator& coordinator, const LimitAsk& ask) -> void override;
+    auto bodyRefused(BodyRefusal cause, std::size_t bytes) -> void override;
+    auto callerCut(std::size_t bytes, Duration silence) -> void override;
+    auto roomFreed() -> void override;
     auto answerLimitAsk(const LimitAsk& ask, const SocketAddress& from) -> void;
     auto admitProbe(const UpstreamPtr& upstream, const std::function<void()>& send) -> void;
     auto onDeclaration() -> void;
@@ -163,12 +169,17 @@
     UpstreamLimiter upstreamLimits_;
     RetryLimiter retries_;
     CrashTracker crashes_;
+    BodyLimiter bodyLimits_;
     TrafficSplitter split_;
     ResponseTimes workTimes_;
     NoticeRecorder notices_;
     LinkDetector links_;
     LinkProber linkProber_;
     DelegateSelector delegates_;
+    // Ends when connections that wait for memory are to be resumed.
+    asio::steady_timer resumeTimer_;
+    bool isResumeDue_ = false;
+    MemoryBudget memory_;
     UpstreamPool pool_;
     DelegatePool delegatePool_;
     ColdProber coldProber_;
--- a/src/loop/net_type.cpp
+++ b/src/loop/net_type.cpp
@@ -1,7 +1,9 @@
 #include "loop/net_type.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace sapphirepass {
@@ -20,6 +22,15 @@
 
     constexpr SilenceLimits shortLimits { 1'500, 1 };
     constexpr SilenceLimits longLimits { 3'000, 2 };
+    // Longer than the write limit of callers' connections, which decides.
+    constexpr SilenceLimits readingLimits { 35'000, 2 };
+
+    auto limitsOf(PeerPatience patience) -> const SilenceLimits&
+    {
+        if (patience == PeerPatience::Short)
+            return shortLimits;
+        return patience == PeerPatience::Long ? longLimits : readingLimits;
+    }
 
     auto setOption(int socket, int level, int name, int value) -> void
     {
@@ -30,7 +41,7 @@
 
 auto detectDeadPeer(Tcp::socket& socket, PeerPatience patience) -> void
 {
-    const auto& limits = patience == PeerPatience::Short ? shortLimits : longLimits;
+    const auto& limits = limitsOf(patience);
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -40,6 +51,17 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, limits.userTimeoutMs_);
 }
 
+auto limitUnsent(Tcp::socket& socket, int bytes) -> void
+{
+    setOption(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, bytes);
+}
+
+auto unacknowledged(Tcp::socket& socket) -> std::size_t
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 auto closeQuietly(Tcp::socket& socket) -> void
 {
     // The connection is given up: errors of its end have no consequence.
--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -43,11 +43,18 @@
     // A server: requests that it does not acknowledge are given up early enough to be tried elsewhere.
     Short,
     // A caller, whose idle connection should outlive a short freeze or cut of its machine.
-    Long
+    Long,
+    // A caller that is being sent a large response. The kernel takes a reader that pauses for a silent peer.
+    Reading
 };
 
 // Ends a connection whose peer is silent, which the kernel alone would not notice for minutes.
 auto detectDeadPeer(Tcp::socket& socket, PeerPatience patience) -> void;
+// Keeps at most about so many unsent bytes in the kernel, so that what a peer does not read stays in the process, where it is
+// counted.
+auto limitUnsent(Tcp::socket& socket, int bytes) -> void;
+// Bytes that were written and are not acknowledged by the peer.
+auto unacknowledged(Tcp::socket& socket) -> std::size_t;
 auto closeQuietly(Tcp::socket& socket) -> void;
 // Opens a socket whose connection will leave from this host, at any port. Does nothing if the host is empty.
 auto bindSource(Tcp::socket& socket, const std::string& host) -> NetError;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -17,6 +17,8 @@
     // A status line, header, chunk header or trailer that is longer can't be read. Complete ones are read as they arrive.
     constexpr std::size_t maxUnparsedBytes = 64 * 1024;
     constexpr int maxSkippedResponses = 32;
+    // While the memory is full, it is looked for room this often.
+    constexpr Duration roomPoll = 50ms;
     // Part of the stated idle time in which a connection is reused, so that its close never crosses a request.
     constexpr double idlePart = 0.5;
     // Where the upstream states no time.
@@ -146,10 +148,24 @@
     if (auto excess = findExcess(); !excess.empty())
         return lose(TransportErrorKind::InvalidResponse, std::move(excess));
     if (!parser_->is_done())
-        return readMore();
+        return readWhenRoom();
     onWholeResponse();
 }
 
+// Requests have run by now: their responses wait for room rather than being given up. The requests' deadlines end the wait.
+auto UpstreamChannel::readWhenRoom() -> void
+{
+    const auto stated = parser_->is_header_done() ? parser_->content_length().value_or(0) : 0;
+    isHeldBack_ = !held_.mayReadOn(stated);
+    if (!isHeldBack_)
+        return readMore();
+    timer_.expires_after(roomPoll);
+    timer_.async_wait([self = shared_from_this()](NetError error) {
+        if (!error && self->done_)
+            self->readWhenRoom();
+    });
+}
+
 auto UpstreamChannel::findExcess() -> std::string
 {
     if (!held_.set(parser_->get().body().size() + buffer_.size()))
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -36,6 +36,8 @@
     auto isFresh() -> bool;
     // Whether its time or its upstream is over, without asking the kernel.
     auto isOver() const -> bool { return !isOpen_ || clock_.now() >= idleUntil_; }
+    // A response has begun and waits for memory.
+    auto isHeldBack() const -> bool { return isHeldBack_; }
 
 private:
     using Parser = http::response_parser<http::string_body>;
@@ -44,6 +46,8 @@
     auto writeRequest() -> void;
     auto onWritten(NetError error) -> void;
     auto readMore() -> void;
+    // Reads on once the memory has room.
+    auto readWhenRoom() -> void;
     auto onRead(NetError error, std::size_t count) -> void;
     auto parseBuffer() -> void;
     auto onEnd(NetError error) -> void;
@@ -74,6 +78,7 @@
     bool isWriting_ = false;
     // An answer to another request came on it: it carries no further one.
     bool isTainted_ = false;
+    bool isHeldBack_ = false;
     bool hasCarriedResponse_ = false;
     // Interim responses and those to earlier requests that came before the one awaited.
     int skippedResponses_ = 0;
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -21,6 +21,7 @@
         ChannelAttempt(const ChannelAttempt&) = delete;
         auto operator=(const ChannelAttempt&) -> ChannelAttempt& = delete;
 
+        auto isHeldBack() const -> bool override { return channel_->isHeldBack(); }
         auto overFlag() const -> std::shared_ptr<bool> { return isOver_; }
 
     private:
@@ -29,11 +30,11 @@
     };
 }
 
-UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect, std::string sourceHost)
+UpstreamPool::UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect, std::string sourceHost, MemoryBudget* memory)
     : loop_(loop)
     , clock_(clock)
     , names_(names)
-    , budget_(bounds)
+    , budget_(bounds, memory)
     , onLateResponse_(std::move(onLateResponse))
     , onConnect_(std::move(onConnect))
     , sourceHost_(std::move(sourceHost))
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -26,8 +26,8 @@
     // Gets the outcome of each attempt to open a connection.
     using ConnectListener = std::function<void(const Upstream&, MonotonicTime startedAt, bool isConnected)>;
 
-    // Connections leave from the source host; from any if it is empty.
-    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect = {}, std::string sourceHost = {});
+    // Connections leave from the source host; from any if it is empty. Responses count in the memory too, if there is one.
+    UpstreamPool(asio::io_context& loop, const Clock& clock, const HeaderNames& names, ResponseBounds bounds, LateResponse onLateResponse, ConnectListener onConnect = {}, std::string sourceHost = {}, MemoryBudget* memory = nullptr);
     ~UpstreamPool() override;
     UpstreamPool(const UpstreamPool&) = delete;
     auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -166,7 +166,8 @@
     standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_ };
+    BodyLimiter bodyLimits_ { clock_ };
+    RequestContext context_ { advancing_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, workTimes_, caller_, links_, selector_, delegates_, notices_, log_, metrics_, bodyLimits_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
@@ -942,3 +943,70 @@
     CHECK(fixture.calls() == 20);
     CHECK(fixture.answers_.empty());
 }
+
+TEST_CASE("every attempt carries the whole body, and a request ends without bytes outstanding", "[request][memory]")
+{
+    Fixture fixture;
+    for (int i = 0; i < 20; ++i)
+        fixture.retries_.countRequest("core");
+    auto request = fixture.request("/read/1", "secret", http::verb::post);
+    request.body() = std::string(100'000, 'b');
+    const auto handler = fixture.start(request);
+    const auto steps = GENERATE(values<std::vector<AttemptStep>>({
+        { AttemptStep::Success },
+        { AttemptStep::ConnectionLost, AttemptStep::Success },
+        { AttemptStep::NotSent, AttemptStep::NotSent, AttemptStep::NotRun, AttemptStep::Error },
+    }));
+    std::size_t number = 0;
+    for (const auto step : steps) {
+        const auto& call = fixture.caller_.calls().at(number++);
+        CHECK(call.request_->body() == request.body());
+        CHECK(call.request_->at(http::field::content_length) == "100000");
+        CHECK(fixture.bodyLimits_.outstanding(*call.upstream_) == 100'000);
+        fixture.caller_.finish(outcomeOf(fixture, step));
+    }
+    CHECK(fixture.answers_.size() == 1);
+    for (const auto& [id, upstream] : fixture.upstreams_.byId())
+        CHECK(fixture.bodyLimits_.outstanding(*upstream) == 0);
+}
+
+TEST_CASE("an upstream that crashes with large bodies outstanding gets less at a time; small bodies are not affected", "[request][memory]")
+{
+    constexpr std::size_t bytes = 900'000;
+    Fixture fixture(1);
+    auto request = fixture.request("/order/1", "secret", http::verb::post);
+    request.body() = std::string(bytes, 'b');
+    const auto& upstream = *fixture.upstreams_.byId().at("u0");
+    // Sends requests until one is refused; returns how many were sent.
+    const auto fill = [&] {
+        const auto before = fixture.calls();
+        const auto answers = fixture.answers_.size();
+        for (int i = 0; i < 20 && fixture.answers_.size() == answers; ++i) {
+            request.body() = std::string(bytes - static_cast<std::size_t>(i), 'b');
+            fixture.start(request);
+        }
+        return fixture.calls() - before;
+    };
+    // Not at the limit of its slots.
+    UpstreamEntry entry = upstream.entry_;
+    entry.slots_ = 100;
+    fixture.upstreams_.put(entry);
+    const auto first = fill();
+    CHECK(first * bytes <= 4 * 1024 * 1024);
+    CHECK(fixture.status() == 503);
+    CHECK(fixture.answers_.back().body().find("all-body-limited") != std::string::npos);
+    CHECK(fixture.answers_.back().count(http::field::retry_after) == 1);
+    const auto calls = fixture.caller_.calls();
+    for (const auto& call : calls)
+        call.done_(TransportError { TransportErrorKind::ConnectionLost, "reset" });
+    // Past the time for which it is taken to be cold after the losses.
+    fixture.clock_.advance(5s);
+    const auto second = fill();
+    CHECK(second > 0);
+    CHECK(second < first);
+    CHECK(second * bytes <= 2 * 1024 * 1024);
+    request.body() = "small";
+    const auto before = fixture.calls();
+    fixture.start(request);
+    CHECK(fixture.calls() == before + 1);
+}
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -86,6 +86,7 @@
     DelegateSelector selector_;
     NoticeRecorder notices_;
     Metrics metrics_;
+    BodyLimiter bodyLimits_;
     RequestContext context_;
 };
 
@@ -229,7 +230,8 @@
     })
     , selector_(fleet.clock_, view_, region_, upstreams_.regions())
     , notices_(upstreams_, names, log_)
-    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, times_, *this, links_, selector_, *this, notices_, log_, metrics_ }
+    , bodyLimits_(fleet.clock_)
+    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, times_, *this, links_, selector_, *this, notices_, log_, metrics_, bodyLimits_ }
 {
     view_.setReady(true);
     upstreams_.setColdDuration("core", 3s);
