Gateway: a response with a stated length beyond the bound is given up at once

Cause: it reserved memory that it could never use, so that others waited for their deadlines (endless_response_test, body with a huge length: 504 instead of 502). Change: 502 once the head has been read.

--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -156,6 +156,9 @@
 auto UpstreamChannel::readWhenRoom() -> void
 {
     const auto stated = parser_->is_header_done() ? parser_->content_length().value_or(0) : 0;
+    // It would be given up later in any case; until then it would keep others from their room.
+    if (stated > budget_.maxResponse())
+        return lose(TransportErrorKind::InvalidResponse, "response-too-large");
     isHeldBack_ = !held_.mayReadOn(stated);
     if (!isHeldBack_)
         return readMore();
