Memory tests: upstreams come from an UpstreamSet

Cause: sapphirepass::Upstream is defined twice (config_type.h and upstream_set.h). A test that destroys one by value may get the destructor of the other: double free in the whole test binary. The duplicate type itself is not mended here.

--- a/tests/memory_budget_test.cpp
+++ b/tests/memory_budget_test.cpp
@@ -46,12 +46,18 @@
     ReaderHold hold_;
 };
 
-auto upstreamNamed(const std::string& id) -> Upstream
-{
-    Upstream upstream;
-    upstream.entry_.id_ = id;
-    return upstream;
-}
+struct LimiterFixture {
+    LimiterFixture()
+    {
+        for (const auto* id : { "u", "other" })
+            upstreams_.put({ id, 1, "s", { "127.0.0.1", 9000 }, "north-a", 4, UpstreamState::Ready, 0s });
+    }
+    auto upstream(const std::string& id) const -> const Upstream& { return *upstreams_.byId().at(id); }
+
+    ManualClock clock_;
+    UpstreamSet upstreams_ { clock_, { { "north-a", "north" } } };
+    BodyLimiter limiter_ { clock_ };
+};
 
 }
 
@@ -275,9 +281,10 @@
 
 TEST_CASE("an upstream that loses connections with large bodies outstanding gets less at a time, then slowly more", "[memory]")
 {
-    ManualClock clock;
-    BodyLimiter limiter(clock);
-    const auto upstream = upstreamNamed("u");
+    LimiterFixture fixture;
+    auto& clock = fixture.clock_;
+    auto& limiter = fixture.limiter_;
+    const auto& upstream = fixture.upstream("u");
     constexpr std::size_t megabyte = 1024 * kilobyte;
     CHECK(limiter.bound(upstream) == 4 * megabyte);
     for (int i = 0; i < 4; ++i) {
@@ -286,7 +293,7 @@
     }
     CHECK_FALSE(limiter.mayTakeBody(upstream, small + 1));
     CHECK(limiter.mayTakeBody(upstream, small));
-    CHECK(limiter.mayTakeBody(upstreamNamed("other"), megabyte));
+    CHECK(limiter.mayTakeBody(fixture.upstream("other"), megabyte));
     // One crash loses all connections.
     for (int i = 0; i < 4; ++i) {
         limiter.recordLost(upstream);
@@ -311,9 +318,9 @@
 
 TEST_CASE("losses without large bodies outstanding say nothing about an upstream's memory", "[memory]")
 {
-    ManualClock clock;
-    BodyLimiter limiter(clock);
-    const auto upstream = upstreamNamed("u");
+    LimiterFixture fixture;
+    auto& limiter = fixture.limiter_;
+    const auto& upstream = fixture.upstream("u");
     limiter.recordSent(upstream, small);
     limiter.recordLost(upstream);
     limiter.recordEnded(upstream, small);
