--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -417,7 +417,7 @@
 
 auto RequestHandler::takeBody() -> std::string
 {
-    return sent_ ? sent_->body() : std::move(forwarded_->body());
+    return sent_ ? sent_->body() : std::exchange(forwarded_->body(), {});
 }
 
 auto RequestHandler::releaseAttempt() -> void
