--- a/src/gateway/fleet/datagram_codec.cpp
+++ b/src/gateway/fleet/datagram_codec.cpp
@@ -51,6 +51,32 @@
         return !notice.upstream_.empty() && std::isfinite(notice.perSecond_.value_or(0)) && notice.perSecond_.value_or(0) >= 0;
     }
 
+    // Figures are validated where they are used, so that an invalid one does not cost the rest of the heartbeat.
+    auto readObservation(wire::Observation::Reader reader) -> Observation
+    {
+        ReportedLoad load { reader.getRunning(), reader.getWaiting(), reader.getSlots(), reader.getSlowdownPercent() / percentPerUnit };
+        return { reader.getUpstream(), reader.getObject(), load, std::chrono::milliseconds(reader.getAgeMs()), reader.getIsRejection() };
+    }
+
+    // Greater figures than fit are sent as the greatest that fits.
+    auto asUInt16(std::int64_t figure) -> std::uint16_t
+    {
+        return static_cast<std::uint16_t>(std::clamp<std::int64_t>(figure, 0, std::numeric_limits<std::uint16_t>::max()));
+    }
+
+    auto write(wire::Observation::Builder builder, const Observation& observation) -> void
+    {
+        const auto& load = observation.load_;
+        builder.setUpstream(observation.upstream_);
+        builder.setObject(observation.object_);
+        builder.setSlowdownPercent(asUInt16(std::llround(load.slowdown_.value_or(0) * percentPerUnit)));
+        builder.setAgeMs(asUInt16(observation.age_.count()));
+        builder.setRunning(asUInt16(load.running_));
+        builder.setWaiting(asUInt16(load.waiting_));
+        builder.setSlots(asUInt16(load.slots_));
+        builder.setIsRejection(observation.isRejection_);
+    }
+
     auto readAsk(wire::RateAsk::Reader reader) -> RateAsk
     {
         return { reader.getNumber(), reader.getWorkspace().cStr(), reader.getWanted() };
@@ -61,6 +87,53 @@
         return { reader.getNumber(), reader.getWorkspace().cStr(), reader.getGranted(), std::chrono::milliseconds(reader.getRetryAfterMs()) };
     }
 
+    // Counts beyond the bounds make the entry invalid: the bounds are also those of what is written.
+    auto readRoomUse(wire::RoomUse::Reader reader) -> std::optional<RoomUse>
+    {
+        RoomUse use { reader.getService().cStr(), {}, {} };
+        const auto offered = reader.getOffered();
+        const auto admitted = reader.getAdmitted();
+        const auto workspaces = reader.getWorkspaces();
+        if (offered.size() > roomPriorities || admitted.size() > roomPriorities || workspaces.size() > maxRoomWorkspaces)
+            return std::nullopt;
+        for (unsigned i = 0; i < offered.size(); ++i)
+            use.priorities_.at(i).offered_ = offered[i];
+        for (unsigned i = 0; i < admitted.size(); ++i)
+            use.priorities_.at(i).admitted_ = admitted[i];
+        for (const auto workspace : workspaces)
+            use.workspaces_.push_back({ workspace.getWorkspace(), workspace.getPriority(), workspace.getOffered() });
+        return isValid(use) ? std::optional(std::move(use)) : std::nullopt;
+    }
+
+    auto write(wire::RoomUse::Builder builder, const RoomUse& use) -> void
+    {
+        builder.setService(use.service_);
+        auto offered = builder.initOffered(roomPriorities);
+        auto admitted = builder.initAdmitted(roomPriorities);
+        for (unsigned i = 0; i < roomPriorities; ++i) {
+            offered.set(i, use.priorities_.at(i).offered_);
+            admitted.set(i, use.priorities_.at(i).admitted_);
+        }
+        auto workspaces = builder.initWorkspaces(static_cast<unsigned>(use.workspaces_.size()));
+        for (unsigned i = 0; i < workspaces.size(); ++i) {
+            workspaces[i].setWorkspace(use.workspaces_[i].workspace_);
+            workspaces[i].setPriority(use.workspaces_[i].priority_);
+            workspaces[i].setOffered(use.workspaces_[i].offered_);
+        }
+    }
+
+    // An invalid entry is left out: the rest of the heartbeat keeps the sender listed.
+    auto readRoomUses(wire::Heartbeat::Reader reader, MemberReport& report) -> void
+    {
+        for (const auto entry : reader.getRoomUse()) {
+            auto use = readRoomUse(entry);
+            if (use && report.roomUse_.size() < maxRoomServices)
+                report.roomUse_.push_back(std::move(*use));
+            else
+                ++report.invalidRoomUses_;
+        }
+    }
+
     auto readReport(wire::Heartbeat::Reader reader) -> MemberReport
     {
         MemberReport report;
@@ -94,6 +167,9 @@
             report.coldNotices_.push_back({ cold.getUpstream().cStr(), std::chrono::milliseconds(cold.getLeftMs()) });
         for (const auto limit : reader.getLimits())
             report.limitNotices_.push_back(readNotice(limit));
+        for (const auto observation : reader.getObservations())
+            report.observations_.push_back(readObservation(observation));
+        readRoomUses(reader, report);
         return report;
     }
 
@@ -129,14 +205,24 @@
         }
         heartbeat.setSourceLost(report.isSourceLost_);
         heartbeat.setWantsPeers(report.wantsPeers_);
-        auto unreachable = heartbeat.initUnreachableRegions(static_cast<unsigned>(report.unreachableRegions_.size()));
-        for (unsigned i = 0; i < unreachable.size(); ++i)
-            unreachable.set(i, report.unreachableRegions_[i]);
+        // Lists that are not set take fewer bytes than empty ones.
+        if (!report.unreachableRegions_.empty()) {
+            auto unreachable = heartbeat.initUnreachableRegions(static_cast<unsigned>(report.unreachableRegions_.size()));
+            for (unsigned i = 0; i < unreachable.size(); ++i)
+                unreachable.set(i, report.unreachableRegions_[i]);
+        }
         heartbeat.setCutOff(report.isCutOff_);
         heartbeat.setAcceptsDelegation(report.acceptsDelegation_);
-        auto silent = heartbeat.initSilentMembers(static_cast<unsigned>(report.silentMembers_.size()));
-        for (unsigned i = 0; i < silent.size(); ++i)
-            silent.set(i, report.silentMembers_[i]);
+        if (!report.silentMembers_.empty()) {
+            auto silent = heartbeat.initSilentMembers(static_cast<unsigned>(report.silentMembers_.size()));
+            for (unsigned i = 0; i < silent.size(); ++i)
+                silent.set(i, report.silentMembers_[i]);
+        }
+        if (!report.roomUse_.empty()) {
+            auto uses = heartbeat.initRoomUse(static_cast<unsigned>(report.roomUse_.size()));
+            for (unsigned i = 0; i < uses.size(); ++i)
+                write(uses[i], report.roomUse_[i]);
+        }
         auto colds = heartbeat.initColds(static_cast<unsigned>(report.coldNotices_.size()));
         for (unsigned i = 0; i < colds.size(); ++i) {
             colds[i].setUpstream(report.coldNotices_[i].upstream_);
@@ -145,6 +231,11 @@
         auto limits = heartbeat.initLimits(static_cast<unsigned>(report.limitNotices_.size()));
         for (unsigned i = 0; i < limits.size(); ++i)
             write(limits[i], report.limitNotices_[i]);
+        if (report.observations_.empty())
+            return;
+        auto observations = heartbeat.initObservations(static_cast<unsigned>(report.observations_.size()));
+        for (unsigned i = 0; i < observations.size(); ++i)
+            write(observations[i], report.observations_[i]);
     }
 
     auto write(wire::RateAsk::Builder builder, const RateAsk& ask) -> void
@@ -210,8 +301,12 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<wire::PeerDatagram>();
     std::visit([&root](const auto& content) { write(root, content); }, datagram);
+    // The canonical form leaves out what is unset at the end of a struct: a field that is added to the schema then costs no
+    // bytes where it is not used.
+    const auto words = capnp::canonicalize(root.asReader());
+    const kj::ArrayPtr<const capnp::word> segment = words;
     kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
+    capnp::writePackedMessage(out, kj::arrayPtr(&segment, 1));
     const auto bytes = out.getArray();
     return { reinterpret_cast<const char*>(bytes.begin()), bytes.size() };
 }
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -3,6 +3,7 @@
 
 #include "gateway/fleet/fleet_view.h"
 #include "gateway/limits/body_limiter.h"
+#include "gateway/placement/expected_end.h"
 #include "gateway/placement/object_demand.h"
 #include "gateway/placement/region_shares.h"
 #include "gateway/upstreams/upstream_set.h"
@@ -17,6 +18,7 @@
 
 struct PlacementQuery {
     std::string service_;
+    std::string route_;
     // Hash of the object that the request concerns, if it names one.
     std::optional<std::uint64_t> object_;
     // Differs between requests; spreads requests that name no object.
@@ -45,6 +47,8 @@
     Duration latencyTarget_ {};
     // Longest wait for a slot after which the request can still finish in time.
     Duration maxQueueWait_ {};
+
+    auto endQuery() const -> EndQuery { return { route_, object_, latencyTarget_ }; }
 };
 
 struct Placement {
@@ -91,10 +95,14 @@
 
 class Placer {
 public:
-    // ownRegion is the region of this instance and of its callers.
-    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion);
-
-    auto place(const PlacementQuery& query) -> PlacementResult;
+    // ownRegion and ownDomain are those of this instance and of its callers. With an estimator, requests for services that it
+    // covers are placed by their expected end.
+    Placer(const Clock& clock, const UpstreamSet& upstreams, const FleetView& fleet, std::string ownRegion, std::string ownDomain = {}, const EndEstimator* estimator = nullptr);
+    virtual ~Placer() = default;
+    Placer(const Placer&) = delete;
+    auto operator=(const Placer&) -> Placer& = delete;
+
+    virtual auto place(const PlacementQuery& query) -> PlacementResult;
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
     // Whether the request may still be sent to the upstream, some time after it was placed there.
@@ -121,6 +129,8 @@
     auto firstOwners(Candidates candidates, std::size_t maxCount) const -> Candidates;
     // Number of owners that an object needs for its current request rate.
     auto ownersNeeded(const PlacementQuery& query, const Candidates& near) -> std::size_t;
+    auto placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult;
+    auto estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>;
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
@@ -136,6 +146,8 @@
     const UpstreamSet& upstreams_;
     const FleetView& fleet_;
     std::string ownRegion_;
+    std::string ownDomain_;
+    const EndEstimator* estimator_;
     RegionShares regionShares_;
     ObjectDemand objectDemand_;
     SpillLimiter spillLimiter_;
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -9,15 +9,19 @@
 #include "gateway/limits/body_limiter.h"
 #include "gateway/limits/limits.h"
 #include "gateway/limits/rate_limiter.h"
+#include "gateway/limits/room_gate.h"
 #include "gateway/limits/upstream_limiter.h"
 #include "gateway/placement/placement.h"
+#include "gateway/requests/attempts_in_flight.h"
 #include "gateway/requests/decision_log.h"
 #include "gateway/requests/forwarding.h"
 #include "gateway/requests/problem_response.h"
+#include "gateway/requests/second_attempt.h"
 #include "gateway/requests/timer_service.h"
 #include "gateway/requests/traffic_splitter.h"
 #include "gateway/requests/upstream_caller.h"
 #include "gateway/upstreams/link_detector.h"
+#include "gateway/upstreams/load_exchange.h"
 #include "gateway/upstreams/notice_recorder.h"
 #include "gateway/upstreams/response_times.h"
 
@@ -36,18 +40,22 @@
     Placer& placer_;
     RateLimiter& rateLimiter_;
     UpstreamLimiter& upstreamLimiter_;
+    RoomGate& roomGate_;
     RetryLimiter& retryLimiter_;
     CrashTracker& crashTracker_;
     TrafficSplitter& trafficSplitter_;
     ResponseTimes& responseTimes_;
+    EndEstimator& endEstimator_;
     UpstreamCaller& upstreamCaller_;
     LinkDetector& linkDetector_;
     DelegateSelector& delegateSelector_;
     DelegateCaller& delegateCaller_;
     NoticeRecorder& noticeRecorder_;
+    LoadExchange& loadExchange_;
     DecisionLog& log_;
     Metrics& metrics_;
     BodyLimiter& bodyLimiter_;
+    SecondAttemptPolicy& secondAttempts_;
 };
 
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
@@ -58,16 +66,15 @@
     RequestHandler(RequestContext& context, OutgoingRequest request, ResponseCallback respond, std::optional<Delegation> delegation = std::nullopt);
 
     auto start() -> void;
-    // The caller has disconnected: ends the attempt; nothing more is sent.
+    // The caller has disconnected: ends all attempts; nothing more is sent.
     auto cancel() -> void;
 
 private:
-    struct SentAttempt {
-        UpstreamPtr upstream_;
-        MonotonicTime at_ {};
-        int rank_ = 0;
-        int occupied_ = 0;
-        std::size_t ownerCount_ = 0;
+    enum class SecondAttemptState {
+        None,
+        Running,
+        // Ended, or the request has.
+        Ended,
     };
 
     auto startDelegated() -> void;
@@ -82,6 +89,8 @@
     auto workspaceName() const -> std::string;
     auto startDeadline() -> void;
     auto tryUpstream() -> void;
+    // Whether the request may be sent as its placement's estimates are; otherwise ends it. Asked once for each request.
+    auto checkRoom(const Placement& placement) -> bool;
     // Places a request while upstreams of some regions cannot be reached: on an open connection, at a peer that reaches them,
     // or in another region.
     auto tryAroundLostLinks(const std::set<std::string>& unreachable) -> void;
@@ -98,13 +107,25 @@
     auto sendWithinLimit(const Placement& placement) -> void;
     auto onLimitVerdict(const Placement& placement, const RateVerdict& verdict) -> void;
     auto send(const Placement& placement) -> void;
-    auto onOutcome(AttemptOutcome outcome) -> void;
+    auto sendAttempt(const Placement& placement, bool isSecond) -> void;
+    // Sets when a second attempt is due, if the request may get one.
+    auto startSecondAttemptTimer(const Placement& placement) -> void;
+    auto onSecondAttemptDue() -> void;
+    // Sends the second attempt, or returns why it is not sent.
+    auto trySecondAttempt() -> std::optional<SecondAttemptRefusal>;
+    // After a failure of the last attempt: whether the other one still runs, so that its outcome decides.
+    auto awaitsOtherAttempt() -> bool;
+    // Records whether the second attempt, if there was one, was the first to end with a response that counts.
+    auto recordSecondAttempt(bool isFirst) -> void;
+    auto onOutcome(bool isSecond, AttemptOutcome outcome) -> void;
     auto onTransportError(const TransportError& error) -> void;
     auto onResponse(UpstreamResponse response) -> void;
     auto onNotRun(const UpstreamResponse& response) -> void;
     auto onFailure(UpstreamResponse response) -> void;
     auto onTimeout() -> void;
     auto recordLoad(Upstream& upstream, const UpstreamResponse& response) -> void;
+    // Whether the response says that the request was not run.
+    auto isNotRun(const UpstreamResponse& response) const -> bool;
     auto isSignedResponse(const UpstreamResponse& response) const -> bool;
     // Whether the request may be sent to another upstream, depending on whether the last one may have run it. Spends a
     // retry.
@@ -114,15 +135,16 @@
     auto finish(UpstreamResponse response, std::string_view reason) -> void;
     auto recordEnd(unsigned status, std::string_view reason) -> void;
     auto timeLeft() const -> Duration { return endsAt_ - context_.clock_.now(); }
-    auto releaseAttempt() -> void;
-    // The body for the next attempt. It is moved to the first one, so that a request holds one copy.
+    auto releaseAttempts() -> void;
+    // The body for the next attempt. The first one takes it, so that a request holds one copy; later ones copy it from the
+    // attempt sent last, which is kept until the request ends.
     auto takeBody() -> std::string;
     // Keeps why no upstream of the service was a candidate, for the log and the metrics.
     auto recordExclusions() -> void;
-    // Updates the health of an upstream whose response is no longer awaited.
+    // Updates what is known of the upstreams whose responses are no longer awaited.
     auto recordUnanswered() -> void;
-    // Whether the last attempt may have failed because this instance had lost its links.
-    auto mayBeLinkLoss() const -> bool;
+    // Whether the attempt may have failed because this instance had lost its links.
+    auto mayBeLinkLoss(const SentAttempt& sent) const -> bool;
 
     RequestContext& context_;
     OutgoingRequest request_;
@@ -140,6 +162,7 @@
     PlacementQuery query_;
     // Without its body after the first attempt, which then has it.
     std::shared_ptr<OutgoingRequest> forwarded_;
+    // The attempt sent last. Kept for its body after its end and while it runs, as a retry or a second attempt needs the body.
     std::shared_ptr<const OutgoingRequest> sent_;
     MonotonicTime arrivedAt_;
     MonotonicTime endsAt_ {};
@@ -148,6 +171,7 @@
     // Shortest wait for a token of an upstream that had no room within its limit.
     std::optional<Duration> limitRetryAfter_;
     std::map<Exclusion, int> exclusions_;
+    bool isRoomChecked_ = false;
     int sends_ = 0;
     int failedConnects_ = 0;
     // The peer that handles the request, and those that have not taken it.
@@ -159,9 +183,14 @@
     std::optional<Executed> ownVerdict_;
     bool mayHaveRun_ = false;
     bool isDone_ = false;
+    // The attempt whose outcome came last, or that was sent last if there was no outcome.
     SentAttempt lastAttempt_;
-    std::unique_ptr<Attempt> attempt_;
+    AttemptsInFlight attempts_;
+    MonotonicTime delegatedAt_ {};
+    std::unique_ptr<Attempt> delegateCall_;
     std::unique_ptr<PendingTimer> deadline_;
+    std::unique_ptr<PendingTimer> secondAttemptTimer_;
+    SecondAttemptState secondAttempt_ = SecondAttemptState::None;
 };
 
 } // namespace sapphirepass
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -67,6 +67,11 @@
     // What a delegation adds to the header of a request.
     constexpr std::size_t maxDelegationBytes = 16 * 1024;
 
+    auto isExpectedEndAsked(const GatewaySettings& settings, const GatewayAdapter& adapter) -> bool
+    {
+        return settings.expectedEnd_ == "always" || (settings.expectedEnd_ == "auto" && adapter.asksForExpectedEnd_);
+    }
+
     auto asMetric(std::uint64_t value) -> std::int64_t { return static_cast<std::int64_t>(value); }
 }
 
@@ -152,12 +157,14 @@
     , pulse_(clock)
     , relayChoice_(fleet_, settings_.region_)
     , coldWatch_(clock, upstreams_, fleet_)
-    , placer_(clock, upstreams_, fleet_, settings_.region_)
+    , endEstimator_(clock, upstreams_)
+    , placer_(clock, upstreams_, fleet_, settings_.region_, settings_.domain_, settings_.expectedEnd_ == "never" ? nullptr : &endEstimator_)
     , rates_(clock, alarms_, fleet_, *this, { settings_.rateWindow_, settings_.rateOver_, settings_.rateSlack_ }, incarnation_)
     , upstreamLimits_(clock, alarms_, fleet_, upstreams_, *this, log_, incarnation_)
     , retries_(clock, fleet_, { settings_.retryRatio_, settings_.retrySlack_, settings_.retryWindow_ })
     , crashes_(clock, fleet_)
     , bodyLimits_(clock)
+    , secondAttempts_(clock, retries_, runQuantiles_)
     , notices_(upstreams_, adapter_.headers_, log_, [this](const Upstream& upstream) { upstreamLimits_.announce(upstream); })
     , links_(clock, upstreams_, [this](const LinkChange& change) { onLinkChange(change); })
     , linkProber_(loop, clock, links_)
@@ -165,11 +172,13 @@
     , resumeTimer_(loop)
     , memory_(clock, memoryBounds(settings_), *this)
     , pool_(
-          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { links_.recordConnect(upstream, startedAt, isConnected); }, {}, &memory_)
+          loop, clock, adapter_.headers_, responseBounds(settings_, responseMemoryParts), [this](Upstream& upstream, const HttpResponse& response) { notices_.record(upstream, response, std::nullopt); }, [this](const Upstream& upstream, MonotonicTime startedAt, bool isConnected) { onConnect(upstream, startedAt, isConnected); }, {}, &memory_)
     , delegatePool_(loop, clock, adapter_.headers_, responseBounds(settings_, delegateMemoryParts), settings_.peer_.host_, &memory_)
     , coldProber_(
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, retries_, crashes_, split_, workTimes_, pool_, links_, delegates_, delegatePool_, notices_, log_, metrics_, bodyLimits_ }
+    , loadExchange_(clock, upstreams_, metrics_, isExpectedEndAsked(settings_, adapter_) ? LoadExchange::Scope::AllUpstreams : LoadExchange::Scope::ReportedSpeeds)
+    , roomGate_(clock, log_, metrics_, incarnation_)
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, bodyLimits_, secondAttempts_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -188,6 +197,7 @@
     , timer_(loop)
     , startedAt_(clock.now())
 {
+    loadExchange_.addListener(endEstimator_);
     beliefs_.onDeclaration([this] { onDeclaration(); });
 }
 
@@ -322,12 +332,14 @@
     ++ticks_;
     beliefs_.removeExpiredUpstreams();
     upstreamLimits_.removeExpired();
+    endEstimator_.removeExpired();
     beliefs_.releaseKeptEvacuations();
     fleet_.setSourceLost(beliefs_.outageDuration(Feed::Upstreams) > Duration::zero());
     if (context_.index_)
         coldProber_.tick(*context_.index_);
     links_.update();
     linkProber_.tick();
+    roomGate_.update();
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.removeSilent();
         rates_.refillShared();
@@ -403,10 +415,20 @@
     report.crashes_ = crashes_.counts();
     if (ticks_ % (heartbeatTicks * gossipHeartbeats) == 0)
         gossipPeers();
-    auto to = reach == Reach::All ? fleet_.peerAddresses() : fleet_.peerAddressesNear(settings_.region_);
+    // Taken even if there is nobody to send them to: by the next heartbeat they are old.
+    auto observations = loadExchange_.takeForHeartbeat();
+    auto roomUse = roomGate_.takeForHeartbeat();
     if (fleet_.memberCount() == 1)
-        to = seedPeers();
-    datagrams_.send(encodeDatagram(report), to);
+        return datagrams_.send(encodeDatagram(report), seedPeers());
+    if (reach == Reach::All)
+        datagrams_.send(encodeDatagram(report), fleet_.peerAddressesBeyond(settings_.region_));
+    // Bytes to other regions are priced, and their instances send few requests to the upstreams of this one.
+    const auto nearPeers = fleet_.peerAddressesNear(settings_.region_);
+    report.observations_ = std::move(observations);
+    report.roomUse_ = std::move(roomUse);
+    if (!nearPeers.empty() && !report.observations_.empty())
+        metrics_.increment({ "gateway_observations_sent_total", {} }, static_cast<std::int64_t>(report.observations_.size()));
+    datagrams_.send(encodeDatagram(report), nearPeers);
 }
 
 auto Gateway::gossipPeers() -> void
@@ -503,11 +525,21 @@
         upstreamLimits_.onGrant(std::get<LimitGrant>(datagram));
 }
 
+auto Gateway::onConnect(const Upstream& upstream, MonotonicTime startedAt, bool isConnected) -> void
+{
+    links_.recordConnect(upstream, startedAt, isConnected);
+    if (isConnected)
+        endEstimator_.recordConnect(upstream, clock_.now() - startedAt);
+}
+
 auto Gateway::onReport(const MemberReport& report) -> void
 {
     fleet_.updateMember(report);
     coldWatch_.applyNotices(report.coldNotices_);
     upstreamLimits_.applyNotices(report.limitNotices_);
+    loadExchange_.apply(report.observations_);
+    if (report.region_ == settings_.region_ && report.name_ != settings_.name_)
+        roomGate_.apply(report);
     if (!report.knownPeers_.empty())
         beliefs_.peerListReceived();
     if (report.wantsPeers_)
@@ -526,6 +558,7 @@
 {
     context_.index_ = beliefs_.index();
     rates_.setLimits(beliefs_.index()->declaration().workspaces_);
+    roomGate_.setWorkspaces(beliefs_.index()->declaration().workspaces_);
 }
 
 // A watch whose answer was lost on a connection that stays open would else keep its feed behind until its time limit.
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/feeds/source_keepalive.h"
 #include "gateway/fleet/relay_selector.h"
 #include "gateway/requests/request_handler.h"
+#include "gateway/upstreams/load_exchange.h"
 #include "loop/caller_listener.h"
 #include "loop/cold_prober.h"
 #include "loop/datagram_socket.h"
@@ -31,6 +32,8 @@
     HeaderNames headers_;
     GatewayPaths paths_;
     std::unique_ptr<DiscoverySource> source_;
+    // Whether the deployment's features ask for placement by expected end, whatever its upstreams report.
+    bool asksForExpectedEnd_ = false;
 };
 
 class Gateway final : private RateAskSender, private LimitAskSender, private MemoryListener {
@@ -122,12 +125,14 @@
     enum class Reach { All,
         Near };
     auto sendHeartbeat(Reach reach) -> void;
+    // Sends the heartbeat with the counts of requests to the instances of the region, and without them to the others.
     // Sends the addresses of some live peers to a few of them, so that all come to know each other.
     auto gossipPeers() -> void;
     // Sends the addresses of all live peers to an instance that has just started.
     auto answerNewcomer(const MemberReport& newcomer) -> void;
     auto ownReport() const -> MemberReport;
     auto onDatagram(std::string_view bytes, const SocketAddress& from) -> void;
+    auto onConnect(const Upstream& upstream, MonotonicTime startedAt, bool isConnected) -> void;
     auto onReport(const MemberReport& report) -> void;
     auto sendAsk(const Coordinator& keeper, const RateAsk& ask) -> void override;
     auto sendLimitAsk(const Coordinator& coordinator, const LimitAsk& ask) -> void override;
@@ -164,6 +169,7 @@
     SourceKeepalive pulse_;
     RelaySelector relayChoice_;
     ColdDetector coldWatch_;
+    EndEstimator endEstimator_;
     Placer placer_;
     RateLimiter rates_;
     UpstreamLimiter upstreamLimits_;
@@ -172,6 +178,8 @@
     BodyLimiter bodyLimits_;
     TrafficSplitter split_;
     ResponseTimes workTimes_;
+    DecayingRunQuantiles runQuantiles_;
+    SecondAttemptPolicy secondAttempts_;
     NoticeRecorder notices_;
     LinkDetector links_;
     LinkProber linkProber_;
@@ -184,6 +192,8 @@
     DelegatePool delegatePool_;
     ColdProber coldProber_;
     Metrics metrics_;
+    LoadExchange loadExchange_;
+    RoomGate roomGate_;
     RequestContext context_;
     FrontHandler frontHandler_;
     DelegationHandler delegationHandler_;
--- a/standin/scripted_caller.h
+++ b/standin/scripted_caller.h
@@ -16,14 +16,17 @@
         std::function<void(AttemptOutcome)> done_;
         // Whether the attempt was ended before its outcome.
         std::shared_ptr<bool> isEnded_;
+        // Whether the response has begun and is not read on.
+        std::shared_ptr<bool> isHeldBack_;
     };
 
     auto hasOpenConnection(const UpstreamPtr& upstream) -> bool override { return open_.contains(upstream->entry_.id_); }
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override
     {
         auto ended = std::make_shared<bool>(false);
-        calls_.push_back({ upstream, std::move(request), std::move(done), ended });
-        return std::make_unique<Open>(ended);
+        auto heldBack = std::make_shared<bool>(false);
+        calls_.push_back({ upstream, std::move(request), std::move(done), ended, heldBack });
+        return std::make_unique<Open>(ended, heldBack);
     }
 
     // Ids of upstreams to which a connection is open.
@@ -40,16 +43,19 @@
 private:
     class Open final : public Attempt {
     public:
-        explicit Open(std::shared_ptr<bool> ended)
+        Open(std::shared_ptr<bool> ended, std::shared_ptr<const bool> heldBack)
             : ended_(std::move(ended))
+            , heldBack_(std::move(heldBack))
         {
         }
         ~Open() override { *ended_ = true; }
         Open(const Open&) = delete;
         auto operator=(const Open&) -> Open& = delete;
+        auto isHeldBack() const -> bool override { return *heldBack_; }
 
     private:
         std::shared_ptr<bool> ended_;
+        std::shared_ptr<const bool> heldBack_;
     };
 
     std::vector<Call> calls_;
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -82,11 +82,16 @@
     CrashTracker crashes_;
     TrafficSplitter split_;
     ResponseTimes times_;
+    EndEstimator estimator_;
+    DecayingRunQuantiles runQuantiles_;
+    SecondAttemptPolicy secondAttempts_;
     LinkDetector links_;
     DelegateSelector selector_;
     NoticeRecorder notices_;
     Metrics metrics_;
     BodyLimiter bodyLimits_;
+    LoadExchange exchange_;
+    RoomGate roomGate_;
     RequestContext context_;
 };
 
@@ -224,6 +229,8 @@
     , rates_(fleet.clock_, fleet.alarms_, view_, *this, { 5s, 0.1, 20 }, number)
     , retries_(fleet.clock_, view_, { 0.2, 64, 10s })
     , crashes_(fleet.clock_, view_)
+    , estimator_(fleet.clock_, upstreams_)
+    , secondAttempts_(fleet.clock_, retries_, runQuantiles_)
     , links_(fleet.clock_, upstreams_, [this](const LinkChange& change) {
         if (change.state_ == LinkState::Unreachable)
             upstreams_.revertLosses(change.region_, change.since_);
@@ -231,7 +238,9 @@
     , selector_(fleet.clock_, view_, region_, upstreams_.regions())
     , notices_(upstreams_, names, log_)
     , bodyLimits_(fleet.clock_)
-    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, retries_, crashes_, split_, times_, *this, links_, selector_, *this, notices_, log_, metrics_, bodyLimits_ }
+    , exchange_(fleet.clock_, upstreams_, metrics_)
+    , roomGate_(fleet.clock_, log_, metrics_, number)
+    , context_ { fleet.clock_, fleet.alarms_, names, name_, std::make_shared<const DeclarationIndex>(declaration()), upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, times_, estimator_, *this, links_, selector_, *this, notices_, exchange_, log_, metrics_, bodyLimits_, secondAttempts_ }
 {
     view_.setReady(true);
     upstreams_.setColdDuration("core", 3s);
