--- a/src/gateway/requests/attempts_in_flight.cpp
+++ b/src/gateway/requests/attempts_in_flight.cpp
@@ -14,17 +14,22 @@
 {
     running.attempt_.reset();
     upstreams_.noteEnded(*running.sent_.upstream_, running.sent_.at_);
+    bodyLimiter_.recordEnded(*running.sent_.upstream_, running.sent_.bodyBytes_);
 }
 
-auto AttemptsInFlight::release(bool isSecond) -> std::optional<SentAttempt>
+auto AttemptsInFlight::find(bool isSecond) const -> std::optional<SentAttempt>
+{
+    const auto found = std::find_if(running_.begin(), running_.end(), [isSecond](const auto& running) { return running.sent_.isSecond_ == isSecond; });
+    return found == running_.end() ? std::nullopt : std::optional(found->sent_);
+}
+
+auto AttemptsInFlight::release(bool isSecond) -> void
 {
     const auto found = std::find_if(running_.begin(), running_.end(), [isSecond](const auto& running) { return running.sent_.isSecond_ == isSecond; });
     if (found == running_.end())
-        return std::nullopt;
+        return;
     end(*found);
-    const auto sent = found->sent_;
     running_.erase(found);
-    return sent;
 }
 
 auto AttemptsInFlight::releaseAll() -> void
@@ -34,13 +39,15 @@
     running_.clear();
 }
 
-auto AttemptsInFlight::sent() const -> std::vector<SentAttempt>
+auto AttemptsInFlight::awaited() const -> std::vector<SentAttempt>
 {
-    std::vector<SentAttempt> sent;
-    sent.reserve(running_.size());
-    for (const auto& running : running_)
-        sent.push_back(running.sent_);
-    return sent;
+    std::vector<SentAttempt> awaited;
+    awaited.reserve(running_.size());
+    for (const auto& running : running_) {
+        if (!running.attempt_ || !running.attempt_->isHeldBack())
+            awaited.push_back(running.sent_);
+    }
+    return awaited;
 }
 
 } // namespace sapphirepass
--- a/src/gateway/requests/attempts_in_flight.h
+++ b/src/gateway/requests/attempts_in_flight.h
@@ -1,6 +1,7 @@
 // The attempts at upstreams that a request has in flight: one, or two while a second attempt runs.
 #pragma once
 
+#include "gateway/limits/body_limiter.h"
 #include "gateway/requests/upstream_caller.h"
 
 #include <cstddef>
@@ -19,23 +20,28 @@
     std::size_t ownerCount_ = 0;
     // Sent while the first attempt was running.
     bool isSecond_ = false;
+    std::size_t bodyBytes_ = 0;
 };
 
 class AttemptsInFlight {
 public:
-    explicit AttemptsInFlight(UpstreamSet& upstreams)
+    AttemptsInFlight(UpstreamSet& upstreams, BodyLimiter& bodyLimiter)
         : upstreams_(upstreams)
+        , bodyLimiter_(bodyLimiter)
     {
     }
 
-    // Takes over an attempt that was counted at its upstream when it was sent.
+    // Takes over an attempt that was counted at its upstream, with its body, when it was sent.
     auto add(const SentAttempt& sent, std::unique_ptr<Attempt> attempt) -> void;
-    // Ends the attempt and counts it as ended; empty if it is not in flight.
-    auto release(bool isSecond) -> std::optional<SentAttempt>;
+    // The attempt, if it is in flight.
+    auto find(bool isSecond) const -> std::optional<SentAttempt>;
+    // Ends the attempt, if it is in flight, and counts it as ended.
+    auto release(bool isSecond) -> void;
     auto releaseAll() -> void;
     auto empty() const -> bool { return running_.empty(); }
-    // The attempts in the order in which they were sent.
-    auto sent() const -> std::vector<SentAttempt>;
+    // The attempts whose upstreams are awaited, in the order in which they were sent: without those whose responses have begun
+    // and are not read on, as this instance lacks memory for them.
+    auto awaited() const -> std::vector<SentAttempt>;
 
 private:
     struct Running {
@@ -46,6 +52,7 @@
     auto end(Running& running) -> void;
 
     UpstreamSet& upstreams_;
+    BodyLimiter& bodyLimiter_;
     std::vector<Running> running_;
 };
 
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -80,7 +80,7 @@
     , delegation_(std::move(delegation))
     , index_(context.index_)
     , arrivedAt_(context.clock_.now())
-    , attempts_(context.upstreams_)
+    , attempts_(context.upstreams_, context.bodyLimiter_)
 {
 }
 
@@ -226,7 +226,9 @@
     query_.latencyTarget_ = route_->latencyTarget_;
     query_.priority_ = effectivePriority(*route_, workspace_);
     query_.typicalResponseTime_ = context_.responseTimes_.typical(route_->name_, route_->latencyTarget_ * initialTargetFactor);
-    forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(request_, context_.headerNames_, workspaceName()));
+    query_.bodyBytes_ = request_.body().size();
+    query_.bodyLimiter_ = &context_.bodyLimiter_;
+    forwarded_ = std::make_shared<OutgoingRequest>(forwardedRequest(std::move(request_), context_.headerNames_, workspaceName()));
 }
 
 auto RequestHandler::tryUpstream() -> void
@@ -306,7 +308,9 @@
 auto RequestHandler::delegateTo(const MemberReport& peer) -> void
 {
     const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, timeLeft() - delegationMargin, route_->latencyTarget_, query_.object_, query_.priority_ };
-    auto request = std::make_shared<OutgoingRequest>(*forwarded_);
+    auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
+    request->body() = takeBody();
+    sent_ = request;
     request->set({ delegationHeader.data(), delegationHeader.size() }, encodeDelegation(delegation));
     delegate_ = peer.name_;
     delegatedAt_ = context_.clock_.now();
@@ -423,11 +427,14 @@
 
 auto RequestHandler::sendAttempt(const Placement& placement, bool isSecond) -> void
 {
-    lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_, isSecond };
-    auto request = std::make_shared<OutgoingRequest>(*forwarded_);
+    lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_, isSecond, query_.bodyBytes_ };
+    auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
+    request->body() = takeBody();
+    sent_ = request;
     addAttemptHeaders(*request, context_.headerNames_, placement.upstream_->entry_, timeLeft());
     context_.placer_.recordColdSend(*placement.upstream_, query_);
     context_.upstreams_.noteSent(*placement.upstream_, lastAttempt_.at_);
+    context_.bodyLimiter_.recordSent(*placement.upstream_, query_.bodyBytes_);
     ++sends_;
     const auto self = weak_from_this();
     attempts_.add(lastAttempt_, context_.upstreamCaller_.call(placement.upstream_, request, [self, isSecond](AttemptOutcome outcome) {
@@ -449,6 +456,11 @@
     });
 }
 
+auto RequestHandler::takeBody() -> std::string
+{
+    return sent_ ? sent_->body() : std::exchange(forwarded_->body(), {});
+}
+
 auto RequestHandler::onSecondAttemptDue() -> void
 {
     if (isDone_ || attempts_.empty())
@@ -514,11 +526,15 @@
 {
     if (isDone_)
         return;
-    const auto sent = attempts_.release(isSecond);
+    const auto sent = attempts_.find(isSecond);
     if (!sent)
         return;
     lastAttempt_ = *sent;
     secondAttemptTimer_.reset();
+    const auto* error = std::get_if<TransportError>(&outcome);
+    if (error != nullptr && error->kind_ == TransportErrorKind::ConnectionLost && !mayBeLinkLoss(*sent))
+        context_.bodyLimiter_.recordLost(*sent->upstream_);
+    attempts_.release(isSecond);
     if (auto* response = std::get_if<UpstreamResponse>(&outcome))
         onResponse(std::move(*response));
     else
@@ -674,8 +690,10 @@
         recordExclusions();
     const auto pause = refusal == PlacementRefusal::NoUpstream ? context_.placer_.shortestPause(query_) : std::nullopt;
     const bool isLimited = refusal == PlacementRefusal::NoUpstream && limitRetryAfter_;
+    const bool isBodyLimited = exclusions_.contains(Exclusion::BodyLimit);
     const std::string_view reason = refusal == PlacementRefusal::Full ? "all-full" : isLimited ? "all-limited"
         : pause                                                                                ? "all-paused"
+        : isBodyLimited                                                                        ? "all-body-limited"
                                                                                                : "no-upstream";
     if (mayHaveRun_)
         return finishWithProblem(502, reason, Executed::Unknown);
@@ -708,7 +726,7 @@
 // An upstream that has not responded to any request since this one was sent is unreachable rather than slow.
 auto RequestHandler::recordUnanswered() -> void
 {
-    for (const auto& sent : attempts_.sent()) {
+    for (const auto& sent : attempts_.awaited()) {
         const auto waited = context_.clock_.now() - sent.at_;
         if (!sent.isSecond_)
             context_.secondAttempts_.recordAbandonedRun(route_->name_, waited);
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -6,6 +6,7 @@
 #include "gateway/fleet/delegate_caller.h"
 #include "gateway/fleet/delegate_selector.h"
 #include "gateway/fleet/delegation.h"
+#include "gateway/limits/body_limiter.h"
 #include "gateway/limits/limits.h"
 #include "gateway/limits/rate_limiter.h"
 #include "gateway/limits/room_gate.h"
@@ -53,6 +54,7 @@
     LoadExchange& loadExchange_;
     DecisionLog& log_;
     Metrics& metrics_;
+    BodyLimiter& bodyLimiter_;
     SecondAttemptPolicy& secondAttempts_;
     // Whether the room gate is asked.
     bool admitsByRoom_ = false;
@@ -136,6 +138,9 @@
     auto recordEnd(unsigned status, std::string_view reason) -> void;
     auto timeLeft() const -> Duration { return endsAt_ - context_.clock_.now(); }
     auto releaseAttempts() -> void;
+    // The body for the next attempt. The first one takes it, so that a request holds one copy; later ones copy it from the
+    // attempt sent last, which is kept until the request ends.
+    auto takeBody() -> std::string;
     // Keeps why no upstream of the service was a candidate, for the log and the metrics.
     auto recordExclusions() -> void;
     // Updates what is known of the upstreams whose responses are no longer awaited.
@@ -157,7 +162,10 @@
     std::string serviceName_;
     std::vector<std::string> homeRegions_;
     PlacementQuery query_;
-    std::shared_ptr<const OutgoingRequest> forwarded_;
+    // Without its body after the first attempt, which then has it.
+    std::shared_ptr<OutgoingRequest> forwarded_;
+    // The attempt sent last. Kept for its body after its end and while it runs, as a retry or a second attempt needs the body.
+    std::shared_ptr<const OutgoingRequest> sent_;
     MonotonicTime arrivedAt_;
     MonotonicTime endsAt_ {};
     std::uint64_t fingerprint_ = 0;
--- a/tests/second_attempt_test.cpp
+++ b/tests/second_attempt_test.cpp
@@ -145,9 +145,10 @@
         }
     }
 
-    auto start(const std::string& path, const std::optional<Delegation>& delegation = std::nullopt) -> std::shared_ptr<RequestHandler>
+    auto start(const std::string& path, const std::optional<Delegation>& delegation = std::nullopt, const std::string& body = {}) -> std::shared_ptr<RequestHandler>
     {
-        OutgoingRequest request { http::verb::get, path, 11 };
+        OutgoingRequest request { body.empty() ? http::verb::get : http::verb::post, path, 11 };
+        request.body() = body;
         request.set(http::field::host, "shop.example");
         request.set(names.attempt_, "t1");
         auto handler = std::make_shared<RequestHandler>(
@@ -204,10 +205,11 @@
     standin::ScriptedDelegates delegates_;
     NoticeRecorder notices_ { upstreams_, names, log_ };
     Metrics metrics_;
-    LoadExchange exchange_ { clock_, upstreams_, metrics_ };
+    BodyLimiter bodyLimits_ { clock_ };
     EndEstimator estimator_ { clock_, upstreams_ };
     RoomGate roomGate_ { clock_, log_, metrics_, 1 };
-    RequestContext context_ { clock_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, responseTimes_, estimator_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_, policy_ };
+    LoadExchange exchange_ { clock_, upstreams_, metrics_ };
+    RequestContext context_ { clock_, alarms_, names, "self", nullptr, upstreams_, placer_, rates_, limits_, roomGate_, retries_, crashes_, split_, responseTimes_, estimator_, caller_, links_, selector_, delegates_, notices_, exchange_, log_, metrics_, bodyLimits_, policy_ };
     std::vector<UpstreamResponse> answers_;
     std::vector<std::shared_ptr<RequestHandler>> handlers_;
 };
@@ -846,3 +848,75 @@
     load.run(100s, true);
     CHECK(load.started_ - recovered >= (load.requests_ - requests) * 0.02);
 }
+
+// Guards against a second attempt or a retry after both that is sent without the body, which the first attempt has taken, and
+// against bytes that stay counted at an upstream when one of two attempts ends.
+TEST_CASE("two attempts and a retry carry the whole body, and each counts it at its upstream until its end", "[second-attempt][memory]")
+{
+    Fixture fixture;
+    const std::string body(100'000, 'b');
+    const auto outstanding = [&](std::size_t number) { return fixture.bodyLimits_.outstanding(fixture.upstreamOf(number)); };
+    const auto handler = fixture.start("/thrice/1", std::nullopt, body);
+    fixture.alarms_.advance(150ms);
+    REQUIRE(fixture.calls() == 2);
+    for (std::size_t i = 0; i < 2; ++i) {
+        CHECK(fixture.call(i).request_->body() == body);
+        CHECK(outstanding(i) == body.size());
+    }
+    const auto failedFirst = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    const auto other = 1 - failedFirst;
+    fixture.finish(failedFirst, Outcome::Failure);
+    CHECK(outstanding(failedFirst) == 0);
+    CHECK(outstanding(other) == body.size());
+    fixture.finish(other, Outcome::Failure);
+    CHECK(outstanding(other) == 0);
+    REQUIRE(fixture.calls() == 3);
+    CHECK(fixture.call(2).request_->body() == body);
+    CHECK(outstanding(2) == body.size());
+    fixture.finish(2, Outcome::Success);
+    CHECK(fixture.status() == 200);
+    CHECK(fixture.isNothingInFlight());
+    for (const auto& [id, upstream] : fixture.upstreams_.byId())
+        CHECK(fixture.bodyLimits_.outstanding(*upstream) == 0);
+}
+
+// Guards against bytes that stay counted at the upstream of an attempt that is cancelled because the other one has won.
+TEST_CASE("the attempt that is cancelled no longer counts its body", "[second-attempt][memory]")
+{
+    Fixture fixture;
+    const auto handler = fixture.start("/read/1", std::nullopt, std::string(100'000, 'b'));
+    fixture.alarms_.advance(150ms);
+    REQUIRE(fixture.calls() == 2);
+    fixture.finish(GENERATE(std::size_t { 0 }, std::size_t { 1 }), Outcome::Success);
+    CHECK(fixture.status() == 200);
+    for (const auto& [id, upstream] : fixture.upstreams_.byId())
+        CHECK(fixture.bodyLimits_.outstanding(*upstream) == 0);
+}
+
+// Guards against a loss being recorded at the upstream of the other attempt.
+TEST_CASE("a lost connection lowers the bound on bodies of its own upstream only", "[second-attempt][memory]")
+{
+    Fixture fixture;
+    const auto handler = fixture.start("/read/1", std::nullopt, std::string(100'000, 'b'));
+    fixture.alarms_.advance(150ms);
+    REQUIRE(fixture.calls() == 2);
+    const auto before = fixture.bodyLimits_.bound(fixture.upstreamOf(0));
+    const auto lost = GENERATE(std::size_t { 0 }, std::size_t { 1 });
+    fixture.finish(lost, Outcome::ConnectionLost);
+    CHECK(fixture.bodyLimits_.bound(fixture.upstreamOf(lost)) == before / 2);
+    CHECK(fixture.bodyLimits_.bound(fixture.upstreamOf(1 - lost)) == before);
+}
+
+// Guards against an upstream being taken for silent because this instance lacks memory for its response.
+TEST_CASE("an upstream whose response is held back is not recorded as after a timeout", "[second-attempt][memory]")
+{
+    Fixture fixture;
+    fixture.startSlow();
+    REQUIRE(fixture.calls() == 2);
+    *fixture.call(0).isHeldBack_ = true;
+    fixture.alarms_.advance(3s);
+    REQUIRE(fixture.status() == 504);
+    CHECK(fixture.upstreamOf(0).consecutiveLosses_ == 0);
+    CHECK(fixture.upstreamOf(0).failureRate_ == 0);
+    CHECK(fixture.upstreamOf(1).consecutiveLosses_ == 1);
+}
