A gain by warm upstreams is assumed until runs of a route show one

Change: until 200 runs are known, a warm run counts as half of the typical one where a request names an object; a lower rank costs 10 ms, which keeps objects on fewer upstreams.

--- a/src/gateway/placement/end_estimator.cpp
+++ b/src/gateway/placement/end_estimator.cpp
@@ -21,6 +21,9 @@
     // Requests that may have arrived or ended since the load was reported. It smooths the wait: an upstream with few free slots
     // is worse than one with many.
     constexpr double occupiedSpread = 1.0;
+    // Runs after which a route without two groups of run times counts as one without a gain.
+    constexpr std::uint32_t minLearnedRuns = 200;
+    constexpr double assumedWarmPart = 0.5;
     // Part by which a longer connection time raises the known round trip, so that a change of route is followed.
     constexpr int roundTripRise = 50;
 
@@ -42,6 +45,19 @@
 {
 }
 
+// Until enough runs are known, a gain is assumed for requests that name an object: without it, requests of a route that has just
+// begun would go to any owner, and make the object warm on all of them.
+auto EndEstimator::runTimes(const EndQuery& query) const -> RunEstimate
+{
+    auto times = runTimes_.estimate(query.route_, query.latencyTarget_);
+    const auto count = runCounts_.find(query.route_);
+    const bool isLearned = count != runCounts_.end() && count->second >= minLearnedRuns;
+    if (times.isSeparated_ || isLearned || !query.object_)
+        return times;
+    times.warm_ = fromSeconds(inSeconds(times.warm_) * assumedWarmPart);
+    return times;
+}
+
 auto EndEstimator::isServiceEstimated(const std::string& service) const -> bool
 {
     return services_.contains(service);
@@ -95,6 +111,10 @@
     const auto known = runTimes_.estimate(query.route_, query.latencyTarget_);
     if (!runTimes_.record(query.route_, run))
         return;
+    // Routes come and go over the life of an instance.
+    if (runCounts_.size() > RunTimes::maxRoutes)
+        runCounts_.clear();
+    ++runCounts_[query.route_];
     auto& service = services_[upstream.entry_.service_];
     service.run_ += std::chrono::duration_cast<Duration>((run - service.run_) * (service.run_ == Duration::zero() ? 1.0 : averageWeight));
     // The geometric mean separates the groups, as both spread in proportion to their times.
--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -50,7 +50,7 @@
     auto isServiceEstimated(const std::string& service) const -> bool;
     auto estimate(const Upstream& upstream, const EndQuery& query) const -> EndEstimate;
     // Time of a run at usual speed, warm and cold.
-    auto runTimes(const EndQuery& query) const -> RunEstimate { return runTimes_.estimate(query.route_, query.latencyTarget_); }
+    auto runTimes(const EndQuery& query) const -> RunEstimate;
     // Requests per second for the object in this region.
     auto regionRate(std::uint64_t object) const -> double { return warmObjects_.regionRate(object); }
 
@@ -83,6 +83,8 @@
     const Clock& clock_;
     const UpstreamSet& upstreams_;
     RunTimes runTimes_;
+    // Runs learned from, by route.
+    std::map<std::string, std::uint32_t> runCounts_;
     WarmObjects warmObjects_;
     std::map<UpstreamKey, RejectionRate> rejections_;
     std::map<std::string, ServiceLoad> services_;
--- a/src/gateway/placement/expected_end.cpp
+++ b/src/gateway/placement/expected_end.cpp
@@ -12,7 +12,7 @@
     // long queue.
     constexpr double coldRunWeight = 0.5;
     // Keeps objects on their first owners while these are about equally loaded.
-    constexpr Duration rankCost = 2ms;
+    constexpr Duration rankCost = 10ms;
     // What a request from another failure domain costs, so that bytes between domains are spent only for a gain.
     constexpr Duration otherDomainCost = 15ms;
     // Owners of each object. With two or three to choose from by load, no upstream is loaded far beyond the mean (the power of two
--- a/tests/expected_end_test.cpp
+++ b/tests/expected_end_test.cpp
@@ -116,6 +116,7 @@
     {
         std::mt19937_64 random(seed);
         std::vector<double> weights;
+        weights.reserve(static_cast<std::size_t>(objects));
         for (int i = 0; i < objects; ++i)
             weights.push_back(1 / std::pow(i + 1, skew));
         std::discrete_distribution<std::uint64_t> pickObject(weights.begin(), weights.end());
@@ -281,6 +282,26 @@
     CHECK(ownersForDemand(100, 300ms, 6) * 6 * 0.8 > 100 * 0.3);
 }
 
+// Requests of a route with few runs went to any owner, so that each object was cold on all of them: two routes of a heavy day earned 0.68
+// of what is owed instead of 0.79.
+TEST_CASE("a gain by warm upstreams is assumed for requests with an object until runs show whether there is one", "[expected-end]")
+{
+    ManualClock clock;
+    Instance instance(clock, 1, true);
+    const auto upstream = instance.upstreams_.byId().begin()->second;
+    const EndQuery query { "read", 7, 800ms };
+    const EndQuery withoutObject { "read", std::nullopt, 800ms };
+    const auto before = instance.estimator_.runTimes(query);
+    CHECK(before.warm_ < before.cold_);
+    CHECK(instance.estimator_.runTimes(withoutObject).warm_ == instance.estimator_.runTimes(withoutObject).cold_);
+    const ReportedLoad load { 1, 0, slots, 1.0 };
+    instance.exchange_.record({ upstreamKey(upstream->entry_), 7, load, {}, false });
+    for (int run = 0; run < 400; ++run)
+        instance.estimator_.recordResponse(*upstream, query, load, 300ms);
+    const auto after = instance.estimator_.runTimes(query);
+    CHECK(after.warm_ == after.cold_);
+}
+
 // Instances that know only their own responses believed that upstreams were empty, and sent requests to full ones while others
 // were idle. The load is that of a busy day.
 TEST_CASE("fewer than one in a hundred sends of a hundred instances is rejected by three hundred busy upstreams", "[expected-end]")
