--- a/tests/expected_end_test.cpp
+++ b/tests/expected_end_test.cpp
@@ -47,6 +47,7 @@
     {
         exchange_.addListener(estimator_);
         std::vector<UpstreamEntry> entries;
+        entries.reserve(static_cast<std::size_t>(upstreams));
         for (int i = 0; i < upstreams; ++i)
             entries.push_back({ fmt::format("u{}", i), 1, "core", { "127.0.0.1", 9000 }, "north-a", slots, UpstreamState::Ready, 0s });
         upstreams_.replaceAll(entries, 0s);
