--- a/src/gateway/requests/attempts_in_flight.h
+++ b/src/gateway/requests/attempts_in_flight.h
@@ -21,6 +21,8 @@
     // Sent while the first attempt was running.
     bool isSecond_ = false;
     std::size_t bodyBytes_ = 0;
+    // Wait and run that the placement expected; empty where it did not estimate them.
+    std::optional<Duration> expected_ {};
 };
 
 class AttemptsInFlight {
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fmt/format.h>
 #include <utility>
 
@@ -427,7 +428,7 @@
 
 auto RequestHandler::sendAttempt(const Placement& placement, bool isSecond) -> void
 {
-    lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_, isSecond, query_.bodyBytes_ };
+    lastAttempt_ = { placement.upstream_, context_.clock_.now(), placement.rank_, placement.occupied_, placement.ownerCount_, isSecond, query_.bodyBytes_, placement.isEstimated_ ? std::optional(placement.expectedWait_ + placement.expectedRun_) : std::nullopt };
     auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
     request->body() = takeBody();
     sent_ = request;
@@ -605,6 +606,8 @@
         if (!lastAttempt_.isSecond_)
             context_.secondAttempts_.recordRun(route_->name_, work);
         context_.metrics_.observe({ "gateway_upstream_seconds", {} }, inSeconds(work));
+        if (lastAttempt_.expected_)
+            context_.metrics_.observe({ "gateway_expected_end_error_seconds", {} }, std::abs(inSeconds(work - *lastAttempt_.expected_)));
         return finish(forwardedResponse(std::move(response)), "answered");
     }
     onFailure(std::move(response));
@@ -801,6 +804,8 @@
         fields["occupied"] = lastAttempt_.occupied_;
         fields["load_age_ms"] = milliseconds(context_.clock_.now() - lastAttempt_.upstream_->loadAt_);
         fields["sends"] = sends_;
+        if (lastAttempt_.expected_)
+            fields["expected_ms"] = milliseconds(*lastAttempt_.expected_);
     }
     for (const auto& [exclusion, count] : exclusions_)
         fields["excluded"][std::string(exclusionName(exclusion))] = count;
