--- a/src/gateway/limits/room_gate.cpp
+++ b/src/gateway/limits/room_gate.cpp
@@ -41,7 +41,7 @@
     constexpr Duration minStepTime = 120ms;
     // Counts are used for this long.
     constexpr Duration countWindow = 2s;
-    // Own counts while no peer is heard: fewer requests need a longer time to tell workspaces apart.
+    // Without reports of peers only own counts are known: fewer requests need a longer time to compare workspaces.
     constexpr Duration lonelyCountWindow = 8s;
     constexpr Duration sliceTime = 200ms;
     // Each priority gets at least the first fraction of what all get on average, or the second if priority 0 would else lack room;
--- a/src/gateway/placement/warm_objects.cpp
+++ b/src/gateway/placement/warm_objects.cpp
@@ -92,7 +92,7 @@
         std::size_t bound_ = WarmObjects::initialBound;
     };
 
-    // Runs of a recency beyond what is recorded tell nothing about bounds within it.
+    // Runs of a recency above the recorded range give no evidence about bounds within it.
     auto BoundEstimate::record(std::size_t recency, bool wasWarm) -> void
     {
         if (recency >= counts_.size())
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -143,7 +143,7 @@
     auto takeBody() -> std::string;
     // Keeps why no upstream of the service was a candidate, for the log and the metrics.
     auto recordExclusions() -> void;
-    // Updates what is known of the upstreams whose responses are no longer awaited.
+    // Updates the health of upstreams whose responses are no longer awaited.
     auto recordUnanswered() -> void;
     // Whether the attempt may have failed because this instance had lost its links.
     auto mayBeLinkLoss(const SentAttempt& sent) const -> bool;
--- a/src/gateway/upstreams/load_exchange.h
+++ b/src/gateway/upstreams/load_exchange.h
@@ -17,7 +17,7 @@
     virtual auto onObservation(const Upstream& upstream, const Observation& observation, MonotonicTime at, bool isOwn) -> void = 0;
 };
 
-// An instance alone hears from an upstream too rarely to know its load. Own observations and those of peers are merged into
+// A single instance gets too few responses of an upstream to know its load. Own observations and those of peers are merged into
 // the shared load of the upstream, and the own ones are queued for the next heartbeat.
 class LoadExchange {
 public:
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -21,7 +21,7 @@
     constexpr Duration writeLimit = 30s;
     // Longest time in which a refused body is discarded after the refusal was written.
     constexpr Duration drainLimit = 2s;
-    // Callers whose bodies were refused are told to return after one to two times this: about the time of the requests under way.
+    // Retry-After of refused bodies is one to two times this, about the time that requests in flight take.
     constexpr Duration bodyRetryAfter = 500ms;
     // Only responses above this size may have to wait for their caller, as the kernel takes smaller ones at once.
     constexpr std::size_t largeResponse = 16 * 1024;
