Placement counts bytes between failure domains and new connections

Ruled out: only owners in the own domain (a full near upstream would queue while others are free), and a cost by bytes without a bound. Change: RouteBytes learns the bytes of each route; comparedEnd adds a bounded cost for them and one for a new connection; routes of 16 KB and more have an owner in the own failure domain; connections to upstreams of services placed by expected end are used until 1 s before the stated end. Other services keep half of the time.

--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -1,6 +1,7 @@
 // Estimates when a request would end at an upstream: distance, wait for a slot, and run.
 #pragma once
 
+#include "gateway/placement/route_bytes.h"
 #include "gateway/placement/run_times.h"
 #include "gateway/placement/warm_objects.h"
 #include "gateway/upstreams/load_exchange.h"
@@ -56,6 +57,10 @@
 
     // Records a response to a request that this instance sent: its run time teaches the route's run times.
     auto recordResponse(const Upstream& upstream, const EndQuery& query, const ReportedLoad& load, Duration took) -> void;
+    // Records the bytes of the bodies of a request and its response.
+    auto recordBytes(const std::string& route, std::size_t bytes) -> void { routeBytes_.record(route, bytes); }
+    // Bytes that a request of the route is expected to transfer.
+    auto expectedBytes(const std::string& route) const -> double { return routeBytes_.expected(route); }
     // Records the time of a successful connection attempt, which is about a round trip.
     auto recordConnect(const Upstream& upstream, Duration took) -> void;
     auto onObservation(const Upstream& upstream, const Observation& observation, MonotonicTime at, bool isOwn) -> void override;
@@ -85,6 +90,7 @@
     RunTimes runTimes_;
     // Runs learned from, by route.
     std::map<std::string, std::uint32_t> runCounts_;
+    RouteBytes routeBytes_;
     WarmObjects warmObjects_;
     std::map<UpstreamKey, RejectionRate> rejections_;
     std::map<std::string, ServiceLoad> services_;
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -299,14 +299,29 @@
     return Placement { least->upstream_, static_cast<int>(least - owners.begin()), wait, least->occupied_, owners.size() };
 }
 
+auto Placer::addNearOwner(Candidates& owners, const Candidates& candidates) const -> void
+{
+    const auto isNear = [this](const Candidate& candidate) { return candidate.upstream_->entry_.domain_ == ownDomain_; };
+    if (std::any_of(owners.begin(), owners.end(), isNear))
+        return;
+    Candidates near;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near), isNear);
+    if (const auto first = std::max_element(near.begin(), near.end(), [](const auto& a, const auto& b) { return a.weight_ < b.weight_; }); first != near.end())
+        owners.push_back(*first);
+}
+
 auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>
 {
     const auto endQuery = query.endQuery();
     const auto warmRun = estimator_->runTimes(endQuery).warm_;
     std::vector<EndCandidate> estimated;
     estimated.reserve(owners.size());
-    for (const auto& owner : owners)
-        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), owner.upstream_->entry_.domain_ == ownDomain_ });
+    const auto bytes = estimator_->expectedBytes(query.route_);
+    for (const auto& owner : owners) {
+        const bool isNear = owner.upstream_->entry_.domain_ == ownDomain_;
+        const bool hasConnection = connections_ == nullptr || connections_->hasOpenConnection(owner.upstream_);
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), isNear, bytes, hasConnection });
+    }
     return estimated;
 }
 
@@ -317,7 +332,9 @@
     const auto& home = near.empty() ? far : near;
     const auto warmRun = estimator_->runTimes(query.endQuery()).warm_;
     const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
-    const auto owners = firstOwners(home, ownersForDemand(rate, warmRun, home.front().upstream_->entry_.slots_));
+    auto owners = firstOwners(home, ownersForDemand(rate, warmRun, home.front().upstream_->entry_.slots_));
+    if (needsNearOwner(estimator_->expectedBytes(query.route_)))
+        addNearOwner(owners, home);
     const auto estimates = estimateOwners(query, owners);
     const auto best = chooseByExpectedEnd(estimates).value_or(0);
     const auto placed = [](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
@@ -345,7 +362,7 @@
     const auto region = targetRegion(query.object_.value_or(query.requestHash_), query);
     const auto elsewhere = std::stable_partition(found.begin(), found.end(), [&region](const auto& candidate) { return candidate.upstream_->region_ == region; });
     const Candidates nearby(found.begin(), elsewhere);
-    if (estimator_ != nullptr && estimator_->isServiceEstimated(query.service_))
+    if (usesEstimates(query.service_))
         return placeByExpectedEnd(query, nearby, Candidates(elsewhere, found.end()));
     const auto near = firstOwners(nearby, ownersNeeded(query, nearby));
     const auto far = firstOwners(Candidates(elsewhere, found.end()), std::max(maxRemoteOwners, near.empty() ? ownersNeeded(query, found) : 1));
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -6,6 +6,7 @@
 #include "gateway/placement/expected_end.h"
 #include "gateway/placement/object_demand.h"
 #include "gateway/placement/region_shares.h"
+#include "gateway/upstreams/connection_state.h"
 #include "gateway/upstreams/upstream_set.h"
 
 #include <map>
@@ -102,7 +103,11 @@
     Placer(const Placer&) = delete;
     auto operator=(const Placer&) -> Placer& = delete;
 
+    // Without it, every upstream counts as one with an open connection. Must outlive the placer.
+    auto setConnectionState(ConnectionState& connections) -> void { connections_ = &connections; }
     virtual auto place(const PlacementQuery& query) -> PlacementResult;
+    // Whether requests for the service are placed by their expected end.
+    auto usesEstimates(const std::string& service) const -> bool { return estimator_ != nullptr && estimator_->isServiceEstimated(service); }
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
     // Whether the request may still be sent to the upstream, some time after it was placed there.
@@ -130,6 +135,8 @@
     // Number of owners that an object needs for its current request rate.
     auto ownersNeeded(const PlacementQuery& query, const Candidates& near) -> std::size_t;
     auto placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult;
+    // Adds the first candidate in the own failure domain if none of the owners is there.
+    auto addNearOwner(Candidates& owners, const Candidates& candidates) const -> void;
     auto estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>;
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
@@ -148,6 +155,7 @@
     std::string ownRegion_;
     std::string ownDomain_;
     const EndEstimator* estimator_;
+    ConnectionState* connections_ = nullptr;
     RegionShares regionShares_;
     ObjectDemand objectDemand_;
     SpillLimiter spillLimiter_;
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -602,6 +602,7 @@
         context_.responseTimes_.record(route_->name_, work);
         if (const auto load = readLoad(response, context_.headerNames_).load_)
             context_.endEstimator_.recordResponse(*lastAttempt_.upstream_, query_.endQuery(), *load, work);
+        context_.endEstimator_.recordBytes(route_->name_, query_.bodyBytes_ + response.body().size());
         // Second attempts of long runs are cancelled, so that their run times would make runs look shorter than they are.
         if (!lastAttempt_.isSecond_)
             context_.secondAttempts_.recordRun(route_->name_, work);
--- a/src/gateway/requests/upstream_caller.h
+++ b/src/gateway/requests/upstream_caller.h
@@ -1,7 +1,7 @@
 // Sends a request to an upstream. Each attempt sends at most once; requests are never resent implicitly.
 #pragma once
 
-#include "gateway/upstreams/upstream_set.h"
+#include "gateway/upstreams/connection_state.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -41,11 +41,8 @@
     virtual auto isHeldBack() const -> bool { return false; }
 };
 
-class UpstreamCaller {
+class UpstreamCaller : public ConnectionState {
 public:
-    virtual ~UpstreamCaller() = default;
-    // Whether an open connection to the upstream can carry the next request.
-    virtual auto hasOpenConnection(const UpstreamPtr& upstream) -> bool = 0;
     // Keeps the request alive until the outcome. Calls done exactly once, never before this returns.
     virtual auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> = 0;
 };
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -198,6 +198,8 @@
     , startedAt_(clock.now())
 {
     loadExchange_.addListener(endEstimator_);
+    placer_.setConnectionState(pool_);
+    pool_.setReusePolicy([this](const Upstream& upstream) { return placer_.usesEstimates(upstream.entry_.service_) ? ConnectionReuse::Long : ConnectionReuse::Cautious; });
     beliefs_.onDeclaration([this] { onDeclaration(); });
 }
 
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -19,8 +19,6 @@
     constexpr int maxSkippedResponses = 32;
     // While the memory is full, it is looked for room this often.
     constexpr Duration roomPoll = 50ms;
-    // Part of the stated idle time in which a connection is reused, so that its close never crosses a request.
-    constexpr double idlePart = 0.5;
     // Where the upstream states no time.
     constexpr Duration assumedIdle = 4s;
 
@@ -224,11 +222,11 @@
     const bool reusable = !ended && !isTainted_ && !isWriting_ && parser_->keep_alive() && buffer_.size() == 0;
     hasCarriedResponse_ = true;
     if (reusable)
-        idleUntil_ = clock_.now() + keptFor(response);
+        statedIdle_ = statedIdle(response);
     tell(parser_->release(), reusable);
 }
 
-auto UpstreamChannel::keptFor(const HttpResponse& response) const -> Duration
+auto UpstreamChannel::statedIdle(const HttpResponse& response) -> Duration
 {
     const auto header = response[http::field::keep_alive];
     const auto parameters = ";" + std::string(header.data(), header.size());
@@ -236,9 +234,9 @@
         if (parameter.first != "timeout")
             continue;
         const auto stated = parseNumber({ parameter.second.data(), parameter.second.size() }, Bounds { 0, 3'600 });
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(static_cast<double>(stated.value_or(0)) * idlePart));
+        return std::chrono::seconds(stated.value_or(0));
     }
-    return std::chrono::duration_cast<Duration>(assumedIdle * idlePart);
+    return assumedIdle;
 }
 
 auto UpstreamChannel::lose(TransportErrorKind kind, std::string reason) -> void
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -97,9 +97,9 @@
 auto UpstreamPool::keep(const UpstreamPtr& upstream, std::shared_ptr<UpstreamChannel> channel) -> void
 {
     if (upstream->retired_)
-        channel->abandon();
-    else
-        idle_[upstream].push_back(std::move(channel));
+        return channel->abandon();
+    channel->setReusableFor(reusableTime(channel->statedIdle(), reusePolicy_ ? reusePolicy_(*upstream) : ConnectionReuse::Cautious));
+    idle_[upstream].push_back(std::move(channel));
 }
 
 auto UpstreamPool::sweep() -> void
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -32,6 +32,9 @@
     UpstreamPool(const UpstreamPool&) = delete;
     auto operator=(const UpstreamPool&) -> UpstreamPool& = delete;
 
+    // Decides for each upstream how long idle connections to it are used; Cautious if it is not set.
+    using ReusePolicy = std::function<ConnectionReuse(const Upstream&)>;
+    auto setReusePolicy(ReusePolicy policy) -> void { reusePolicy_ = std::move(policy); }
     auto hasOpenConnection(const UpstreamPtr& upstream) -> bool override;
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     // Closes connections that have been idle for too long or whose upstream is retired.
@@ -55,6 +58,7 @@
     LateResponse onLateResponse_;
     ConnectListener onConnect_;
     std::string sourceHost_;
+    ReusePolicy reusePolicy_;
     std::map<UpstreamPtr, Idle> idle_;
     PoolCounts counts_;
 };
--- a/tests/expected_end_test.cpp
+++ b/tests/expected_end_test.cpp
@@ -276,6 +276,36 @@
 }
 
 // A popular object filled its owners while other upstreams idled.
+TEST_CASE("large bodies stay in the own failure domain, unless the upstream there is much later", "[expected-end]")
+{
+    // Guards against bytes between domains without a gain, and against near upstreams that queue for them.
+    const auto choice = [](double bytes, Duration nearWait) {
+        auto far = candidate(0ms, 300ms, 0, false);
+        auto near = candidate(nearWait, 300ms, 1, true);
+        far.bytes_ = bytes;
+        near.bytes_ = bytes;
+        return chooseByExpectedEnd({ far, near });
+    };
+    CHECK(choice(500, 30ms) == 0U);
+    CHECK(choice(90 * 1024, 30ms) == 1U);
+    CHECK(choice(90 * 1024, 80ms) == 1U);
+    CHECK(choice(90 * 1024, 120ms) == 0U);
+    // The cost of bytes is bounded.
+    CHECK(choice(900e6, 120ms) == 1U);
+    CHECK(choice(900e6, 200ms) == 0U);
+}
+
+TEST_CASE("of upstreams with about the same end one with an open connection is chosen", "[expected-end]")
+{
+    // Guards against a new connection for most requests.
+    auto first = candidate(0ms, 300ms, 0);
+    auto second = candidate(0ms, 300ms, 1);
+    first.hasConnection_ = false;
+    CHECK(chooseByExpectedEnd({ first, second }) == 1U);
+    second.estimate_.wait_ = 20ms;
+    CHECK(chooseByExpectedEnd({ first, second }) == 0U);
+}
+
 TEST_CASE("an object gets more owners as its requests need more slots", "[expected-end]")
 {
     CHECK(ownersForDemand(0, 300ms, 6) == ownersForDemand(1, 300ms, 6));
