Popular objects: spread over owners, rejected requests in the demand, faster rate

Cause: three faults that tests/popularity_test.cpp shows. Instances with the same reports chose the same owner until the next report. The cost of a lower rank grew without limit, so that the last owners of a popular object were never used. The rate of an object counted only requests that ran, averaged over 3 s, so that a sudden object gained owners slowly. Change: end_spread.* draws among the owners by the wait that the object's requests add until newer loads are known; the cost of the rank ends with the usual owners; rejected requests count for rates, and a recent rate over 1 s is known besides the average.

--- a/src/gateway/placement/end_estimator.cpp
+++ b/src/gateway/placement/end_estimator.cpp
@@ -133,7 +133,10 @@
 {
     const auto key = observation.upstream_;
     warmObjects_.setService(key, upstream.entry_.service_);
-    if (observation.object_ != 0 && !observation.isRejection_)
+    // Without the rejected requests, the owners of an object that has just become popular would be added for the few that ran.
+    if (observation.object_ != 0 && observation.isRejection_)
+        warmObjects_.recordRequest(observation.object_, at);
+    else if (observation.object_ != 0)
         warmObjects_.record(key, observation.object_, at);
     recordRejection(key, at, observation.isRejection_);
     const auto& load = observation.load_;
--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -6,6 +6,7 @@
 #include "gateway/upstreams/load_exchange.h"
 #include "gateway/upstreams/upstream_set.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -51,8 +52,8 @@
     auto estimate(const Upstream& upstream, const EndQuery& query) const -> EndEstimate;
     // Time of a run at usual speed, warm and cold.
     auto runTimes(const EndQuery& query) const -> RunEstimate;
-    // Requests per second for the object in this region.
-    auto regionRate(std::uint64_t object) const -> double { return warmObjects_.regionRate(object); }
+    // Requests per second for the object in this region, with those that upstreams rejected.
+    auto regionRate(std::uint64_t object) const -> double { return std::max(warmObjects_.regionRate(object), warmObjects_.recentRate(object)); }
 
     // Records a response to a request that this instance sent: its run time teaches the route's run times.
     auto recordResponse(const Upstream& upstream, const EndQuery& query, const ReportedLoad& load, Duration took) -> void;
--- a/src/gateway/placement/expected_end.cpp
+++ b/src/gateway/placement/expected_end.cpp
@@ -13,6 +13,8 @@
     constexpr double coldRunWeight = 0.5;
     // Keeps objects on their first owners while these are about equally loaded.
     constexpr Duration rankCost = 10ms;
+    // The cost ends with the usual owners. A popular object has a hundred, of which the last ones would never be used otherwise.
+    constexpr int maxCostedRank = 2;
     // What a request from another failure domain costs, so that bytes between domains are spent only for a gain.
     constexpr Duration otherDomainCost = 15ms;
     // Owners of each object. With two or three to choose from by load, no upstream is loaded far beyond the mean (the power of two
@@ -28,7 +30,7 @@
     const auto warm = fromSeconds(inSeconds(candidate.warmRun_) * estimate.slowdown_);
     const auto additional = std::max(Duration::zero(), estimate.run_ - warm);
     const auto run = estimate.run_ - additional + fromSeconds(inSeconds(additional) * coldRunWeight);
-    return estimate.distance_ + estimate.wait_ + run + estimate.rejections_ + rankCost * candidate.rank_ + (candidate.isNear_ ? Duration::zero() : otherDomainCost);
+    return estimate.distance_ + estimate.wait_ + run + estimate.rejections_ + rankCost * std::min(candidate.rank_, maxCostedRank) + (candidate.isNear_ ? Duration::zero() : otherDomainCost);
 }
 
 auto chooseByExpectedEnd(const std::vector<EndCandidate>& candidates) -> std::optional<std::size_t>
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -1,6 +1,7 @@
 #include "gateway/placement/placement.h"
 
 #include "gateway/hashing.h"
+#include "gateway/placement/end_spread.h"
 
 #include <algorithm>
 #include <cmath>
@@ -317,9 +318,10 @@
     const auto& home = near.empty() ? far : near;
     const auto warmRun = estimator_->runTimes(query.endQuery()).warm_;
     const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
-    const auto owners = firstOwners(home, ownersForDemand(rate, warmRun, home.front().upstream_->entry_.slots_));
+    const int slots = home.front().upstream_->entry_.slots_;
+    const auto owners = firstOwners(home, ownersForDemand(rate, warmRun, slots));
     const auto estimates = estimateOwners(query, owners);
-    const auto best = chooseByExpectedEnd(estimates).value_or(0);
+    const auto best = chooseBySpread(estimates, expectedAddedWait(rate, warmRun, slots), toUnitInterval(stableHash("spread", query.requestHash_))).value_or(0);
     const auto placed = [](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
         return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_ };
     };
--- a/src/gateway/placement/warm_objects.cpp
+++ b/src/gateway/placement/warm_objects.cpp
@@ -17,6 +17,8 @@
     constexpr double tieTolerance = 0.5;
     // Time constant of each of the two stages of the request rate, which together delay a request by 3 s on average.
     constexpr double stageSeconds = 1.5;
+    // The same for the recent rate. At 1.5 s, an object that had become half of the load had 3% of its requests rejected 3 s later.
+    constexpr double recentStageSeconds = 0.5;
 
     struct ObjectRun {
         std::uint64_t object_ = 0;
@@ -132,10 +134,15 @@
     // is the true rate both at any time and just after a request; a single average exceeds it by 1 / time constant there.
     class RequestRate {
     public:
+        explicit RequestRate(double stage)
+            : stage_(stage)
+        {
+        }
+
         auto record(MonotonicTime at, MonotonicTime now) -> void
         {
             advance(now);
-            const double age = inSeconds(now - at) / stageSeconds;
+            const double age = inSeconds(now - at) / stage_;
             first_ += std::exp(-age);
             second_ += age * std::exp(-age);
         }
@@ -143,23 +150,35 @@
         {
             auto current = *this;
             current.advance(now);
-            return current.second_ / stageSeconds;
+            return current.second_ / stage_;
         }
 
     private:
         auto advance(MonotonicTime now) -> void
         {
-            const double elapsed = inSeconds(now - at_) / stageSeconds;
+            const double elapsed = inSeconds(now - at_) / stage_;
             const double decay = std::exp(-elapsed);
             second_ = (second_ + first_ * elapsed) * decay;
             first_ *= decay;
             at_ = now;
         }
 
+        double stage_;
         double first_ = 0;
         double second_ = 0;
         MonotonicTime at_ {};
     };
+
+    struct ObjectRates {
+        auto record(MonotonicTime at, MonotonicTime now) -> void
+        {
+            average_.record(at, now);
+            recent_.record(at, now);
+        }
+
+        RequestRate average_ { stageSeconds };
+        RequestRate recent_ { recentStageSeconds };
+    };
 }
 
 struct WarmObjects::State {
@@ -168,7 +187,7 @@
     // An object is evicted when maxRatedObjects others were requested after it. At N requests per second in all it then had
     // none for at least T = maxRatedObjects / N s. Up to N = 5,400 (T = 3 s, twice the time constant) the mean rate of any
     // object is too low by at most 1 / (e T), and never too high.
-    LruMap<std::uint64_t, RequestRate> rates_ { maxRatedObjects };
+    LruMap<std::uint64_t, ObjectRates> rates_ { maxRatedObjects };
 };
 
 WarmObjects::WarmObjects(const Clock& clock)
@@ -192,6 +211,12 @@
     state_->rates_.use(object).record(past, now);
 }
 
+auto WarmObjects::recordRequest(std::uint64_t object, MonotonicTime at) -> void
+{
+    const auto now = clock_.now();
+    state_->rates_.use(object).record(std::clamp(at, MonotonicTime {}, now), now);
+}
+
 auto WarmObjects::isWarm(std::uint64_t upstream, std::uint64_t object) const -> bool
 {
     const auto* known = state_->upstreams_.find(upstream);
@@ -226,7 +251,13 @@
 auto WarmObjects::regionRate(std::uint64_t object) const -> double
 {
     const auto* known = state_->rates_.find(object);
-    return known ? known->perSecond(clock_.now()) : 0;
+    return known ? known->average_.perSecond(clock_.now()) : 0;
+}
+
+auto WarmObjects::recentRate(std::uint64_t object) const -> double
+{
+    const auto* known = state_->rates_.find(object);
+    return known ? known->recent_.perSecond(clock_.now()) : 0;
 }
 
 } // namespace sapphirepass
--- a/src/gateway/placement/warm_objects.h
+++ b/src/gateway/placement/warm_objects.h
@@ -32,6 +32,8 @@
     auto setService(std::uint64_t upstream, const std::string& service) -> void;
     // Records a run of an object. Runs may be recorded out of order; times in the future count as now.
     auto record(std::uint64_t upstream, std::uint64_t object, MonotonicTime at) -> void;
+    // Records a request for an object that no upstream ran; it counts for rates only.
+    auto recordRequest(std::uint64_t object, MonotonicTime at) -> void;
     // Whether the upstream probably has the object cached.
     auto isWarm(std::uint64_t upstream, std::uint64_t object) const -> bool;
     // Number of distinct objects that the upstream ran since it ran this one; empty if it has not run it, or too long ago.
@@ -47,6 +49,9 @@
     // Requests per second of an object over all recorded upstreams, as an average that decays over 3 s. A request
     // contributes nothing at the moment that it is recorded, so that readings taken at requests are not biased upwards.
     auto regionRate(std::uint64_t object) const -> double;
+    // The same as an average that decays over 1 s, for objects that become popular suddenly. A single request raises it by 0.74 for a
+    // while.
+    auto recentRate(std::uint64_t object) const -> double;
 
 private:
     struct State;
