--- a/src/gateway/placement/expected_end.cpp
+++ b/src/gateway/placement/expected_end.cpp
@@ -13,8 +13,10 @@
     constexpr double coldRunWeight = 0.5;
     // Keeps objects on their first owners while these are about equally loaded.
     constexpr Duration rankCost = 10ms;
+    // The cost ends with the usual owners. A popular object has a hundred, of which the last ones would never be used otherwise.
+    constexpr int maxCostedRank = 2;
     // What a request to another failure domain costs, so that bytes between domains are spent only for a gain. Bytes add to it up
-    // to a bound, about a tenth of the latency targets of routes with large bodies.
+    // to a bound, a quarter of the shortest latency target (600 ms).
     constexpr Duration otherDomainCost = 15ms;
     constexpr Duration otherDomainCostPerKilobyte = 1ms;
     constexpr Duration maxBytesCost = 150ms;
@@ -45,7 +47,7 @@
     const auto warm = fromSeconds(inSeconds(candidate.warmRun_) * estimate.slowdown_);
     const auto additional = std::max(Duration::zero(), estimate.run_ - warm);
     const auto run = estimate.run_ - additional + fromSeconds(inSeconds(additional) * coldRunWeight);
-    return estimate.distance_ + estimate.wait_ + run + estimate.rejections_ + rankCost * candidate.rank_ + domainCost(candidate) + (candidate.hasConnection_ ? Duration::zero() : newConnectionCost);
+    return estimate.distance_ + estimate.wait_ + run + estimate.rejections_ + rankCost * std::min(candidate.rank_, maxCostedRank) + domainCost(candidate) + (candidate.hasConnection_ ? Duration::zero() : newConnectionCost);
 }
 
 auto chooseByExpectedEnd(const std::vector<EndCandidate>& candidates) -> std::optional<std::size_t>
