Objects with large bodies become warm in each failure domain that requests them

Ruled out: a lower weight of cold runs everywhere, which would make objects warm on all owners. Change: for routes with large bodies, the additional time of a cold run in the own domain is divided over the requests that follow.

--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -318,10 +318,11 @@
     std::vector<EndCandidate> estimated;
     estimated.reserve(owners.size());
     const auto bytes = estimator_->expectedBytes(query.route_);
+    const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
     for (const auto& owner : owners) {
         const bool isNear = owner.upstream_->entry_.domain_ == ownDomain_;
         const bool hasConnection = connections_ == nullptr || connections_->hasOpenConnection(owner.upstream_);
-        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), isNear, bytes, hasConnection });
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), isNear, bytes, rate, hasConnection });
     }
     return estimated;
 }
