--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -302,11 +302,11 @@
 
 auto Placer::addNearOwner(Candidates& owners, const Candidates& candidates) const -> void
 {
-    const auto isNear = [this](const Candidate& candidate) { return candidate.upstream_->entry_.domain_ == ownDomain_; };
-    if (std::any_of(owners.begin(), owners.end(), isNear))
+    const auto isCandidateNear = [this](const Candidate& candidate) { return isNear(*candidate.upstream_); };
+    if (std::any_of(owners.begin(), owners.end(), isCandidateNear))
         return;
     Candidates near;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near), isNear);
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near), isCandidateNear);
     if (const auto first = std::max_element(near.begin(), near.end(), [](const auto& a, const auto& b) { return a.weight_ < b.weight_; }); first != near.end())
         owners.push_back(*first);
 }
@@ -320,9 +320,9 @@
     const auto bytes = estimator_->expectedBytes(query.route_);
     const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
     for (const auto& owner : owners) {
-        const bool isNear = owner.upstream_->entry_.domain_ == ownDomain_;
+        const bool near = isNear(*owner.upstream_);
         const bool hasConnection = connections_ == nullptr || connections_->hasOpenConnection(owner.upstream_);
-        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), isNear, bytes, rate, hasConnection });
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), near, bytes, rate, hasConnection });
     }
     return estimated;
 }
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -106,6 +106,8 @@
     // Without it, every upstream counts as one with an open connection. Must outlive the placer.
     auto setConnectionState(ConnectionState& connections) -> void { connections_ = &connections; }
     virtual auto place(const PlacementQuery& query) -> PlacementResult;
+    // Whether the upstream is in the failure domain of this instance.
+    auto isNear(const Upstream& upstream) const -> bool { return upstream.entry_.domain_ == ownDomain_; }
     // Whether requests for the service are placed by their expected end.
     auto usesEstimates(const std::string& service) const -> bool { return estimator_ != nullptr && estimator_->isServiceEstimated(service); }
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -602,7 +602,9 @@
         context_.responseTimes_.record(route_->name_, work);
         if (const auto load = readLoad(response, context_.headerNames_).load_)
             context_.endEstimator_.recordResponse(*lastAttempt_.upstream_, query_.endQuery(), *load, work);
-        context_.endEstimator_.recordBytes(route_->name_, query_.bodyBytes_ + response.body().size());
+        const auto bytes = query_.bodyBytes_ + response.body().size();
+        context_.endEstimator_.recordBytes(route_->name_, bytes);
+        context_.metrics_.increment({ "gateway_upstream_bytes_total", fmt::format("domain=\"{}\"", context_.placer_.isNear(*lastAttempt_.upstream_) ? "own" : "other") }, static_cast<std::int64_t>(bytes));
         // Second attempts of long runs are cancelled, so that their run times would make runs look shorter than they are.
         if (!lastAttempt_.isSecond_)
             context_.secondAttempts_.recordRun(route_->name_, work);
