Placements say whether the run time of the route is learned

Cause: the run time of a new route starts at its latency target and moves by 6% at most with each run. Admission by room took this for the run time and refused all requests of new routes. Ruled out: the 200 runs after which a route counts as one without a gain by warm upstreams. An instance sees that many too late, and the time itself is known earlier. Change: EndEstimator::isRunLearned, from 40 runs on, by which the time can be a tenth or ten times of the target; carried in Placement::isRunLearned_. Measured: sapphirepass_tests "[expected-end]~[knownred]" passes; from a target of 800 ms and runs of 80 ms, the time is within 10% when it counts as learned.

--- a/src/gateway/placement/end_estimator.cpp
+++ b/src/gateway/placement/end_estimator.cpp
@@ -24,6 +24,9 @@
     // Runs after which a route without two groups of run times counts as one without a gain.
     constexpr std::uint32_t minLearnedRuns = 200;
     constexpr double assumedWarmPart = 0.5;
+    // Runs after which the run time of a route counts as learned. Each run moves it by 6% at most, so that by then it can be a tenth
+    // or ten times of the latency target.
+    constexpr std::uint32_t minRunsForTime = 40;
     // Part by which a longer connection time raises the known round trip, so that a change of route is followed.
     constexpr int roundTripRise = 50;
 
@@ -58,6 +61,12 @@
     return times;
 }
 
+auto EndEstimator::isRunLearned(const std::string& route) const -> bool
+{
+    const auto count = runCounts_.find(route);
+    return count != runCounts_.end() && count->second >= minRunsForTime;
+}
+
 auto EndEstimator::isServiceEstimated(const std::string& service) const -> bool
 {
     return services_.contains(service);
--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -51,6 +51,8 @@
     auto estimate(const Upstream& upstream, const EndQuery& query) const -> EndEstimate;
     // Time of a run at usual speed, warm and cold.
     auto runTimes(const EndQuery& query) const -> RunEstimate;
+    // Whether enough runs of the route are known for its run time to be no longer held near the latency target, from which it starts.
+    auto isRunLearned(const std::string& route) const -> bool;
     // Requests per second for the object in this region.
     auto regionRate(std::uint64_t object) const -> double { return warmObjects_.regionRate(object); }
 
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -320,8 +320,9 @@
     const auto owners = firstOwners(home, ownersForDemand(rate, warmRun, home.front().upstream_->entry_.slots_));
     const auto estimates = estimateOwners(query, owners);
     const auto best = chooseByExpectedEnd(estimates).value_or(0);
-    const auto placed = [](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
-        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_ };
+    const bool isRunLearned = estimator_->isRunLearned(query.route_);
+    const auto placed = [isRunLearned](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
+        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_, isRunLearned };
     };
     if (!near.empty() && !far.empty()) {
         const auto other = firstOwners(far, maxRemoteOwners);
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -62,6 +62,8 @@
     // Whether expectedWait_ and expectedRun_ come from estimates of the end of the request at each candidate.
     bool isEstimated_ = false;
     Duration expectedRun_ {};
+    // Whether expectedRun_ comes from runs of the route, and not from its latency target.
+    bool isRunLearned_ = false;
 };
 
 enum class PlacementRefusal {
--- a/tests/expected_end_test.cpp
+++ b/tests/expected_end_test.cpp
@@ -303,6 +303,36 @@
     CHECK(after.warm_ == after.cold_);
 }
 
+// Requests were refused for lack of time by a run time that was still held near the latency target.
+TEST_CASE("the run time of a route counts as learned once it can be far from the latency target", "[expected-end]")
+{
+    ManualClock clock;
+    Instance instance(clock, 1, true);
+    const auto upstream = instance.upstreams_.byId().begin()->second;
+    const EndQuery query { "read", std::nullopt, 800ms };
+    const ReportedLoad load { 1, 0, slots, 1.0 };
+    instance.exchange_.record({ upstreamKey(upstream->entry_), 0, load, {}, false });
+    const auto isLearnedByPlacement = [&] {
+        PlacementQuery placed;
+        placed.service_ = "core";
+        placed.route_ = query.route_;
+        placed.latencyTarget_ = query.latencyTarget_;
+        placed.maxQueueWait_ = 1s;
+        return std::get<Placement>(instance.placer_.place(placed)).isRunLearned_;
+    };
+    CHECK_FALSE(isLearnedByPlacement());
+    int runs = 0;
+    for (; runs < 400 && !instance.estimator_.isRunLearned("read"); ++runs) {
+        CHECK_FALSE(isLearnedByPlacement());
+        instance.estimator_.recordResponse(*upstream, query, load, 80ms);
+    }
+    CHECK(runs > 1);
+    CHECK(runs < 400);
+    CHECK(isLearnedByPlacement());
+    CHECK(inSeconds(instance.estimator_.runTimes(query).warm_) == Approx(0.08).epsilon(0.1));
+    CHECK_FALSE(instance.estimator_.isRunLearned("other"));
+}
+
 // Instances that know only their own responses believed that upstreams were empty, and sent requests to full ones while others
 // were idle. The load is that of a busy day.
 TEST_CASE("fewer than one in a hundred sends of a hundred instances is rejected by three hundred busy upstreams", "[expected-end]")
