--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -53,6 +53,8 @@
     auto estimate(const Upstream& upstream, const EndQuery& query) const -> EndEstimate;
     // Time of a run at usual speed, warm and cold.
     auto runTimes(const EndQuery& query) const -> RunEstimate;
+    // Whether enough runs of the route are known for its run time to be no longer held near the latency target, from which it starts.
+    auto isRunLearned(const std::string& route) const -> bool;
     // Requests per second for the object in this region, with those that upstreams rejected.
     auto regionRate(std::uint64_t object) const -> double { return std::max(warmObjects_.regionRate(object), warmObjects_.recentRate(object)); }
 
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -340,8 +340,9 @@
         addNearOwner(owners, home);
     const auto estimates = estimateOwners(query, owners);
     const auto best = chooseBySpread(estimates, expectedAddedWait(rate, warmRun, slots), toUnitInterval(stableHash("spread", query.requestHash_))).value_or(0);
-    const auto placed = [](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
-        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_ };
+    const bool isRunLearned = estimator_->isRunLearned(query.route_);
+    const auto placed = [isRunLearned](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
+        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_, isRunLearned };
     };
     if (!near.empty() && !far.empty()) {
         const auto other = firstOwners(far, maxRemoteOwners);
