The spread over owners counts only the wait of busy upstreams

Ruled out: no spread for routes with large bodies, as they have popular objects too. Change: the added wait is scaled by the part of the owners' slots in use. A test of the admission takes the simulation's new interface.

--- a/src/gateway/placement/end_spread.cpp
+++ b/src/gateway/placement/end_spread.cpp
@@ -31,6 +31,14 @@
     return fromSeconds(requestsPerSecond * inSeconds(reportInterval) * inSeconds(warmRun) / std::max(1, slots));
 }
 
+auto utilizationOf(const std::vector<EndCandidate>& candidates, int slots) -> double
+{
+    if (candidates.empty() || slots <= 0)
+        return 0;
+    const double used = std::accumulate(candidates.begin(), candidates.end(), 0.0, [](double sum, const auto& candidate) { return sum + candidate.estimate_.occupied_; });
+    return std::clamp(used / (slots * static_cast<double>(candidates.size())), 0.0, 1.0);
+}
+
 auto chooseBySpread(const std::vector<EndCandidate>& candidates, Duration addedWait, double draw) -> std::optional<std::size_t>
 {
     if (candidates.empty())
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -339,7 +339,8 @@
     if (needsNearOwner(estimator_->expectedBytes(query.route_)))
         addNearOwner(owners, home);
     const auto estimates = estimateOwners(query, owners);
-    const auto best = chooseBySpread(estimates, expectedAddedWait(rate, warmRun, slots), toUnitInterval(stableHash("spread", query.requestHash_))).value_or(0);
+    const auto addedWait = fromSeconds(inSeconds(expectedAddedWait(rate, warmRun, slots)) * utilizationOf(estimates, slots));
+    const auto best = chooseBySpread(estimates, addedWait, toUnitInterval(stableHash("spread", query.requestHash_))).value_or(0);
     const bool isRunLearned = estimator_->isRunLearned(query.route_);
     const auto placed = [isRunLearned](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
         return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_, isRunLearned };
--- a/tests/expected_end_test.cpp
+++ b/tests/expected_end_test.cpp
@@ -128,10 +128,10 @@
 TEST_CASE("the run time of a route counts as learned once it can be far from the latency target", "[expected-end]")
 {
     ManualClock clock;
-    Instance instance(clock, 1, true);
+    Instance instance(clock, 1, UpstreamModel().slots_, PlacementRule::ExpectedEnd);
     const auto upstream = instance.upstreams_.byId().begin()->second;
     const EndQuery query { "read", std::nullopt, 800ms };
-    const ReportedLoad load { 1, 0, slots, 1.0 };
+    const ReportedLoad load { 1, 0, UpstreamModel().slots_, 1.0 };
     instance.exchange_.record({ upstreamKey(upstream->entry_), 0, load, {}, false });
     const auto isLearnedByPlacement = [&] {
         PlacementQuery placed;
@@ -139,7 +139,7 @@
         placed.route_ = query.route_;
         placed.latencyTarget_ = query.latencyTarget_;
         placed.maxQueueWait_ = 1s;
-        return std::get<Placement>(instance.placer_.place(placed)).isRunLearned_;
+        return std::get<Placement>(instance.placer_->place(placed)).isRunLearned_;
     };
     CHECK_FALSE(isLearnedByPlacement());
     int runs = 0;
--- a/tests/popularity_test.cpp
+++ b/tests/popularity_test.cpp
@@ -214,6 +214,13 @@
     CHECK(chooseBySpread(ends, 800ms, 0.1) == 0U);
     CHECK(chooseBySpread(ends, 800ms, 0.2) == 1U);
     CHECK(chooseBySpread(ends, 800ms, 0.7) == 2U);
+    CHECK(utilizationOf(ends, 6) == 0);
+    auto busy = ends;
+    busy[0].estimate_.occupied_ = 24;
+    CHECK(utilizationOf(busy, 6) == 1);
+    busy[0].estimate_.occupied_ = 9;
+    CHECK(utilizationOf(busy, 6) == Approx(0.5));
+    CHECK(utilizationOf({}, 6) == 0);
     CHECK(expectedAddedWait(0, 300ms, 6) == 0ms);
     CHECK(expectedAddedWait(20, 300ms, 6) > expectedAddedWait(10, 300ms, 6));
 }
