--- a/src/gateway/placement/end_spread.cpp
+++ b/src/gateway/placement/end_spread.cpp
@@ -51,7 +51,7 @@
             return i;
         at -= parts[i];
     }
-    return static_cast<std::size_t>(std::min_element(ends.begin(), ends.end()) - ends.begin());
+    return chooseByExpectedEnd(candidates);
 }
 
 } // namespace sapphirepass
