--- a/src/base/event_type.h
+++ b/src/base/event_type.h
@@ -81,6 +81,7 @@
     LoadReportInvalid = 626,
     SecondAttemptStarted = 627,
     RoomThresholdChanged = 628,
+    RegionTargetChanged = 629,
     RequestAnswered = 630,
     RequestEnded = 631,
 };
@@ -161,6 +162,7 @@
     EventDescription { EventId::LoadReportInvalid, LogLevel::Warning, "load-report-invalid", "An upstream reported a load with a figure that cannot be read or is out of range; that figure decides nothing. Logged once for each start of an upstream." },
     EventDescription { EventId::SecondAttemptStarted, LogLevel::Info, "second-attempt-started", "A request that may be repeated was taking longer than most of its route; it was also sent to another upstream, and the first success is passed on." },
     EventDescription { EventId::RoomThresholdChanged, LogLevel::Info, "room-threshold-changed", "This instance starts or stops refusing requests of a priority for a service, as its upstreams have too little room or enough again; the line has the priority and the fraction that is admitted." },
+    EventDescription { EventId::RegionTargetChanged, LogLevel::Info, "region-target-changed", "The shares of a service's requests that are to run in each region have changed with the demand; the line has shares, slots and demand by region. Logged at most once per service and 10 s; the line has the number of changes left out." },
     EventDescription { EventId::RequestAnswered, LogLevel::Info, "request-answered", "A request succeeded; only a sample of these, chosen by request id, is logged." },
     EventDescription { EventId::RequestEnded, LogLevel::Warning, "request-ended", "A request was refused, failed, or was abandoned by its caller; the line has the reason and the state it was based on." },
 };
