Region shares follow the demand of all regions

Cause: item 5 of docs/design/heavy-load.md: shares must follow what callers offer in each region, without oscillation. Change: RegionDemand counts admitted requests by service, tells rates in every second heartbeat (demand @22, four services at most), sums those of all instances by region, limits single figures to 4 times the median, assumes the mean for instances that tell none, and estimates demand from usual demand and trend. Setting [placement] region-demand, metrics of shares and invalid figures.

--- a/src/gateway/fleet/datagram_codec.cpp
+++ b/src/gateway/fleet/datagram_codec.cpp
@@ -134,6 +134,21 @@
         }
     }
 
+    // As with the counts above, the rest of the heartbeat is kept.
+    auto readDemand(wire::Heartbeat::Reader reader, MemberReport& report) -> void
+    {
+        if (!reader.hasDemand())
+            return;
+        auto& demands = report.demand_.emplace();
+        for (const auto entry : reader.getDemand()) {
+            const ServiceDemand demand { entry.getService(), entry.getPerSecond() };
+            if (isValid(demand) && demands.size() < maxDemandServices)
+                demands.push_back(demand);
+            else
+                ++report.invalidDemands_;
+        }
+    }
+
     auto readReport(wire::Heartbeat::Reader reader) -> MemberReport
     {
         MemberReport report;
@@ -170,6 +185,7 @@
         for (const auto observation : reader.getObservations())
             report.observations_.push_back(readObservation(observation));
         readRoomUses(reader, report);
+        readDemand(reader, report);
         return report;
     }
 
@@ -223,6 +239,13 @@
             for (unsigned i = 0; i < uses.size(); ++i)
                 write(uses[i], report.roomUse_[i]);
         }
+        if (report.demand_) {
+            auto demands = heartbeat.initDemand(static_cast<unsigned>(report.demand_->size()));
+            for (unsigned i = 0; i < demands.size(); ++i) {
+                demands[i].setService((*report.demand_)[i].service_);
+                demands[i].setPerSecond((*report.demand_)[i].perSecond_);
+            }
+        }
         auto colds = heartbeat.initColds(static_cast<unsigned>(report.coldNotices_.size()));
         for (unsigned i = 0; i < colds.size(); ++i) {
             colds[i].setUpstream(report.coldNotices_[i].upstream_);
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -6,6 +6,7 @@
 #include "gateway/feeds/discovery_source.h"
 #include "gateway/limits/limit_notice.h"
 #include "gateway/limits/room_use.h"
+#include "gateway/placement/service_demand.h"
 #include "gateway/upstreams/observation.h"
 
 #include <array>
@@ -77,6 +78,10 @@
     std::vector<RoomUse> roomUse_;
     // Number of entries of roomUse_ that could not be taken over.
     std::uint32_t invalidRoomUses_ = 0;
+    // Requests per second that callers offer to the sender, by service; empty if the heartbeat does not tell them.
+    std::optional<std::vector<ServiceDemand>> demand_;
+    // Number of entries of demand_ that could not be taken over.
+    std::uint32_t invalidDemands_ = 0;
 
     auto operator<=>(const MemberReport&) const = default;
 };
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -70,6 +70,12 @@
 {
 }
 
+auto Placer::followDemand(RegionDemand& demand, RegionTargetListener& listener) -> void
+{
+    regionDemand_ = &demand;
+    regionShares_.setListener(listener);
+}
+
 auto exclusionName(Exclusion exclusion) -> std::string_view
 {
     switch (exclusion) {
@@ -229,7 +235,9 @@
 auto Placer::targetRegion(std::uint64_t object, const PlacementQuery& query) -> std::string
 {
     constexpr std::uint64_t regionHashSeed = 0x5ea1;
-    const auto& shares = regionShares_.current(query.service_, ownRegion_, [this, &query] { return regionCapacities(query); });
+    const auto capacities = [this, &query] { return regionCapacities(query); };
+    const auto demands = [this, &query] { return regionDemand_ == nullptr ? std::vector<RegionLoad>() : regionDemand_->ofService(query.service_); };
+    const auto& shares = regionShares_.current(query.service_, ownRegion_, capacities, demands);
     double at = toUnitInterval(stableHash(ownRegion_, object ^ regionHashSeed));
     for (const auto& share : shares) {
         if (at < share.share_)
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -5,6 +5,7 @@
 #include "gateway/limits/body_limiter.h"
 #include "gateway/placement/expected_end.h"
 #include "gateway/placement/object_demand.h"
+#include "gateway/placement/region_demand.h"
 #include "gateway/placement/region_shares.h"
 #include "gateway/upstreams/upstream_set.h"
 
@@ -102,6 +103,10 @@
     Placer(const Placer&) = delete;
     auto operator=(const Placer&) -> Placer& = delete;
 
+    // From now on, region shares follow the demand of services that it has demand for. Both must outlive this.
+    auto followDemand(RegionDemand& demand, RegionTargetListener& listener) -> void;
+    auto regionShares() const -> const RegionShares& { return regionShares_; }
+
     virtual auto place(const PlacementQuery& query) -> PlacementResult;
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
@@ -148,6 +153,7 @@
     std::string ownRegion_;
     std::string ownDomain_;
     const EndEstimator* estimator_;
+    RegionDemand* regionDemand_ = nullptr;
     RegionShares regionShares_;
     ObjectDemand objectDemand_;
     SpillLimiter spillLimiter_;
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -213,6 +213,9 @@
         query_.object_ = stableHash(*metadata_.object_, stableHash(route_->name_));
     context_.retryLimiter_.countRequest(serviceName_);
     context_.secondAttempts_.countRequest(serviceName_);
+    // Requests of workspaces bound to regions run there whatever the shares, on slots that are not counted as capacity.
+    if (context_.regionDemand_ != nullptr && (workspace_ == nullptr || workspace_->homeRegions_.empty()))
+        context_.regionDemand_->countRequest(serviceName_);
 }
 
 auto RequestHandler::prepareQuery() -> void
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -58,6 +58,8 @@
     SecondAttemptPolicy& secondAttempts_;
     // Whether the room gate is asked.
     bool admitsByRoom_ = false;
+    // Counts what callers offer; null if nothing uses the counts.
+    RegionDemand* regionDemand_ = nullptr;
 };
 
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/fleet/datagram_codec.h"
 #include "gateway/hashing.h"
 
+#include <cmath>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -178,7 +179,9 @@
           loop, adapter_.headers_, coldWatch_, [this](const UpstreamPtr& upstream, const std::function<void()>& send) { admitProbe(upstream, send); }, [this](const UpstreamPtr& upstream, const HttpResponse& response) { notices_.record(*upstream, response, std::nullopt); }, [this](const std::string& upstream, Duration left) { onFoundCold(upstream, left); })
     , loadExchange_(clock, upstreams_, metrics_, isExpectedEndAsked(settings_, adapter_) ? LoadExchange::Scope::AllUpstreams : LoadExchange::Scope::ReportedSpeeds)
     , roomGate_(clock, log_, metrics_, incarnation_)
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, bodyLimits_, secondAttempts_, settings_.admissionByRoom_ == "on" }
+    , regionDemand_(clock, metrics_, settings_.region_, regionDemandMode(settings_.regionDemand_), [this](const std::string& service) { return settings_.expectedEnd_ != "never" && endEstimator_.isServiceEstimated(service); })
+    , regionTargetLog_(clock, log_)
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, bodyLimits_, secondAttempts_, settings_.admissionByRoom_ == "on", &regionDemand_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -198,6 +201,7 @@
     , startedAt_(clock.now())
 {
     loadExchange_.addListener(endEstimator_);
+    placer_.followDemand(regionDemand_, regionTargetLog_);
     beliefs_.onDeclaration([this] { onDeclaration(); });
 }
 
@@ -304,6 +308,10 @@
     metrics_.set({ "gateway_upstreams_limited", {} }, asMetric(upstreams_.limitedCount()));
     metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.allReadyMembers().size()));
     metrics_.set({ "gateway_log_lines_dropped_total", {} }, asMetric(log_.dropped()));
+    for (const auto& [service, shares] : placer_.regionShares().all()) {
+        for (const auto& share : shares)
+            metrics_.set({ "gateway_region_share_permille", fmt::format("service=\"{}\",region=\"{}\"", service, share.region_) }, std::lround(share.share_ * 1'000));
+    }
     for (const auto feed : allFeeds) {
         metrics_.set({ "gateway_feed_lost_milliseconds", fmt::format("feed=\"{}\"", feedName(feed)) }, beliefs_.outageDuration(feed) / 1ms);
         metrics_.set({ "gateway_feed_unverified_milliseconds", fmt::format("feed=\"{}\"", feedName(feed)) }, feedVerifier_.unverifiedFor(feed) / 1ms);
@@ -340,6 +348,7 @@
     links_.update();
     linkProber_.tick();
     roomGate_.update();
+    regionDemand_.update();
     if (ticks_ % heartbeatTicks == 0) {
         fleet_.removeSilent();
         rates_.refillShared();
@@ -420,8 +429,11 @@
     auto roomUse = roomGate_.takeForHeartbeat();
     if (fleet_.memberCount() == 1)
         return datagrams_.send(encodeDatagram(report), seedPeers());
-    if (reach == Reach::All)
+    // Told as often to the own region as to others: figures are used for several of these intervals.
+    if (reach == Reach::All) {
+        report.demand_ = regionDemand_.forHeartbeat();
         datagrams_.send(encodeDatagram(report), fleet_.peerAddressesBeyond(settings_.region_));
+    }
     // Bytes to other regions are priced, and their instances send few requests to the upstreams of this one.
     const auto nearPeers = fleet_.peerAddressesNear(settings_.region_);
     report.observations_ = std::move(observations);
@@ -540,6 +552,8 @@
     loadExchange_.apply(report.observations_);
     if (report.region_ == settings_.region_ && report.name_ != settings_.name_)
         roomGate_.apply(report);
+    if (report.name_ != settings_.name_)
+        regionDemand_.apply(report);
     if (!report.knownPeers_.empty())
         beliefs_.peerListReceived();
     if (report.wantsPeers_)
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/feeds/feed_verifier.h"
 #include "gateway/feeds/source_keepalive.h"
 #include "gateway/fleet/relay_selector.h"
+#include "gateway/placement/region_target_log.h"
 #include "gateway/requests/request_handler.h"
 #include "gateway/upstreams/load_exchange.h"
 #include "loop/caller_listener.h"
@@ -194,6 +195,8 @@
     Metrics metrics_;
     LoadExchange loadExchange_;
     RoomGate roomGate_;
+    RegionDemand regionDemand_;
+    RegionTargetLog regionTargetLog_;
     RequestContext context_;
     FrontHandler frontHandler_;
     DelegationHandler delegationHandler_;
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -47,6 +47,9 @@
     // Whether requests are placed by their expected end. auto: where upstreams report how long work takes, or the deployment's
     // features ask for it.
     std::string expectedEnd_ = "auto";
+    // Whether the shares of requests that run in each region follow the demand in all regions. auto: for services whose requests are
+    // placed by their expected end.
+    std::string regionDemand_ = "auto";
     // Whether requests placed by their expected end are admitted by priority and fair share when their service is short of room. Off
     // by default: with the waits of real upstreams it refuses requests that could still end on time.
     std::string admissionByRoom_ = "off";
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -55,6 +55,12 @@
   workspaces @3 :List(WorkspaceUse);
 }
 
+# See src/gateway/placement/service_demand.h.
+struct ServiceDemand {
+  service @0 :UInt64;
+  perSecond @1 :Float32;
+}
+
 struct Heartbeat {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -85,6 +91,8 @@
   observations @20 :List(Observation);
   # Requests since the last heartbeat to the region, by service; empty from instances that know no admission by room.
   roomUse @21 :List(RoomUse);
+  # Unset from instances that know no region shares by demand, and in heartbeats that do not tell it; empty if there is none.
+  demand @22 :List(ServiceDemand);
 }
 
 struct RateAsk {
--- a/src/wire/datagram.capnp.h
+++ b/src/wire/datagram.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(88cc815551d0b1f2);
 CAPNP_DECLARE_SCHEMA(b9121fe8e998b5e5);
 CAPNP_DECLARE_SCHEMA(ad2e619d6faa2310);
+CAPNP_DECLARE_SCHEMA(f65f8be87dbcd42b);
 CAPNP_DECLARE_SCHEMA(aa7ec1c83d57622d);
 CAPNP_DECLARE_SCHEMA(fa08a84e24f86d01);
 CAPNP_DECLARE_SCHEMA(cc9baa8e38a35541);
@@ -141,6 +142,21 @@
   };
 };
 
+struct ServiceDemand {
+  ServiceDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f65f8be87dbcd42b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Heartbeat {
   Heartbeat() = delete;
 
@@ -149,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 16)
+    CAPNP_DECLARE_STRUCT_HEADER(aa7ec1c83d57622d, 2, 17)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -904,6 +920,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceDemand::Reader {
+public:
+  typedef ServiceDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService() const;
+
+  inline float getPerSecond() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceDemand::Builder {
+public:
+  typedef ServiceDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceDemand::Pipeline {
+public:
+  typedef ServiceDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Heartbeat::Reader {
 public:
   typedef Heartbeat Reads;
@@ -981,6 +1078,9 @@
   inline bool hasRoomUse() const;
   inline  ::capnp::List< ::sapphirepass::wire::RoomUse,  ::capnp::Kind::STRUCT>::Reader getRoomUse() const;
 
+  inline bool hasDemand() const;
+  inline  ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader getDemand() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1143,6 +1243,13 @@
   inline void adoptRoomUse(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::RoomUse,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::RoomUse,  ::capnp::Kind::STRUCT>> disownRoomUse();
 
+  inline bool hasDemand();
+  inline  ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder getDemand();
+  inline void setDemand( ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder initDemand(unsigned int size);
+  inline void adoptDemand(::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> disownDemand();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2192,6 +2299,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ServiceDemand::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceDemand::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline float ServiceDemand::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float ServiceDemand::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceDemand::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Heartbeat::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2851,6 +2986,40 @@
       ::capnp::bounded<15>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::hasDemand() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasDemand() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader Heartbeat::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setDemand( ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>::Builder Heartbeat::Builder::initDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptDemand(
+    ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>> Heartbeat::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sapphirepass::wire::ServiceDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<16>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateAsk::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -949,6 +949,43 @@
     }
 }
 
+// Guards against demand that depends on how much room there is, or that several instances count.
+TEST_CASE("a caller's request counts once as demand, placed or not, but neither over the rate nor if bound to regions or delegated", "[request][region-demand]")
+{
+    const int upstreams = GENERATE(0, 6);
+    Fixture fixture(upstreams);
+    RegionDemand demand(fixture.clock_, fixture.metrics_, "north", RegionDemandMode::Always, [](const auto&) { return true; });
+    fixture.context_.regionDemand_ = &demand;
+    fixture.clock_.advance(2s);
+    const auto isCounted = [&demand] { return !demand.forHeartbeat()->empty(); };
+    auto bound = declaration();
+    bound.workspaces_[0].homeRegions_ = { "north" };
+    fixture.start(fixture.request("/read/1", "wrong"));
+    fixture.start(fixture.request("/read/1", "rare"));
+    const Delegation delegation { "e9", "read", "core", "acme", {}, RepeatRule::Idempotent, 2, 600ms, 250ms, std::nullopt };
+    auto delegated = std::make_shared<RequestHandler>(
+        fixture.context_, fixture.request("/read/1", ""), [](const UpstreamResponse&) {}, delegation);
+    delegated->start();
+    CHECK_FALSE(isCounted());
+    const auto current = std::exchange(fixture.context_.index_, std::make_shared<const DeclarationIndex>(bound));
+    fixture.start(fixture.request("/read/1"));
+    CHECK_FALSE(isCounted());
+    fixture.context_.index_ = current;
+    fixture.start(fixture.request("/read/1"));
+    REQUIRE(isCounted());
+    const auto once = demand.forHeartbeat();
+    // A retry after a refusal by the upstream is the same request.
+    if (upstreams > 0) {
+        const auto sends = fixture.calls();
+        fixture.caller_.finish(fixture.failure(503, true));
+        REQUIRE(fixture.calls() == sends + 1);
+    } else {
+        REQUIRE(fixture.status() == 503);
+    }
+    CHECK(demand.forHeartbeat() == once);
+    CHECK(once->front().perSecond_ <= 1 / 1.8F + 0.001F);
+}
+
 TEST_CASE("losses of links eject no upstream and blame no request", "[request][delegation]")
 {
     CutOffFixture fixture;
--- a/tests/load_exchange_test.cpp
+++ b/tests/load_exchange_test.cpp
@@ -161,8 +161,8 @@
     std::string schema;
     bool isInNewStruct = false;
     for (std::string line; std::getline(file, line);) {
-        isInNewStruct = isInNewStruct || line.starts_with("struct Observation ") || line.starts_with("struct WorkspaceUse ") || line.starts_with("struct RoomUse ");
-        const bool isNewField = line.find("observations @20") != std::string::npos || line.find("roomUse @21") != std::string::npos;
+        isInNewStruct = isInNewStruct || line.starts_with("struct Observation ") || line.starts_with("struct WorkspaceUse ") || line.starts_with("struct RoomUse ") || line.starts_with("struct ServiceDemand ");
+        const bool isNewField = line.find("observations @20") != std::string::npos || line.find("roomUse @21") != std::string::npos || line.find("demand @22") != std::string::npos;
         const bool isLeftOut = isInNewStruct || isNewField || line.find("Cxx") != std::string::npos;
         if (!isLeftOut)
             schema += line + "\n";
