Lint of region demand

Cause: ./dev lint named an unreserved vector twice, a constant with the name of a member, and the format of three lambdas. Ruled out: nothing. Change: these places; no behaviour. Measured: clang-format and tools/lint find nothing in the two files; [region-demand] passes but for its known red case.

--- a/src/gateway/placement/region_demand.cpp
+++ b/src/gateway/placement/region_demand.cpp
@@ -148,6 +148,7 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return std::tuple(a.first, a.second.perSecond_, a.second.service_) > std::tuple(b.first, b.second.perSecond_, b.second.service_); });
     ranked.resize(std::min(ranked.size(), maxDemandServices));
     std::vector<ServiceDemand> told;
+    told.reserve(ranked.size());
     for (const auto& [isServiceFollowed, demand] : ranked)
         told.push_back(demand);
     return told;
--- a/tests/region_demand_test.cpp
+++ b/tests/region_demand_test.cpp
@@ -163,6 +163,7 @@
             const auto members = ofRegion(region);
             for (const auto& share : members.front()->current_) {
                 std::vector<double> shares;
+                shares.reserve(members.size());
                 for (const auto* member : members)
                     shares.push_back(shareIn(member->current_, share.region_));
                 most = std::max(most, *std::max_element(shares.begin(), shares.end()) - *std::min_element(shares.begin(), shares.end()));
@@ -182,7 +183,7 @@
         std::map<std::string, double> load;
         std::map<std::string, double> offered;
         for (std::size_t i = 0; i < regionNames.size(); ++i)
-            offered[regionNames[i]] = meanPerRegion_ * demand_(i, seconds) + returns_[regionNames[i]].front();
+            offered[regionNames[i]] = meanPerRegion * demand_(i, seconds) + returns_[regionNames[i]].front();
         for (auto& instance : instances_) {
             if (!instance->isFrozen_)
                 update(*instance, offered[instance->region_] / static_cast<double>(liveIn(instance->region_)), load);
@@ -257,7 +258,7 @@
             double refused = 0;
             for (const auto& share : ofRegion(region).front()->current_) {
                 const auto capacity = std::find_if(capacities_.begin(), capacities_.end(), [&share](const auto& one) { return one.region_ == share.region_; });
-                const double room = utilization_ ? capacity->slots_ / 50 * meanPerRegion_ * 3 / *utilization_ : 1e9;
+                const double room = utilization_ ? capacity->slots_ / 50 * meanPerRegion * 3 / *utilization_ : 1e9;
                 const double carried = load.contains(share.region_) ? load.at(share.region_) : 0;
                 refused += carried > room ? offered.at(region) * share.share_ * (1 - room / carried) : 0;
             }
@@ -267,7 +268,7 @@
     }
 
     bool followsDemand_;
-    static constexpr double meanPerRegion_ = 100;
+    static constexpr double meanPerRegion = 100;
     std::vector<std::unique_ptr<Instance>> instances_;
     std::mt19937_64 random_;
     int ticks_ = 0;
@@ -430,8 +431,10 @@
     Fleet fleet(true);
     fleet.utilization_ = 0.95;
     fleet.returning_ = 0.8;
-    fleet.demand_ = [](std::size_t region, double seconds) { return seconds < 20 ? 1.0 : region == 0 ? 1.8
-                                                                                                        : 0.6; };
+    fleet.demand_ = [](std::size_t region, double seconds) {
+        const double later = region == 0 ? 1.8 : 0.6;
+        return seconds < 20 ? 1.0 : later;
+    };
     fleet.run(20);
     fleet.startMeasuring();
     fleet.run(40);
@@ -721,9 +724,12 @@
         demands[0].perSecond_ = demand;
         for (int tick = 0; tick < 20; ++tick) {
             clock.advance(tickTime);
-            shares.current("core", "a", [] { return unevenRegions; }, [&demands] { return demands; });
+            shares.current(
+                "core", "a", [] { return unevenRegions; }, [&demands] { return demands; });
         }
-        return shareIn(shares.current("core", "a", [] { return unevenRegions; }, [&demands] { return demands; }), "a");
+        return shareIn(shares.current(
+                           "core", "a", [] { return unevenRegions; }, [&demands] { return demands; }),
+            "a");
     };
     const auto first = at(100);
     CHECK(first == Approx(0.3));
@@ -749,7 +755,8 @@
     const auto run = [&](int ticks, const std::string& service) {
         for (int tick = 0; tick < ticks; ++tick) {
             clock.advance(tickTime);
-            shares.current(service, "a", [] { return unevenRegions; }, [&demand] { return std::vector<RegionLoad> { { "a", demand }, { "b", 100 }, { "c", 100 } }; });
+            shares.current(
+                service, "a", [] { return unevenRegions; }, [&demand] { return std::vector<RegionLoad> { { "a", demand }, { "b", 100 }, { "c", 100 } }; });
         }
     };
     run(1, "core");
