--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -5,6 +5,7 @@
 #include "gateway/limits/body_limiter.h"
 #include "gateway/placement/expected_end.h"
 #include "gateway/placement/object_demand.h"
+#include "gateway/placement/region_demand.h"
 #include "gateway/placement/region_shares.h"
 #include "gateway/upstreams/connection_state.h"
 #include "gateway/upstreams/upstream_set.h"
@@ -107,6 +108,10 @@
 
     // Without it, every upstream counts as one with an open connection. Must outlive the placer.
     auto setConnectionState(ConnectionState& connections) -> void { connections_ = &connections; }
+    // From now on, region shares follow the demand of services that it has demand for. Both must outlive this.
+    auto followDemand(RegionDemand& demand, RegionTargetListener& listener) -> void;
+    auto regionShares() const -> const RegionShares& { return regionShares_; }
+
     virtual auto place(const PlacementQuery& query) -> PlacementResult;
     // Whether the upstream is in the failure domain of this instance.
     auto isNear(const Upstream& upstream) const -> bool { return upstream.entry_.domain_ == ownDomain_; }
@@ -160,6 +165,7 @@
     std::string ownDomain_;
     const EndEstimator* estimator_;
     ConnectionState* connections_ = nullptr;
+    RegionDemand* regionDemand_ = nullptr;
     RegionShares regionShares_;
     ObjectDemand objectDemand_;
     SpillLimiter spillLimiter_;
