Review of placement costs, admission and region demand: findings mended

Cause: a review by one who wrote none of the parts found that a drawn owner decided about refusals and spills, that each placement asked the kernel about each owner's connection, that an assumed idle time was extended, that a frozen instance forgot the demand of others and could move a fifth of its traffic at once, that a usual pressure learned in a shortage never fell, and wording that was unclear. Ruled out: counting retried requests once in an object's rate (needs a mark on the wire; the headers say attempts now), and an LRU table for the routes with learned run times (left). Change: the earliest end decides about spills and refusals, and replaces a drawn owner that would wait for too long; connections are compared without system calls; the long reuse needs a stated time; estimates of absent regions are kept, steps after a freeze are bounded; requests of routes bound to regions are not counted as demand; smaller points of cost per request and wording.

--- a/src/gateway/limits/room_gate.cpp
+++ b/src/gateway/limits/room_gate.cpp
@@ -387,9 +387,9 @@
     if (doPeersRefuse && now - service.firstSteppedAt_ <= startTime)
         usual.reset();
     else if (!usual && !isShort && !doPeersRefuse)
-        usual = pressure;
+        usual = std::min(pressure, lowPressure);
     else if (usual && isShort)
-        *usual += std::max(lowPressure - *usual, 0.0) * elapsedSeconds / usualDriftTime;
+        *usual += (lowPressure - *usual) * elapsedSeconds / usualDriftTime;
     else if (usual)
         *usual += (pressure - *usual) * elapsedSeconds / (pressure > *usual ? usualRiseTime : usualFallTime);
 }
--- a/src/gateway/limits/room_gate.h
+++ b/src/gateway/limits/room_gate.h
@@ -20,7 +20,7 @@
     int priority_ = 0;
     Duration latencyTarget_ {};
     Duration timeLeft_ {};
-    // Wait for a slot and run time at the best candidate.
+    // Wait for a slot and run time at the upstream that was chosen.
     Duration expectedWait_ {};
     Duration expectedRun_ {};
     // Whether runs of the route have shown its run time. One that is only assumed refuses nothing.
--- a/src/gateway/placement/end_spread.cpp
+++ b/src/gateway/placement/end_spread.cpp
@@ -41,15 +41,15 @@
 
 auto chooseBySpread(const std::vector<EndCandidate>& candidates, Duration addedWait, double draw) -> std::optional<std::size_t>
 {
-    if (candidates.empty())
-        return std::nullopt;
+    if (candidates.empty() || addedWait <= Duration::zero())
+        return chooseByExpectedEnd(candidates);
     std::vector<double> ends;
     ends.reserve(candidates.size());
     for (const auto& candidate : candidates)
         ends.push_back(inSeconds(comparedEnd(candidate)));
     auto sorted = ends;
     std::sort(sorted.begin(), sorted.end());
-    const double level = commonEnd(sorted, inSeconds(std::max(Duration::zero(), addedWait)));
+    const double level = commonEnd(sorted, inSeconds(addedWait));
     auto parts = ends;
     for (auto& part : parts)
         part = std::max(0.0, level - part);
--- a/src/gateway/placement/expected_end.cpp
+++ b/src/gateway/placement/expected_end.cpp
@@ -11,7 +11,8 @@
     // Part of the additional time of a cold run that counts. At 1, no second owner would become warm before the first one has a
     // long queue.
     constexpr double coldRunWeight = 0.5;
-    // Time in which later requests find the object warm after a cold run in the own domain; some objects are evicted earlier.
+    // Time in which later requests find the object warm after a cold run in the own domain; some objects are evicted earlier. It is
+    // half of the time that they are usually remembered, as about half of the region's requests come from the own domain.
     constexpr double reuseSeconds = 5;
     // Keeps objects on their first owners while these are about equally loaded.
     constexpr Duration rankCost = 10ms;
@@ -41,9 +42,7 @@
         const double kilobytes = std::max(0.0, candidate.bytes_) / 1024;
         return otherDomainCost + std::min<Duration>(maxBytesCost, fromSeconds(inSeconds(otherDomainCostPerKilobyte) * kilobytes));
     }
-}
 
-namespace {
     // Of large bodies, each later request pays for another domain, while a cold run in the own one is paid once: its additional time
     // is divided over the requests that will find the object warm there.
     auto coldWeight(const EndCandidate& candidate) -> double
--- a/src/gateway/placement/expected_end.h
+++ b/src/gateway/placement/expected_end.h
@@ -20,7 +20,7 @@
     bool isNear_ = false;
     // Bytes that a request of the route transfers, both ways.
     double bytes_ = 0;
-    // Requests per second for the object in the region.
+    // Attempts per second for the object in the region, averaged over seconds.
     double objectRate_ = 0;
     // An open connection to the upstream can carry the request.
     bool hasConnection_ = true;
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -310,27 +310,28 @@
 
 auto Placer::addNearOwner(Candidates& owners, const Candidates& candidates) const -> void
 {
-    const auto isCandidateNear = [this](const Candidate& candidate) { return isNear(*candidate.upstream_); };
-    if (std::any_of(owners.begin(), owners.end(), isCandidateNear))
+    if (std::any_of(owners.begin(), owners.end(), [this](const auto& owner) { return isNear(*owner.upstream_); }))
         return;
-    Candidates near;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near), isCandidateNear);
-    if (const auto first = std::max_element(near.begin(), near.end(), [](const auto& a, const auto& b) { return a.weight_ < b.weight_; }); first != near.end())
+    const Candidate* first = nullptr;
+    for (const auto& candidate : candidates) {
+        if (isNear(*candidate.upstream_) && (first == nullptr || candidate.weight_ > first->weight_))
+            first = &candidate;
+    }
+    if (first != nullptr)
         owners.push_back(*first);
 }
 
-auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>
+auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners, double objectRate) const -> std::vector<EndCandidate>
 {
     const auto endQuery = query.endQuery();
     const auto warmRun = estimator_->runTimes(endQuery).warm_;
     std::vector<EndCandidate> estimated;
     estimated.reserve(owners.size());
     const auto bytes = estimator_->expectedBytes(query.route_);
-    const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
     for (const auto& owner : owners) {
         const bool near = isNear(*owner.upstream_);
-        const bool hasConnection = connections_ == nullptr || connections_->hasOpenConnection(owner.upstream_);
-        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), near, bytes, rate, hasConnection });
+        const bool hasConnection = connections_ == nullptr || connections_->hasIdleConnection(owner.upstream_);
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), near, bytes, objectRate, hasConnection });
     }
     return estimated;
 }
@@ -342,26 +343,30 @@
     const auto& home = near.empty() ? far : near;
     const auto warmRun = estimator_->runTimes(query.endQuery()).warm_;
     const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
+    const auto meanRate = query.object_ ? estimator_->meanRegionRate(*query.object_) : 0;
     const int slots = home.front().upstream_->entry_.slots_;
     auto owners = firstOwners(home, ownersForDemand(rate, warmRun, slots));
     if (needsNearOwner(estimator_->expectedBytes(query.route_)))
         addNearOwner(owners, home);
-    const auto estimates = estimateOwners(query, owners);
-    const auto addedWait = fromSeconds(inSeconds(expectedAddedWait(rate, warmRun, slots)) * utilizationOf(estimates, slots));
-    const auto best = chooseBySpread(estimates, addedWait, toUnitInterval(stableHash("spread", query.requestHash_))).value_or(0);
+    const auto estimates = estimateOwners(query, owners, meanRate);
+    const auto earliest = chooseByExpectedEnd(estimates).value_or(0);
     const bool isRunLearned = estimator_->isRunLearned(query.route_);
     const auto placed = [isRunLearned](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
         return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_, isRunLearned };
     };
     if (!near.empty() && !far.empty()) {
         const auto other = firstOwners(far, maxRemoteOwners);
-        const auto otherEnd = estimateOwners(query, other).front();
-        if (comparedEnd(otherEnd) + minSpillGain < comparedEnd(estimates[best]) && spillLimiter_.takeSpill())
+        const auto otherEnd = estimateOwners(query, other, meanRate).front();
+        if (comparedEnd(otherEnd) + minSpillGain < comparedEnd(estimates[earliest]) && spillLimiter_.takeSpill())
             return placed(other.front(), otherEnd, owners.size() + 1);
     }
-    if (estimates[best].estimate_.wait_ > query.maxQueueWait_)
+    if (estimates[earliest].estimate_.wait_ > query.maxQueueWait_)
         return PlacementRefusal::Full;
-    return placed(owners[best], estimates[best], owners.size());
+    const auto addedWait = fromSeconds(inSeconds(expectedAddedWait(rate, warmRun, slots)) * utilizationOf(estimates, slots));
+    const auto drawn = chooseBySpread(estimates, addedWait, toUnitInterval(stableHash("spread", query.requestHash_))).value_or(earliest);
+    // The spread must not make a request wait for longer than it can.
+    const auto chosen = estimates[drawn].estimate_.wait_ > query.maxQueueWait_ ? earliest : drawn;
+    return placed(owners[chosen], estimates[chosen], owners.size());
 }
 
 // Prefers owners in the object's region, even after a short wait. Owners in other regions take requests that spill
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -106,9 +106,10 @@
     Placer(const Placer&) = delete;
     auto operator=(const Placer&) -> Placer& = delete;
 
-    // Without it, every upstream counts as one with an open connection. Must outlive the placer.
+    // Without it, every upstream counts as one with an open connection. Must outlive all calls of place.
     auto setConnectionState(ConnectionState& connections) -> void { connections_ = &connections; }
-    // From now on, region shares follow the demand of services that it has demand for. Both must outlive this.
+    // From now on, region shares follow the demand of services that it has demand for. Both must outlive all
+    // calls of place.
     auto followDemand(RegionDemand& demand, RegionTargetListener& listener) -> void;
     auto regionShares() const -> const RegionShares& { return regionShares_; }
 
@@ -146,7 +147,7 @@
     auto placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult;
     // Adds the first candidate in the own failure domain if none of the owners is there.
     auto addNearOwner(Candidates& owners, const Candidates& candidates) const -> void;
-    auto estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>;
+    auto estimateOwners(const PlacementQuery& query, const Candidates& owners, double objectRate) const -> std::vector<EndCandidate>;
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
--- a/src/gateway/placement/region_demand.cpp
+++ b/src/gateway/placement/region_demand.cpp
@@ -134,7 +134,7 @@
     const auto now = clock_.now();
     if (mode_ == RegionDemandMode::Never || !isWarmedUp())
         return std::nullopt;
-    bool isUsed = mode_ == RegionDemandMode::Always || std::any_of(peers_.begin(), peers_.end(), [now](const auto& item) { return hasTold(item.second, now); });
+    bool isUsed = mode_ == RegionDemandMode::Always || std::any_of(peers_.begin(), peers_.end(), [now](const auto& item) { return hasReported(item.second, now); });
     std::vector<std::pair<bool, ServiceDemand>> ranked;
     for (const auto& [name, service] : services_) {
         const bool isServiceFollowed = isFollowed(name);
@@ -147,16 +147,16 @@
         return std::nullopt;
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return std::tuple(a.first, a.second.perSecond_, a.second.service_) > std::tuple(b.first, b.second.perSecond_, b.second.service_); });
     ranked.resize(std::min(ranked.size(), maxDemandServices));
-    std::vector<ServiceDemand> told;
-    told.reserve(ranked.size());
+    std::vector<ServiceDemand> reported;
+    reported.reserve(ranked.size());
     for (const auto& [isServiceFollowed, demand] : ranked)
-        told.push_back(demand);
-    return told;
+        reported.push_back(demand);
+    return reported;
 }
 
-auto RegionDemand::hasTold(const Peer& peer, MonotonicTime now) -> bool
+auto RegionDemand::hasReported(const Peer& peer, MonotonicTime now) -> bool
 {
-    return peer.toldAt_ != MonotonicTime {} && now - peer.toldAt_ <= demandWindow;
+    return peer.reportedAt_ != MonotonicTime {} && now - peer.reportedAt_ <= demandWindow;
 }
 
 auto RegionDemand::apply(const MemberReport& report) -> void
@@ -169,11 +169,11 @@
     peer.region_ = report.region_;
     peer.isReady_ = report.phase_ == MemberPhase::Ready;
     peer.heardAt_ = clock_.now();
-    // Not every heartbeat tells demand.
+    // Not every heartbeat reports demand.
     if (report.demand_) {
         peer.demand_ = *report.demand_;
         peer.isAnyInvalid_ = report.invalidDemands_ > 0;
-        peer.toldAt_ = peer.heardAt_;
+        peer.reportedAt_ = peer.heardAt_;
     }
 }
 
@@ -183,7 +183,7 @@
     std::erase_if(peers_, [now](const auto& item) { return now - item.second.heardAt_ > demandWindow; });
 }
 
-// A figure is unknown where an instance tells none, such as of an older build, or where its list is full or has invalid
+// A figure is unknown where an instance reports none, such as of an older build, or where its list is full or has invalid
 // entries. It is assumed to be like those of the region's other instances.
 auto RegionDemand::figures(const std::string& service) const -> FiguresByRegion
 {
@@ -194,7 +194,7 @@
         if (now - peer.heardAt_ > demandWindow)
             continue;
         auto& region = regions[peer.region_];
-        if (!hasTold(peer, now)) {
+        if (!hasReported(peer, now)) {
             if (peer.isReady_)
                 region.unknownLimits_.push_back(std::numeric_limits<double>::infinity());
             continue;
@@ -205,7 +205,7 @@
         else if (peer.isAnyInvalid_)
             region.unknownLimits_.push_back(std::numeric_limits<double>::infinity());
         else if (peer.demand_.size() >= maxDemandServices)
-            region.unknownLimits_.push_back(std::min_element(peer.demand_.begin(), peer.demand_.end(), [](const auto& a, const auto& b) { return a.perSecond_ < b.perSecond_; })->perSecond_);
+            region.unknownLimits_.push_back(std::numeric_limits<double>::infinity());
         else
             region.known_.push_back(0);
     }
@@ -223,7 +223,6 @@
     for (const auto& [region, figures] : regions)
         all.insert(all.end(), figures.known_.begin(), figures.known_.end());
     const auto commonLimit = figureLimit(std::move(all)).value_or(std::numeric_limits<double>::infinity());
-    std::map<std::string, Estimate> estimates;
     service.loads_.clear();
     for (const auto& [region, figures] : regions) {
         if (figures.known_.empty())
@@ -235,29 +234,33 @@
         const auto mean = sum / static_cast<double>(figures.known_.size());
         for (const auto unknownLimit : figures.unknownLimits_)
             sum += std::min(mean, unknownLimit);
-        const auto before = service.estimates_.find(region);
-        auto& estimate = estimates.try_emplace(region, before == service.estimates_.end() ? Estimate(sum, now) : before->second).first->second;
+        // Regions that are not heard of keep their estimate, so that the usual demand is known when they return.
+        auto& estimate = service.estimates_.try_emplace(region, sum, now).first->second;
         estimate.update(sum, now);
         service.loads_.push_back({ region, estimate.perSecond() });
     }
-    service.estimates_ = std::move(estimates);
     service.reviewedAt_ = now;
 }
 
 auto RegionDemand::ofService(const std::string& service) -> const std::vector<RegionLoad>&
 {
-    if (!isWarmedUp() || !isFollowed(service))
+    if (!isFollowed(service))
         return none_;
     const auto now = clock_.now();
     auto& state = services_[service];
-    if (now - state.reviewedAt_ >= reviewInterval)
+    // The last known demand goes on to hold meanwhile.
+    if (isWarmedUp() && now - state.reviewedAt_ >= reviewInterval)
         review(service, state);
     return state.loads_;
 }
 
+// After a freeze, own rates and those of peers cover less than the window, as after a start.
 auto RegionDemand::update() -> void
 {
     const auto now = clock_.now();
+    if (updatedAt_ != MonotonicTime {} && now - updatedAt_ > demandWindow)
+        startedAt_ = now;
+    updatedAt_ = now;
     removeExpired();
     std::erase_if(services_, [now](const auto& item) { return now - std::max(item.second.offered_.lastAt(), item.second.reviewedAt_) > serviceRetention; });
 }
--- a/src/gateway/placement/region_demand.h
+++ b/src/gateway/placement/region_demand.h
@@ -55,13 +55,14 @@
 
     // Counts a request of a caller of this instance, whether or not it is placed.
     auto countRequest(const std::string& service) -> void;
-    // The services with most requests; empty if this instance tells no demand, as no service follows it or it has just started.
+    // The services with most requests; empty if this instance reports no demand, as no service follows it or it has just started.
     auto forHeartbeat() const -> std::optional<std::vector<ServiceDemand>>;
     // Takes in the heartbeat of another instance of any region.
     auto apply(const MemberReport& report) -> void;
-    // Estimated demand of the regions that any is known of: smoothed, and closer to the usual one than the present one is. Empty if the service's shares do not follow demand.
+    // Smoothed demand by region, for regions with at least one report. Deviations from the long-term mean count in part. Empty if the
+    // shares of the service do not follow demand.
     auto ofService(const std::string& service) -> const std::vector<RegionLoad>&;
-    // Forgets peers and services without recent news. To be called periodically.
+    // Forgets peers and services without recent reports. To be called periodically.
     auto update() -> void;
 
 private:
@@ -69,10 +70,10 @@
         std::string region_;
         bool isReady_ = false;
         MonotonicTime heardAt_ {};
-        // Of the last heartbeat that told demand.
+        // Of the last heartbeat that reported demand.
         std::vector<ServiceDemand> demand_;
         bool isAnyInvalid_ = false;
-        MonotonicTime toldAt_ {};
+        MonotonicTime reportedAt_ {};
     };
     // Figures of a region's instances.
     struct RegionFigures {
@@ -104,7 +105,7 @@
     };
     using FiguresByRegion = std::map<std::string, RegionFigures>;
 
-    static auto hasTold(const Peer& peer, MonotonicTime now) -> bool;
+    static auto hasReported(const Peer& peer, MonotonicTime now) -> bool;
     auto isFollowed(const std::string& service) const -> bool;
     auto isWarmedUp() const -> bool;
     auto removeExpired() -> void;
@@ -117,6 +118,7 @@
     RegionDemandMode mode_;
     ServicePredicate isEstimated_;
     MonotonicTime startedAt_;
+    MonotonicTime updatedAt_ {};
     std::map<std::string, Service> services_;
     std::map<std::string, Peer> peers_;
     std::vector<RegionLoad> none_;
--- a/src/gateway/placement/region_shares.cpp
+++ b/src/gateway/placement/region_shares.cpp
@@ -13,12 +13,13 @@
     constexpr double maxShiftPerSecond = 0.04;
     // An object's region follows from its place among the shares in a fixed order, so a share that changes also moves objects
     // between the regions after it. With shares that follow demand, this total is limited as well: with 0.02 per second by
-    // spilling, 0.15 of the traffic moves in two seconds.
-    constexpr double maxObjectShiftPerSecond = 0.055;
+    // spilling, at most 0.15 of the traffic moves in two seconds.
+    constexpr double maxObjectShiftPerSecond = 0.05;
     // Smaller changes of a target that follows demand are ignored: demand always varies a little.
     constexpr double minTargetChange = 0.03;
-    // In the other direction than the last change, twice that: noise alone would otherwise move shares forth and back.
+    // In the other direction than the last change, twice that: noise would otherwise make shares oscillate.
     constexpr double minTargetReversal = 0.06;
+    constexpr double maxStepSeconds = 0.5;
     // Capacity changes rarely, and counting it takes time for each upstream.
     constexpr Duration recomputeInterval = 50ms;
     // The share of requests that may spill starts at minSpillShare and grows at this rate.
@@ -137,7 +138,8 @@
         const bool isReversal = step * state.lastStep_ < 0;
         if (shareDistance(state.target_, target.shares_) < (isReversal ? minTargetReversal : minTargetChange))
             return state.target_;
-        state.lastStep_ = step;
+        if (step != 0)
+            state.lastStep_ = step;
     }
     state.target_ = target.shares_;
     if (listener_ != nullptr)
@@ -153,13 +155,16 @@
         return state.shares_;
     RegionTarget newest { {}, capacities(), demands ? demands() : std::vector<RegionLoad>() };
     newest.shares_ = targetShares(ownRegion, newest.capacities_, newest.demands_);
-    const double elapsed = inSeconds(now - state.movedAt_);
+    double elapsed = inSeconds(now - state.movedAt_);
     double step = elapsed * maxShiftPerSecond;
     auto target = newest.shares_;
     if (newest.demands_.empty()) {
         state.target_.clear();
     } else if (!target.empty()) {
         target = demandTarget(service, state, std::move(newest));
+        // After a freeze, no more than usual may move at once.
+        elapsed = std::min(elapsed, maxStepSeconds);
+        step = elapsed * maxShiftPerSecond;
         if (const double objects = objectDistance(state.shares_, target); objects > 0)
             step = std::min(step, elapsed * maxObjectShiftPerSecond * shareDistance(state.shares_, target) / objects);
     }
--- a/src/gateway/placement/region_target_log.cpp
+++ b/src/gateway/placement/region_target_log.cpp
@@ -12,6 +12,8 @@
 auto RegionTargetLog::onRegionTarget(const std::string& service, const RegionTarget& target) -> void
 {
     const auto now = clock_.now();
+    // Services come and go over the life of an instance.
+    std::erase_if(states_, [now](const auto& item) { return item.second.leftOut_ == 0 && now - item.second.loggedAt_ >= minLogInterval; });
     auto& state = states_[service];
     if (state.loggedAt_ != MonotonicTime {} && now - state.loggedAt_ < minLogInterval) {
         ++state.leftOut_;
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -213,8 +213,8 @@
         query_.object_ = stableHash(*metadata_.object_, stableHash(route_->name_));
     context_.retryLimiter_.countRequest(serviceName_);
     context_.secondAttempts_.countRequest(serviceName_);
-    // Requests of workspaces bound to regions run there whatever the shares, on slots that are not counted as capacity.
-    if (context_.regionDemand_ != nullptr && (workspace_ == nullptr || workspace_->homeRegions_.empty()))
+    // Requests bound to regions run there whatever the shares; slots for those of workspaces are not counted as capacity.
+    if (context_.regionDemand_ != nullptr && homeRegions_.empty())
         context_.regionDemand_->countRequest(serviceName_);
 }
 
@@ -607,7 +607,7 @@
             context_.endEstimator_.recordResponse(*lastAttempt_.upstream_, query_.endQuery(), *load, work);
         const auto bytes = query_.bodyBytes_ + response.body().size();
         context_.endEstimator_.recordBytes(route_->name_, bytes);
-        context_.metrics_.increment({ "gateway_upstream_bytes_total", fmt::format("domain=\"{}\"", context_.placer_.isNear(*lastAttempt_.upstream_) ? "own" : "other") }, static_cast<std::int64_t>(bytes));
+        context_.metrics_.increment({ "gateway_upstream_bytes_total", context_.placer_.isNear(*lastAttempt_.upstream_) ? "domain=\"own\"" : "domain=\"other\"" }, static_cast<std::int64_t>(bytes));
         // Second attempts of long runs are cancelled, so that their run times would make runs look shorter than they are.
         if (!lastAttempt_.isSecond_)
             context_.secondAttempts_.recordRun(route_->name_, work);
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -431,7 +431,7 @@
     auto roomUse = roomGate_.takeForHeartbeat();
     if (fleet_.memberCount() == 1)
         return datagrams_.send(encodeDatagram(report), seedPeers());
-    // Told as often to the own region as to others: figures are used for several of these intervals.
+    // Sent as often to the own region as to others: figures are used for several of these intervals.
     if (reach == Reach::All) {
         report.demand_ = regionDemand_.forHeartbeat();
         datagrams_.send(encodeDatagram(report), fleet_.peerAddressesBeyond(settings_.region_));
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -19,8 +19,6 @@
     constexpr int maxSkippedResponses = 32;
     // While the memory is full, it is looked for room this often.
     constexpr Duration roomPoll = 50ms;
-    // Where the upstream states no time.
-    constexpr Duration assumedIdle = 4s;
 
     auto renderHead(const OutgoingRequest& request) -> std::string
     {
@@ -226,7 +224,7 @@
     tell(parser_->release(), reusable);
 }
 
-auto UpstreamChannel::statedIdle(const HttpResponse& response) -> Duration
+auto UpstreamChannel::statedIdle(const HttpResponse& response) -> std::optional<Duration>
 {
     const auto header = response[http::field::keep_alive];
     const auto parameters = ";" + std::string(header.data(), header.size());
@@ -236,7 +234,7 @@
         const auto stated = parseNumber({ parameter.second.data(), parameter.second.size() }, Bounds { 0, 3'600 });
         return std::chrono::seconds(stated.value_or(0));
     }
-    return assumedIdle;
+    return std::nullopt;
 }
 
 auto UpstreamChannel::lose(TransportErrorKind kind, std::string reason) -> void
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -36,8 +36,8 @@
     auto isFresh() -> bool;
     // Whether its time or its upstream is over, without asking the kernel.
     auto isOver() const -> bool { return !isOpen_ || clock_.now() >= idleUntil_; }
-    // How long the upstream keeps the connection open while it is idle.
-    auto statedIdle() const -> Duration { return statedIdle_; }
+    // How long the upstream states that it keeps the connection open while it is idle.
+    auto statedIdle() const -> std::optional<Duration> { return statedIdle_; }
     // Sets for how long from now the connection may carry another request.
     auto setReusableFor(Duration duration) -> void { idleUntil_ = clock_.now() + duration; }
     // A response has begun and waits for memory.
@@ -62,7 +62,7 @@
     auto skipResponse() -> void;
     auto lose(TransportErrorKind kind, std::string reason) -> void;
     auto tell(AttemptOutcome outcome, bool isReusable) -> void;
-    static auto statedIdle(const HttpResponse& response) -> Duration;
+    static auto statedIdle(const HttpResponse& response) -> std::optional<Duration>;
 
     Tcp::socket socket_;
     asio::steady_timer timer_;
@@ -86,7 +86,7 @@
     bool hasCarriedResponse_ = false;
     // Interim responses and those to earlier requests that came before the one awaited.
     int skippedResponses_ = 0;
-    Duration statedIdle_ {};
+    std::optional<Duration> statedIdle_;
     MonotonicTime idleUntil_ {};
 };
 
--- a/src/loop/upstream_pool.cpp
+++ b/src/loop/upstream_pool.cpp
@@ -68,6 +68,12 @@
     return found != idle_.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto& channel) { return channel->isFresh(); });
 }
 
+auto UpstreamPool::hasIdleConnection(const UpstreamPtr& upstream) const -> bool
+{
+    const auto found = idle_.find(upstream);
+    return found != idle_.end() && std::any_of(found->second.rbegin(), found->second.rend(), [](const auto& channel) { return !channel->isOver(); });
+}
+
 auto UpstreamPool::call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt>
 {
     auto channel = takeIdle(upstream);
--- a/src/loop/upstream_pool.h
+++ b/src/loop/upstream_pool.h
@@ -36,6 +36,7 @@
     using ReusePolicy = std::function<ConnectionReuse(const Upstream&)>;
     auto setReusePolicy(ReusePolicy policy) -> void { reusePolicy_ = std::move(policy); }
     auto hasOpenConnection(const UpstreamPtr& upstream) -> bool override;
+    auto hasIdleConnection(const UpstreamPtr& upstream) const -> bool override;
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     // Closes connections that have been idle for too long or whose upstream is retired.
     auto sweep() -> void;
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -26,7 +26,7 @@
         return first && (comma == std::string_view::npos || isSeedList(text.substr(comma + 1)));
     }
 
-    auto isUsageMode(std::string_view text) -> bool { return text == "auto" || text == "always" || text == "never"; }
+    auto isAutoAlwaysNever(std::string_view text) -> bool { return text == "auto" || text == "always" || text == "never"; }
 
     auto isSwitch(std::string_view text) -> bool { return text == "on" || text == "off"; }
 
@@ -57,8 +57,8 @@
         Row { "retries", valueField<&Settings::retrySlack_>("slack", optional, "retries, 0 to 1000000", Bounds { 0, 1'000'000 }) },
         Row { "retries", valueField<&Settings::retryWindow_>("window", optional, shortTimeExpected, shortTime) },
         Row { "memory", valueField<&Settings::memoryMb_>("process-mb", optional, "megabytes, 32 to 1000000", Bounds { 32, 1'000'000 }) },
-        Row { "placement", textField<&Settings::expectedEnd_, isUsageMode>("expected-end", optional, "auto, always or never") },
-        Row { "placement", textField<&Settings::regionDemand_, isUsageMode>("region-demand", optional, "auto, always or never") },
+        Row { "placement", textField<&Settings::expectedEnd_, isAutoAlwaysNever>("expected-end", optional, "auto, always or never") },
+        Row { "placement", textField<&Settings::regionDemand_, isAutoAlwaysNever>("region-demand", optional, "auto, always or never") },
         Row { "admission", textField<&Settings::admissionByRoom_, isSwitch>("by-room", optional, "on or off") },
         Row { "log", valueField<&Settings::logBytesPerSecond_>("bytes-per-second", optional, "bytes, 1024 to 10000000", Bounds { 1'024, 10'000'000 }) },
         Row { "log", valueField<&Settings::logSuccessSample_>("success-sample", optional, "one of so many, 1 to 1000000", Bounds { 1, 1'000'000 }) },
--- a/src/wire/datagram.capnp
+++ b/src/wire/datagram.capnp
@@ -91,7 +91,7 @@
   observations @20 :List(Observation);
   # Requests since the last heartbeat to the region, by service; empty from instances that know no admission by room.
   roomUse @21 :List(RoomUse);
-  # Unset from instances that know no region shares by demand, and in heartbeats that do not tell it; empty if there is none.
+  # Unset from instances without region shares by demand, and in heartbeats that do not tell it; empty if there is none.
   demand @22 :List(ServiceDemand);
 }
 
--- a/standin/scripted_caller.h
+++ b/standin/scripted_caller.h
@@ -21,6 +21,7 @@
     };
 
     auto hasOpenConnection(const UpstreamPtr& upstream) -> bool override { return open_.contains(upstream->entry_.id_); }
+    auto hasIdleConnection(const UpstreamPtr& upstream) const -> bool override { return open_.contains(upstream->entry_.id_); }
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override
     {
         auto ended = std::make_shared<bool>(false);
--- a/tests/connection_state_test.cpp
+++ b/tests/connection_state_test.cpp
@@ -15,6 +15,8 @@
     CHECK(reusableTime(2s, ConnectionReuse::Long) == 1s);
     CHECK(reusableTime(1s, ConnectionReuse::Long) == 500ms);
     CHECK(reusableTime(0s, ConnectionReuse::Long) == 0s);
+    CHECK(reusableTime(std::nullopt, ConnectionReuse::Long) == 2s);
+    CHECK(reusableTime(std::nullopt, ConnectionReuse::Cautious) == 2s);
 }
 
 TEST_CASE("the bytes of a route are learned from its requests, and are none before", "[connections]")
--- a/tests/upstream_cut_simulation_test.cpp
+++ b/tests/upstream_cut_simulation_test.cpp
@@ -64,6 +64,7 @@
     auto sendAsk(const Coordinator&, const RateAsk&) -> void override { }
     auto sendLimitAsk(const Coordinator&, const LimitAsk&) -> void override { }
     auto hasOpenConnection(const UpstreamPtr&) -> bool override { return false; }
+    auto hasIdleConnection(const UpstreamPtr&) const -> bool override { return false; }
     auto call(const UpstreamPtr& upstream, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     auto call(const MemberReport& peer, std::shared_ptr<const OutgoingRequest> request, std::function<void(AttemptOutcome)> done) -> std::unique_ptr<Attempt> override;
     auto report() -> MemberReport;
