Region demand: a full list limits nothing that it leaves out

Cause: review. Services that do not follow demand at the sender are left out of a full list first, whatever their rates, so the least listed rate says nothing about them. Ruled out: ranking by rate alone, which would leave out services that follow demand. Change: such a figure counts as unknown, as the mean of the region's others.

--- a/src/gateway/placement/region_demand.cpp
+++ b/src/gateway/placement/region_demand.cpp
@@ -196,16 +196,14 @@
         auto& region = regions[peer.region_];
         if (!hasReported(peer, now)) {
             if (peer.isReady_)
-                region.unknownLimits_.push_back(std::numeric_limits<double>::infinity());
+                ++region.unknown_;
             continue;
         }
         const auto found = std::find_if(peer.demand_.begin(), peer.demand_.end(), [hash](const auto& demand) { return demand.service_ == hash; });
         if (found != peer.demand_.end())
             region.known_.push_back(found->perSecond_);
-        else if (peer.isAnyInvalid_)
-            region.unknownLimits_.push_back(std::numeric_limits<double>::infinity());
-        else if (peer.demand_.size() >= maxDemandServices)
-            region.unknownLimits_.push_back(std::numeric_limits<double>::infinity());
+        else if (peer.isAnyInvalid_ || peer.demand_.size() >= maxDemandServices)
+            ++region.unknown_;
         else
             region.known_.push_back(0);
     }
@@ -232,8 +230,7 @@
         for (const auto figure : figures.known_)
             sum += std::min(figure, limit);
         const auto mean = sum / static_cast<double>(figures.known_.size());
-        for (const auto unknownLimit : figures.unknownLimits_)
-            sum += std::min(mean, unknownLimit);
+        sum += mean * figures.unknown_;
         // Regions that are not heard of keep their estimate, so that the usual demand is known when they return.
         auto& estimate = service.estimates_.try_emplace(region, sum, now).first->second;
         estimate.update(sum, now);
--- a/src/gateway/placement/region_demand.h
+++ b/src/gateway/placement/region_demand.h
@@ -78,8 +78,8 @@
     // Figures of a region's instances.
     struct RegionFigures {
         std::vector<double> known_;
-        // For each instance with an unknown figure, what it is at most.
-        std::vector<double> unknownLimits_;
+        // Instances whose figure is unknown.
+        int unknown_ = 0;
     };
     // Demand of a region, estimated from its sums.
     class Estimate {
