--- a/src/gateway/placement/end_estimator.cpp
+++ b/src/gateway/placement/end_estimator.cpp
@@ -24,6 +24,9 @@
     // Runs after which a route without two groups of run times counts as one without a gain.
     constexpr std::uint32_t minLearnedRuns = 200;
     constexpr double assumedWarmPart = 0.5;
+    // Runs after which the run time of a route counts as learned. Each run moves it by 6% at most, so that by then it can be a tenth
+    // or ten times of the latency target.
+    constexpr std::uint32_t minRunsForTime = 40;
     // Part by which a longer connection time raises the known round trip, so that a change of route is followed.
     constexpr int roundTripRise = 50;
 
@@ -58,6 +61,12 @@
     return times;
 }
 
+auto EndEstimator::isRunLearned(const std::string& route) const -> bool
+{
+    const auto count = runCounts_.find(route);
+    return count != runCounts_.end() && count->second >= minRunsForTime;
+}
+
 auto EndEstimator::isServiceEstimated(const std::string& service) const -> bool
 {
     return services_.contains(service);
@@ -133,7 +142,10 @@
 {
     const auto key = observation.upstream_;
     warmObjects_.setService(key, upstream.entry_.service_);
-    if (observation.object_ != 0 && !observation.isRejection_)
+    // Without the rejected requests, the owners of an object that has just become popular would be added for the few that ran.
+    if (observation.object_ != 0 && observation.isRejection_)
+        warmObjects_.recordRequest(observation.object_, at);
+    else if (observation.object_ != 0)
         warmObjects_.record(key, observation.object_, at);
     recordRejection(key, at, observation.isRejection_);
     const auto& load = observation.load_;
--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -1,11 +1,13 @@
 // Estimates when a request would end at an upstream: distance, wait for a slot, and run.
 #pragma once
 
+#include "gateway/placement/route_bytes.h"
 #include "gateway/placement/run_times.h"
 #include "gateway/placement/warm_objects.h"
 #include "gateway/upstreams/load_exchange.h"
 #include "gateway/upstreams/upstream_set.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -51,11 +53,18 @@
     auto estimate(const Upstream& upstream, const EndQuery& query) const -> EndEstimate;
     // Time of a run at usual speed, warm and cold.
     auto runTimes(const EndQuery& query) const -> RunEstimate;
-    // Requests per second for the object in this region.
-    auto regionRate(std::uint64_t object) const -> double { return warmObjects_.regionRate(object); }
+    // Whether enough runs of the route are known for its run time to be no longer held near the latency target, from which it starts.
+    auto isRunLearned(const std::string& route) const -> bool;
+    // Attempts per second for the object in this region, with those that upstreams rejected: the greater one of two averages.
+    auto regionRate(std::uint64_t object) const -> double { return std::max(warmObjects_.regionRate(object), warmObjects_.recentRate(object)); }
+    auto meanRegionRate(std::uint64_t object) const -> double { return warmObjects_.regionRate(object); }
 
     // Records a response to a request that this instance sent: its run time teaches the route's run times.
     auto recordResponse(const Upstream& upstream, const EndQuery& query, const ReportedLoad& load, Duration took) -> void;
+    // Records the bytes of the bodies of a request and its response.
+    auto recordBytes(const std::string& route, std::size_t bytes) -> void { routeBytes_.record(route, bytes); }
+    // Bytes that a request of the route is expected to transfer.
+    auto expectedBytes(const std::string& route) const -> double { return routeBytes_.expected(route); }
     // Records the time of a successful connection attempt, which is about a round trip.
     auto recordConnect(const Upstream& upstream, Duration took) -> void;
     auto onObservation(const Upstream& upstream, const Observation& observation, MonotonicTime at, bool isOwn) -> void override;
@@ -85,6 +94,7 @@
     RunTimes runTimes_;
     // Runs learned from, by route.
     std::map<std::string, std::uint32_t> runCounts_;
+    RouteBytes routeBytes_;
     WarmObjects warmObjects_;
     std::map<UpstreamKey, RejectionRate> rejections_;
     std::map<std::string, ServiceLoad> services_;
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -1,6 +1,7 @@
 #include "gateway/placement/placement.h"
 
 #include "gateway/hashing.h"
+#include "gateway/placement/end_spread.h"
 
 #include <algorithm>
 #include <cmath>
@@ -70,6 +71,12 @@
 {
 }
 
+auto Placer::followDemand(RegionDemand& demand, RegionTargetListener& listener) -> void
+{
+    regionDemand_ = &demand;
+    regionShares_.setListener(listener);
+}
+
 auto exclusionName(Exclusion exclusion) -> std::string_view
 {
     switch (exclusion) {
@@ -229,7 +236,9 @@
 auto Placer::targetRegion(std::uint64_t object, const PlacementQuery& query) -> std::string
 {
     constexpr std::uint64_t regionHashSeed = 0x5ea1;
-    const auto& shares = regionShares_.current(query.service_, ownRegion_, [this, &query] { return regionCapacities(query); });
+    const auto capacities = [this, &query] { return regionCapacities(query); };
+    const auto demands = [this, &query] { return regionDemand_ == nullptr ? std::vector<RegionLoad>() : regionDemand_->ofService(query.service_); };
+    const auto& shares = regionShares_.current(query.service_, ownRegion_, capacities, demands);
     double at = toUnitInterval(stableHash(ownRegion_, object ^ regionHashSeed));
     for (const auto& share : shares) {
         if (at < share.share_)
@@ -299,14 +308,31 @@
     return Placement { least->upstream_, static_cast<int>(least - owners.begin()), wait, least->occupied_, owners.size() };
 }
 
-auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>
+auto Placer::addNearOwner(Candidates& owners, const Candidates& candidates) const -> void
+{
+    if (std::any_of(owners.begin(), owners.end(), [this](const auto& owner) { return isNear(*owner.upstream_); }))
+        return;
+    const Candidate* first = nullptr;
+    for (const auto& candidate : candidates) {
+        if (isNear(*candidate.upstream_) && (first == nullptr || candidate.weight_ > first->weight_))
+            first = &candidate;
+    }
+    if (first != nullptr)
+        owners.push_back(*first);
+}
+
+auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners, double objectRate) const -> std::vector<EndCandidate>
 {
     const auto endQuery = query.endQuery();
     const auto warmRun = estimator_->runTimes(endQuery).warm_;
     std::vector<EndCandidate> estimated;
     estimated.reserve(owners.size());
-    for (const auto& owner : owners)
-        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), owner.upstream_->entry_.domain_ == ownDomain_ });
+    const auto bytes = estimator_->expectedBytes(query.route_);
+    for (const auto& owner : owners) {
+        const bool near = isNear(*owner.upstream_);
+        const bool hasConnection = connections_ == nullptr || connections_->hasIdleConnection(owner.upstream_);
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), near, bytes, objectRate, hasConnection });
+    }
     return estimated;
 }
 
@@ -317,21 +343,30 @@
     const auto& home = near.empty() ? far : near;
     const auto warmRun = estimator_->runTimes(query.endQuery()).warm_;
     const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
-    const auto owners = firstOwners(home, ownersForDemand(rate, warmRun, home.front().upstream_->entry_.slots_));
-    const auto estimates = estimateOwners(query, owners);
-    const auto best = chooseByExpectedEnd(estimates).value_or(0);
-    const auto placed = [](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
-        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_ };
+    const auto meanRate = query.object_ ? estimator_->meanRegionRate(*query.object_) : 0;
+    const int slots = home.front().upstream_->entry_.slots_;
+    auto owners = firstOwners(home, ownersForDemand(rate, warmRun, slots));
+    if (needsNearOwner(estimator_->expectedBytes(query.route_)))
+        addNearOwner(owners, home);
+    const auto estimates = estimateOwners(query, owners, meanRate);
+    const auto earliest = chooseByExpectedEnd(estimates).value_or(0);
+    const bool isRunLearned = estimator_->isRunLearned(query.route_);
+    const auto placed = [isRunLearned](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
+        return Placement { owner.upstream_, end.rank_, end.estimate_.wait_, static_cast<int>(std::lround(end.estimate_.occupied_)), ownerCount, true, end.estimate_.run_, isRunLearned };
     };
     if (!near.empty() && !far.empty()) {
         const auto other = firstOwners(far, maxRemoteOwners);
-        const auto otherEnd = estimateOwners(query, other).front();
-        if (comparedEnd(otherEnd) + minSpillGain < comparedEnd(estimates[best]) && spillLimiter_.takeSpill())
+        const auto otherEnd = estimateOwners(query, other, meanRate).front();
+        if (comparedEnd(otherEnd) + minSpillGain < comparedEnd(estimates[earliest]) && spillLimiter_.takeSpill())
             return placed(other.front(), otherEnd, owners.size() + 1);
     }
-    if (estimates[best].estimate_.wait_ > query.maxQueueWait_)
+    if (estimates[earliest].estimate_.wait_ > query.maxQueueWait_)
         return PlacementRefusal::Full;
-    return placed(owners[best], estimates[best], owners.size());
+    const auto addedWait = fromSeconds(inSeconds(expectedAddedWait(rate, warmRun, slots)) * utilizationOf(estimates, slots));
+    const auto drawn = chooseBySpread(estimates, addedWait, toUnitInterval(stableHash("spread", query.requestHash_))).value_or(earliest);
+    // The spread must not make a request wait for longer than it can.
+    const auto chosen = estimates[drawn].estimate_.wait_ > query.maxQueueWait_ ? earliest : drawn;
+    return placed(owners[chosen], estimates[chosen], owners.size());
 }
 
 // Prefers owners in the object's region, even after a short wait. Owners in other regions take requests that spill
@@ -345,7 +380,7 @@
     const auto region = targetRegion(query.object_.value_or(query.requestHash_), query);
     const auto elsewhere = std::stable_partition(found.begin(), found.end(), [&region](const auto& candidate) { return candidate.upstream_->region_ == region; });
     const Candidates nearby(found.begin(), elsewhere);
-    if (estimator_ != nullptr && estimator_->isServiceEstimated(query.service_))
+    if (usesEstimates(query.service_))
         return placeByExpectedEnd(query, nearby, Candidates(elsewhere, found.end()));
     const auto near = firstOwners(nearby, ownersNeeded(query, nearby));
     const auto far = firstOwners(Candidates(elsewhere, found.end()), std::max(maxRemoteOwners, near.empty() ? ownersNeeded(query, found) : 1));
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -5,7 +5,9 @@
 #include "gateway/limits/body_limiter.h"
 #include "gateway/placement/expected_end.h"
 #include "gateway/placement/object_demand.h"
+#include "gateway/placement/region_demand.h"
 #include "gateway/placement/region_shares.h"
+#include "gateway/upstreams/connection_state.h"
 #include "gateway/upstreams/upstream_set.h"
 
 #include <map>
@@ -62,6 +64,8 @@
     // Whether expectedWait_ and expectedRun_ come from estimates of the end of the request at each candidate.
     bool isEstimated_ = false;
     Duration expectedRun_ {};
+    // Whether expectedRun_ comes from runs of the route, and not from its latency target.
+    bool isRunLearned_ = false;
 };
 
 enum class PlacementRefusal {
@@ -102,7 +106,18 @@
     Placer(const Placer&) = delete;
     auto operator=(const Placer&) -> Placer& = delete;
 
+    // Without it, every upstream counts as one with an open connection. Must outlive all calls of place.
+    auto setConnectionState(ConnectionState& connections) -> void { connections_ = &connections; }
+    // From now on, region shares follow the demand of services that it has demand for. Both must outlive all
+    // calls of place.
+    auto followDemand(RegionDemand& demand, RegionTargetListener& listener) -> void;
+    auto regionShares() const -> const RegionShares& { return regionShares_; }
+
     virtual auto place(const PlacementQuery& query) -> PlacementResult;
+    // Whether the upstream is in the failure domain of this instance.
+    auto isNear(const Upstream& upstream) const -> bool { return upstream.entry_.domain_ == ownDomain_; }
+    // Whether requests for the service are placed by their expected end.
+    auto usesEstimates(const std::string& service) const -> bool { return estimator_ != nullptr && estimator_->isServiceEstimated(service); }
     // Time until the first of the upstreams that could run the request ends its pause; empty if none of them is paused.
     auto shortestPause(const PlacementQuery& query) const -> std::optional<Duration>;
     // Whether the request may still be sent to the upstream, some time after it was placed there.
@@ -130,7 +145,9 @@
     // Number of owners that an object needs for its current request rate.
     auto ownersNeeded(const PlacementQuery& query, const Candidates& near) -> std::size_t;
     auto placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult;
-    auto estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>;
+    // Adds the first candidate in the own failure domain if none of the owners is there.
+    auto addNearOwner(Candidates& owners, const Candidates& candidates) const -> void;
+    auto estimateOwners(const PlacementQuery& query, const Candidates& owners, double objectRate) const -> std::vector<EndCandidate>;
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
@@ -148,6 +165,8 @@
     std::string ownRegion_;
     std::string ownDomain_;
     const EndEstimator* estimator_;
+    ConnectionState* connections_ = nullptr;
+    RegionDemand* regionDemand_ = nullptr;
     RegionShares regionShares_;
     ObjectDemand objectDemand_;
     SpillLimiter spillLimiter_;
--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -213,6 +213,9 @@
         query_.object_ = stableHash(*metadata_.object_, stableHash(route_->name_));
     context_.retryLimiter_.countRequest(serviceName_);
     context_.secondAttempts_.countRequest(serviceName_);
+    // Requests bound to regions run there whatever the shares; slots for those of workspaces are not counted as capacity.
+    if (context_.regionDemand_ != nullptr && homeRegions_.empty())
+        context_.regionDemand_->countRequest(serviceName_);
 }
 
 auto RequestHandler::prepareQuery() -> void
@@ -253,7 +256,7 @@
 {
     if (!context_.admitsByRoom_ || !placement.isEstimated_ || delegation_ || std::exchange(isRoomChecked_, true))
         return true;
-    const auto verdict = context_.roomGate_.admit({ serviceName_, workspaceName(), query_.priority_, query_.latencyTarget_, timeLeft(), placement.expectedWait_, placement.expectedRun_ });
+    const auto verdict = context_.roomGate_.admit({ serviceName_, workspaceName(), query_.priority_, query_.latencyTarget_, timeLeft(), placement.expectedWait_, placement.expectedRun_, placement.isRunLearned_ });
     if (verdict.isAdmitted())
         return true;
     finishWithProblem(503, "no-room", Executed::No, std::max<Duration>(minRetryAfter, spread(verdict.retryAfter_, query_.requestHash_)));
@@ -602,6 +605,9 @@
         context_.responseTimes_.record(route_->name_, work);
         if (const auto load = readLoad(response, context_.headerNames_).load_)
             context_.endEstimator_.recordResponse(*lastAttempt_.upstream_, query_.endQuery(), *load, work);
+        const auto bytes = query_.bodyBytes_ + response.body().size();
+        context_.endEstimator_.recordBytes(route_->name_, bytes);
+        context_.metrics_.increment({ "gateway_upstream_bytes_total", context_.placer_.isNear(*lastAttempt_.upstream_) ? "domain=\"own\"" : "domain=\"other\"" }, static_cast<std::int64_t>(bytes));
         // Second attempts of long runs are cancelled, so that their run times would make runs look shorter than they are.
         if (!lastAttempt_.isSecond_)
             context_.secondAttempts_.recordRun(route_->name_, work);
