--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -78,7 +78,7 @@
     std::vector<RoomUse> roomUse_;
     // Number of entries of roomUse_ that could not be taken over.
     std::uint32_t invalidRoomUses_ = 0;
-    // Requests per second that callers offer to the sender, by service; empty if the heartbeat does not tell them.
+    // Requests per second that callers offer to the sender, by service; empty if the heartbeat does not carry them.
     std::optional<std::vector<ServiceDemand>> demand_;
     // Number of entries of demand_ that could not be taken over.
     std::uint32_t invalidDemands_ = 0;
--- a/src/gateway/limits/room_gate.cpp
+++ b/src/gateway/limits/room_gate.cpp
@@ -22,17 +22,17 @@
     // room. At the second, waits count as a shortage at the peers as well.
     constexpr double highPressure = 0.5;
     constexpr double lowPressure = 0.25;
-    // While requests are refused, pressure is held between these, above what it was before: estimates may have a floor, and at half of
-    // the time left beside the run, run times that vary make a tenth of the requests late. The factor is for the floor, which varies
-    // with the rate of requests; without it refusals outlast a burst.
+    // While requests are refused, pressure is held between the two bounds that these give, above its usual level. The usual level is
+    // not zero, as the expected wait at an upstream with free slots is not, and it varies with the rate of requests: without the factor,
+    // refusals outlast a burst. At half of the time left beside the run, varying run times make a tenth of the requests late.
     constexpr double usualFactor = 1.2;
     constexpr double fallMargin = 0.01;
     constexpr double riseMargin = 0.03;
     // Seconds over which the usual pressure follows one that is higher or lower. A shortage that begins must not count as usual.
     constexpr double usualRiseTime = 5;
     constexpr double usualFallTime = 1;
-    // While requests are refused, it approaches the low pressure over this many seconds, so that a usual pressure of a time with less load
-    // does not refuse for ever.
+    // While requests are refused, it approaches the low pressure over this many seconds: a usual pressure learned at low load would
+    // otherwise keep refusals up without end, and one learned in a shortage would never end them.
     constexpr double usualDriftTime = 240;
     // An instance that hears in this time that its peers refuse has started in a shortage, and does not know the usual pressure. Heartbeats
     // come every 0.4 s, and a shortage that begins with the instance is not refused earlier.
@@ -41,7 +41,8 @@
     // or too low. Larger ones make the share swing, as pressure follows it with the delay of the mean.
     constexpr double proportionalGain = 0.4;
     constexpr double integralGain = 0.5;
-    // The same below the high pressure, where larger ones refuse workspaces within their share.
+    // Change of the refused share per second and unit of pressure below the high pressure. Larger ones refuse workspaces within their
+    // share.
     constexpr double holdingGain = 0.25;
     // Decrease of the refused share per second, growing by the first for each second that the pressure stays too low, up to the
     // second. A fast decrease at once makes the waits swing under a shortage that lasts.
@@ -395,8 +396,8 @@
 }
 
 // A proportional and integral controller of the pressure, without effect between the two bounds except to follow the pressure
-// and the peers. Without requests, the pressure and with it the refused share fall. The bounds lie above the pressure from the time
-// before the shortage, so that estimates with a floor end a shortage as exact ones do.
+// and the peers. Without requests, the pressure and with it the refused share fall. The bounds lie above the usual pressure,
+// so that a shortage ends also where expected waits never fall to zero.
 auto RoomGate::adjustRefusedShare(Service& service, double elapsedSeconds) -> void
 {
     const auto now = clock_.now();
--- a/src/gateway/placement/region_demand.cpp
+++ b/src/gateway/placement/region_demand.cpp
@@ -127,8 +127,8 @@
 }
 
 // Whether a service follows demand may differ between instances, as they hear of their upstreams at different times. So all
-// services are named, those that follow demand first, as soon as one does here or at a peer. Without any, heartbeats have no
-// bytes for it.
+// services are listed, those that follow demand first, as soon as one does here or at a peer. Without any, heartbeats carry no
+// demand.
 auto RegionDemand::forHeartbeat() const -> std::optional<std::vector<ServiceDemand>>
 {
     const auto now = clock_.now();
@@ -245,7 +245,7 @@
         return none_;
     const auto now = clock_.now();
     auto& state = services_[service];
-    // The last known demand goes on to hold meanwhile.
+    // Until then, the last known demand stays in use.
     if (isWarmedUp() && now - state.reviewedAt_ >= reviewInterval)
         review(service, state);
     return state.loads_;
--- a/src/gateway/placement/region_demand.h
+++ b/src/gateway/placement/region_demand.h
@@ -57,7 +57,7 @@
     auto countRequest(const std::string& service) -> void;
     // The services with most requests; empty if this instance reports no demand, as no service follows it or it has just started.
     auto forHeartbeat() const -> std::optional<std::vector<ServiceDemand>>;
-    // Takes in the heartbeat of another instance of any region.
+    // Merges the heartbeat of another instance of any region.
     auto apply(const MemberReport& report) -> void;
     // Smoothed demand by region, for regions with at least one report. Deviations from the long-term mean count in part. Empty if the
     // shares of the service do not follow demand.
--- a/src/gateway/placement/service_demand.h
+++ b/src/gateway/placement/service_demand.h
@@ -1,4 +1,4 @@
-// Requests per second that an instance is offered for a service, as it tells other instances in its heartbeats.
+// Requests per second that an instance is offered for a service, as reported in its heartbeats.
 #pragma once
 
 #include <compare>
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -58,7 +58,7 @@
     SecondAttemptPolicy& secondAttempts_;
     // Whether the room gate is asked.
     bool admitsByRoom_ = false;
-    // Counts what callers offer; null if nothing uses the counts.
+    // Counts what callers offer; may be null.
     RegionDemand* regionDemand_ = nullptr;
 };
 
