--- a/src/gateway/placement/end_estimator.h
+++ b/src/gateway/placement/end_estimator.h
@@ -57,7 +57,6 @@
     auto isRunLearned(const std::string& route) const -> bool;
     // Attempts per second for the object in this region, with those that upstreams rejected: the greater one of two averages.
     auto regionRate(std::uint64_t object) const -> double { return std::max(warmObjects_.regionRate(object), warmObjects_.recentRate(object)); }
-    auto meanRegionRate(std::uint64_t object) const -> double { return warmObjects_.regionRate(object); }
 
     // Records a response to a request that this instance sent: its run time teaches the route's run times.
     auto recordResponse(const Upstream& upstream, const EndQuery& query, const ReportedLoad& load, Duration took) -> void;
--- a/src/gateway/placement/expected_end.cpp
+++ b/src/gateway/placement/expected_end.cpp
@@ -11,9 +11,6 @@
     // Part of the additional time of a cold run that counts. At 1, no second owner would become warm before the first one has a
     // long queue.
     constexpr double coldRunWeight = 0.5;
-    // Time in which later requests find the object warm after a cold run in the own domain; some objects are evicted earlier. It is
-    // half of the time that they are usually remembered, as about half of the region's requests come from the own domain.
-    constexpr double reuseSeconds = 5;
     // Keeps objects on their first owners while these are about equally loaded.
     constexpr Duration rankCost = 10ms;
     // The cost ends with the usual owners. A popular object has a hundred, of which the last ones would never be used otherwise.
@@ -32,9 +29,7 @@
     constexpr std::size_t minOwners = 3;
     // Part of its owners' slots that an object may use, so that other objects find room there.
     constexpr double maxOwnerUtilization = 0.4;
-}
 
-namespace {
     auto domainCost(const EndCandidate& candidate) -> Duration
     {
         if (candidate.isNear_)
@@ -42,15 +37,6 @@
         const double kilobytes = std::max(0.0, candidate.bytes_) / 1024;
         return otherDomainCost + std::min<Duration>(maxBytesCost, fromSeconds(inSeconds(otherDomainCostPerKilobyte) * kilobytes));
     }
-
-    // Of large bodies, each later request pays for another domain, while a cold run in the own one is paid once: its additional time
-    // is divided over the requests that will find the object warm there.
-    auto coldWeight(const EndCandidate& candidate) -> double
-    {
-        if (!candidate.isNear_ || !needsNearOwner(candidate.bytes_))
-            return coldRunWeight;
-        return coldRunWeight / (1 + std::max(0.0, candidate.objectRate_) * reuseSeconds);
-    }
 }
 
 auto comparedEnd(const EndCandidate& candidate) -> Duration
@@ -58,7 +44,7 @@
     const auto& estimate = candidate.estimate_;
     const auto warm = fromSeconds(inSeconds(candidate.warmRun_) * estimate.slowdown_);
     const auto additional = std::max(Duration::zero(), estimate.run_ - warm);
-    const auto run = estimate.run_ - additional + fromSeconds(inSeconds(additional) * coldWeight(candidate));
+    const auto run = estimate.run_ - additional + fromSeconds(inSeconds(additional) * coldRunWeight);
     return estimate.distance_ + estimate.wait_ + run + estimate.rejections_ + rankCost * std::min(candidate.rank_, maxCostedRank) + domainCost(candidate) + (candidate.hasConnection_ ? Duration::zero() : newConnectionCost);
 }
 
--- a/src/gateway/placement/expected_end.h
+++ b/src/gateway/placement/expected_end.h
@@ -20,8 +20,6 @@
     bool isNear_ = false;
     // Bytes that a request of the route transfers, both ways.
     double bytes_ = 0;
-    // Attempts per second for the object in the region, averaged over seconds.
-    double objectRate_ = 0;
     // An open connection to the upstream can carry the request.
     bool hasConnection_ = true;
 
--- a/src/gateway/placement/placement.cpp
+++ b/src/gateway/placement/placement.cpp
@@ -321,7 +321,7 @@
         owners.push_back(*first);
 }
 
-auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners, double objectRate) const -> std::vector<EndCandidate>
+auto Placer::estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>
 {
     const auto endQuery = query.endQuery();
     const auto warmRun = estimator_->runTimes(endQuery).warm_;
@@ -331,7 +331,7 @@
     for (const auto& owner : owners) {
         const bool near = isNear(*owner.upstream_);
         const bool hasConnection = connections_ == nullptr || connections_->hasIdleConnection(owner.upstream_);
-        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), near, bytes, objectRate, hasConnection });
+        estimated.push_back({ estimator_->estimate(*owner.upstream_, endQuery), warmRun, static_cast<int>(estimated.size()), near, bytes, hasConnection });
     }
     return estimated;
 }
@@ -343,12 +343,11 @@
     const auto& home = near.empty() ? far : near;
     const auto warmRun = estimator_->runTimes(query.endQuery()).warm_;
     const auto rate = query.object_ ? estimator_->regionRate(*query.object_) : 0;
-    const auto meanRate = query.object_ ? estimator_->meanRegionRate(*query.object_) : 0;
     const int slots = home.front().upstream_->entry_.slots_;
     auto owners = firstOwners(home, ownersForDemand(rate, warmRun, slots));
     if (needsNearOwner(estimator_->expectedBytes(query.route_)))
         addNearOwner(owners, home);
-    const auto estimates = estimateOwners(query, owners, meanRate);
+    const auto estimates = estimateOwners(query, owners);
     const auto earliest = chooseByExpectedEnd(estimates).value_or(0);
     const bool isRunLearned = estimator_->isRunLearned(query.route_);
     const auto placed = [isRunLearned](const Candidate& owner, const EndCandidate& end, std::size_t ownerCount) {
@@ -356,7 +355,7 @@
     };
     if (!near.empty() && !far.empty()) {
         const auto other = firstOwners(far, maxRemoteOwners);
-        const auto otherEnd = estimateOwners(query, other, meanRate).front();
+        const auto otherEnd = estimateOwners(query, other).front();
         if (comparedEnd(otherEnd) + minSpillGain < comparedEnd(estimates[earliest]) && spillLimiter_.takeSpill())
             return placed(other.front(), otherEnd, owners.size() + 1);
     }
--- a/src/gateway/placement/placement.h
+++ b/src/gateway/placement/placement.h
@@ -147,7 +147,7 @@
     auto placeByExpectedEnd(const PlacementQuery& query, const Candidates& near, const Candidates& far) -> PlacementResult;
     // Adds the first candidate in the own failure domain if none of the owners is there.
     auto addNearOwner(Candidates& owners, const Candidates& candidates) const -> void;
-    auto estimateOwners(const PlacementQuery& query, const Candidates& owners, double objectRate) const -> std::vector<EndCandidate>;
+    auto estimateOwners(const PlacementQuery& query, const Candidates& owners) const -> std::vector<EndCandidate>;
     auto firstWithFreeSlot(const Candidates& owners, std::uint64_t spread) const -> std::optional<Placement>;
     auto shouldShed(Duration wait, const PlacementQuery& query) const -> bool;
     auto placeOnLeastLoaded(const Candidates& owners, const PlacementQuery& query) const -> PlacementResult;
