--- a/src/gateway/limits/room_gate.cpp
+++ b/src/gateway/limits/room_gate.cpp
@@ -34,8 +34,8 @@
     // While requests are refused, it approaches the low pressure over this many seconds: a usual pressure learned at low load would
     // otherwise keep refusals up without end, and one learned in a shortage would never end them.
     constexpr double usualDriftTime = 240;
-    // An instance that hears in this time that its peers refuse has started in a shortage, and does not know the usual pressure. Heartbeats
-    // come every 0.4 s, and a shortage that begins with the instance is not refused earlier.
+    // If peers report refusals within this time after the start, the shortage is older than the instance and its own pressure is not
+    // the usual one. Covers two heartbeats of 0.4 s.
     constexpr Duration startTime = 800ms;
     // Change of the refused share per unit of pressure: at once when the pressure changes, and per second while it is too high
     // or too low. Larger ones make the share swing, as pressure follows it with the delay of the mean.
--- a/src/gateway/placement/region_demand.cpp
+++ b/src/gateway/placement/region_demand.cpp
@@ -117,7 +117,7 @@
     return mode_ == RegionDemandMode::Always || (mode_ == RegionDemandMode::Auto && isEstimated_(service));
 }
 
-// Before, own rates cover less than the window, and few peers have been heard.
+// Until the first window is complete, own rates are too low and reports of peers are missing.
 auto RegionDemand::isWarmedUp() const -> bool { return clock_.now() - startedAt_ >= demandWindow; }
 
 auto RegionDemand::countRequest(const std::string& service) -> void
@@ -126,9 +126,8 @@
         services_[service].offered_.record(clock_.now());
 }
 
-// Whether a service follows demand may differ between instances, as they hear of their upstreams at different times. So all
-// services are listed, those that follow demand first, as soon as one does here or at a peer. Without any, heartbeats carry no
-// demand.
+// Instances discover upstreams at different times, so a service may follow demand at some instances only. Therefore all services
+// are listed as soon as one of them follows demand here or at a peer; those that do come first.
 auto RegionDemand::forHeartbeat() const -> std::optional<std::vector<ServiceDemand>>
 {
     const auto now = clock_.now();
@@ -231,7 +230,7 @@
             sum += std::min(figure, limit);
         const auto mean = sum / static_cast<double>(figures.known_.size());
         sum += mean * figures.unknown_;
-        // Regions that are not heard of keep their estimate, so that the usual demand is known when they return.
+        // Estimates of unreachable regions are kept, so that their long-term mean is available after the outage.
         auto& estimate = service.estimates_.try_emplace(region, sum, now).first->second;
         estimate.update(sum, now);
         service.loads_.push_back({ region, estimate.perSecond() });
@@ -251,7 +250,7 @@
     return state.loads_;
 }
 
-// After a freeze, own rates and those of peers cover less than the window, as after a start.
+// After a freeze, the rates cover less than the window, as after a start.
 auto RegionDemand::update() -> void
 {
     const auto now = clock_.now();
--- a/src/gateway/placement/region_shares.h
+++ b/src/gateway/placement/region_shares.h
@@ -35,8 +35,8 @@
 };
 
 // The callers' own region takes what its slots carry at the utilization of all regions; the rest is split over the other
-// regions in proportion to their spare capacity. A region without known demand counts as having the mean of the others, so
-// without any demands, every region is assumed to have the same.
+// regions in proportion to their spare capacity. Regions without known demand are assumed to have the mean of the
+// others; without any demands, all regions are assumed to have the same.
 auto targetShares(const std::string& ownRegion, const std::vector<RegionCapacity>& capacities, const std::vector<RegionLoad>& demands = {}) -> std::vector<RegionShare>;
 
 // What the target shares of a service were computed from, and the result.
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -76,7 +76,7 @@
     ManualClock& clock_;
 };
 
-// Adds estimates of the end, if there are any, to what is placed as without them.
+// Places like the base class, and adds the test's estimates to the result.
 class EstimatingPlacer final : public Placer {
 public:
     using Placer::Placer;
@@ -708,7 +708,7 @@
     CHECK(countRetries(fixture.retries_) == retries);
 }
 
-// None of the requests of a new route was served: what is assumed before its first runs exceeded the time left.
+// Guards against refusing all requests of a new route, whose assumed run time may exceed the time left.
 TEST_CASE("a request is sent if its run time is not learned, the gate is off or nothing is estimated", "[request][room-gate]")
 {
     Fixture fixture;
--- a/tests/region_demand_test.cpp
+++ b/tests/region_demand_test.cpp
@@ -300,7 +300,7 @@
     return found == loads.end() ? std::nullopt : std::optional(found->perSecond_);
 }
 
-// An instance of region a that has just passed the time after its start, in which it knows too little.
+// An instance of region a whose warm-up time has just passed.
 struct Receiver {
     explicit Receiver(RegionDemandMode mode = RegionDemandMode::Always)
         : demand_(clock_, metrics_, "a", mode, [this](const auto& service) { return estimated_.contains(service); })
--- a/tests/room_gate_test.cpp
+++ b/tests/room_gate_test.cpp
@@ -474,8 +474,8 @@
     Simulation simulation(faultGates, 20'261'209, waits);
     simulate(simulation, fault, 1.7);
     checkNoneStarved(simulation);
-    // The gates that know admission by room refuse for the old ones as well, which leaves shares close to what the small ones request.
-    // Smoothed waits of a gate that hears no peers do the same. Both are checked in a case of their own.
+    // In two cases the shares are close to the rates of the small workspaces: gates of the current build also refuse on behalf of old
+    // ones, and a gate without reports of peers sees few requests. Each has a test case of its own.
     const bool isNearTheSmall = fault == Fault::OldBuilds || (fault == Fault::PeersSilent && waits == Waits::Smoothed);
     if (!isNearTheSmall)
         checkWithinShare(simulation);
@@ -581,7 +581,7 @@
     CHECK(single.gate_.admit(single.query(priority, 1s)).isAdmitted());
 }
 
-// What is assumed of a new route's runs exceeded the time left, so that none of its requests was served.
+// Guards against refusing all requests of a new route, whose assumed run time may exceed the time left.
 TEST_CASE("a run time that is not learned refuses nothing and counts as demand", "[room-gate]")
 {
     SingleGate single;
