--- a/review/standin/world.hh
+++ b/review/standin/world.hh
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -746,8 +747,8 @@
     {
         std::signal(SIGPIPE, SIG_IGN);
         std::random_device random;
-        char folder[] = "/tmp/review-XXXXXX";
-        if (::mkdtemp(folder) == nullptr)
+        auto folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        if (::mkdtemp(folder.data()) == nullptr)
             giveUp("no temporary folder");
         deployment_.repository = repository;
         deployment_.folder = folder;
@@ -770,7 +771,7 @@
         gateways_.clear();
         store_->stop();
         if (std::getenv("REVIEW_KEEP") == nullptr)
-            std::system(("rm -rf '" + deployment_.folder + "'").c_str());
+            std::filesystem::remove_all(deployment_.folder);
         else
             std::fprintf(stderr, "kept: %s\n", deployment_.folder.c_str());
     }
