--- a/src/gateway/feeds/discovery_source.h
+++ b/src/gateway/feeds/discovery_source.h
@@ -75,6 +75,9 @@
     virtual auto upstreamRemoved(const std::string& id) -> void = 0;
     // The entry could not be decoded; the upstream must not be used.
     virtual auto upstreamEntryInvalid(const std::string& id, std::string_view why) -> void = 0;
+    // An entry that names no upstream was left out. The kind is the name of its feed, or "instances"; the name is empty if it
+    // cannot be read.
+    virtual auto entryRefused(std::string_view kind, std::string_view name, std::string_view why) -> void = 0;
     virtual auto domainsEvacuated(std::set<std::string> domains) -> void = 0;
     virtual auto instancesListed(const std::vector<ListedInstance>& instances) -> void = 0;
     // Called for each failed call. The kind of loss may differ between the calls of one outage.
--- a/src/gateway/feeds/discovery_state.cpp
+++ b/src/gateway/feeds/discovery_state.cpp
@@ -19,6 +19,10 @@
     // Time for the instances in a received peer list to send a heartbeat: two heartbeat intervals between regions.
     constexpr Duration peerListSettleTime = 1'600ms;
 
+    // Names and reasons come from whoever wrote the entry.
+    constexpr std::size_t maxLoggedName = 64;
+    constexpr std::size_t maxLoggedReason = 200;
+
     auto describeUpstream(const UpstreamEntry& entry, bool isLeaving) -> LogFields
     {
         return { { "upstream", entry.id_ }, { "started", entry.startTimeMs_ }, { "leaving", isLeaving }, { "service", entry.service_ }, { "address", formatSocketAddress(entry.address_) }, { "domain", entry.domain_ }, { "draining", entry.state_ == UpstreamState::Draining }, { "cold_ms", entry.coldLeft_ / 1ms } };
@@ -73,7 +77,8 @@
 
 auto DiscoveryState::declarationInvalid(std::string_view why) -> void
 {
-    log_.write(EventId::DeclarationRefused, { { "why", why }, { "in_force", index_ ? index_->declaration().version_ : 0 } });
+    ++refusedEntries_[std::string(feedName(Feed::Declaration))];
+    log_.write(EventId::DeclarationRefused, { { "why", why.substr(0, maxLoggedReason) }, { "in_force", index_ ? index_->declaration().version_ : 0 } });
 }
 
 auto DiscoveryState::removalGrace() const -> Duration
@@ -113,7 +118,14 @@
 auto DiscoveryState::upstreamEntryInvalid(const std::string& id, std::string_view why) -> void
 {
     upstreams_.remove(id, Duration::zero());
-    log_.write(EventId::UpstreamEntryRefused, { { "upstream", id }, { "why", why } });
+    ++refusedEntries_[std::string(feedName(Feed::Upstreams))];
+    log_.write(EventId::UpstreamEntryRefused, { { "upstream", id.substr(0, maxLoggedName) }, { "why", why.substr(0, maxLoggedReason) } });
+}
+
+auto DiscoveryState::entryRefused(std::string_view kind, std::string_view name, std::string_view why) -> void
+{
+    ++refusedEntries_[std::string(kind)];
+    log_.write(EventId::EntryRefused, { { "kind", kind }, { "entry", name.substr(0, maxLoggedName) }, { "why", why.substr(0, maxLoggedReason) } });
 }
 
 auto DiscoveryState::domainsEvacuated(std::set<std::string> domains) -> void
--- a/src/gateway/feeds/discovery_state.h
+++ b/src/gateway/feeds/discovery_state.h
@@ -23,6 +23,7 @@
     auto upstreamUpdated(const UpstreamEntry& entry) -> void override;
     auto upstreamRemoved(const std::string& id) -> void override;
     auto upstreamEntryInvalid(const std::string& id, std::string_view why) -> void override;
+    auto entryRefused(std::string_view kind, std::string_view name, std::string_view why) -> void override;
     auto domainsEvacuated(std::set<std::string> domains) -> void override;
     auto instancesListed(const std::vector<ListedInstance>& instances) -> void override;
     auto feedLost(Feed feed, FeedLoss loss, std::string_view why) -> void override;
@@ -37,6 +38,8 @@
     // True once every feed has delivered its first state and the instance count is known. Requests can be handled from
     // then on.
     auto isComplete() const -> bool { return index_ && hasUpstreams_ && hasEvacuations_ && isInstanceCountKnown(); }
+    // How many entries could not be used so far, by kind.
+    auto refusedEntries() const -> const std::map<std::string, std::uint64_t>& { return refusedEntries_; }
     // How long the feed has been lost; zero if it is not.
     auto outageDuration(Feed feed) const -> Duration;
     // While the fleet reports an outage, gives removed upstreams a short grace period if they are read from another instance,
@@ -84,6 +87,7 @@
     bool hasInstances_ = false;
     std::optional<MonotonicTime> peerListReceivedAt_;
     std::function<void()> declarationAction_;
+    std::map<std::string, std::uint64_t> refusedEntries_;
 };
 
 } // namespace sapphirepass
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -314,6 +314,8 @@
         for (const auto& share : shares)
             metrics_.set({ "gateway_region_share_permille", fmt::format("service=\"{}\",region=\"{}\"", service, share.region_) }, std::lround(share.share_ * 1'000));
     }
+    for (const auto& [kind, count] : beliefs_.refusedEntries())
+        metrics_.set({ "gateway_entries_refused_total", fmt::format("kind=\"{}\"", kind) }, asMetric(count));
     for (const auto feed : allFeeds) {
         metrics_.set({ "gateway_feed_lost_milliseconds", fmt::format("feed=\"{}\"", feedName(feed)) }, beliefs_.outageDuration(feed) / 1ms);
         metrics_.set({ "gateway_feed_unverified_milliseconds", fmt::format("feed=\"{}\"", feedName(feed)) }, feedVerifier_.unverifiedFor(feed) / 1ms);
--- a/standin/kept_beliefs.h
+++ b/standin/kept_beliefs.h
@@ -25,7 +25,12 @@
     }
     auto upstreamUpdated(const UpstreamEntry& entry) -> void override { upstreams_.insert(entry.id_); }
     auto upstreamRemoved(const std::string& id) -> void override { upstreams_.erase(id); }
-    auto upstreamEntryInvalid(const std::string&, std::string_view) -> void override { ++unreadable_; }
+    auto upstreamEntryInvalid(const std::string& id, std::string_view) -> void override
+    {
+        ++unreadable_;
+        upstreams_.erase(id);
+    }
+    auto entryRefused(std::string_view kind, std::string_view, std::string_view) -> void override { refusedKinds_.insert(std::string(kind)); }
     auto domainsEvacuated(std::set<std::string> domains) -> void override
     {
         evacuated_ = std::move(domains);
@@ -53,6 +58,8 @@
     std::vector<std::uint64_t> eras_;
     std::vector<ListedInstance> instances_;
     std::map<Feed, std::optional<SocketAddress>> follows_;
+    // Kinds of refused entries that name no upstream.
+    std::set<std::string> refusedKinds_;
     int lists_ = 0;
     int unreadable_ = 0;
     int lost_ = 0;
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -181,12 +181,30 @@
 
 auto PlatformStore::reply(const std::shared_ptr<Connection>& connection, int status, const Json& body) -> void
 {
-    const auto text = body.dump();
+    const auto text = render(body);
     NetError ignored;
     const auto era = isEraHidden_ ? std::string() : fmt::format("Store-Era: {}\r\n", era_);
     asio::write(connection->socket_, asio::buffer(fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\n{}Content-Length: {}\r\n\r\n{}", status, era, text.size(), text)), ignored);
 }
 
+auto PlatformStore::render(const Json& body) const -> std::string
+{
+    auto text = body.dump();
+    for (const auto& [placeholder, spec] : texts_) {
+        const auto quoted = '"' + placeholder + '"';
+        for (auto at = text.find(quoted); at != std::string::npos; at = text.find(quoted, at + spec.size()))
+            text.replace(at, quoted.size(), spec);
+    }
+    return text;
+}
+
+auto PlatformStore::putText(const std::string& kind, const std::string& name, const std::string& spec) -> void
+{
+    const auto placeholder = fmt::format("@text-{}", texts_.size());
+    texts_[placeholder] = spec;
+    put(kind, name, placeholder);
+}
+
 auto PlatformStore::put(const std::string& kind, const std::string& name, const Json& spec) -> void
 {
     ++revision_;
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -28,6 +28,8 @@
 
     auto address() const -> const SocketAddress& { return address_; }
     auto put(const std::string& kind, const std::string& name, const nlohmann::json& spec) -> void;
+    // An entry of another writer, handed out as it is written here: it need not be JSON.
+    auto putText(const std::string& kind, const std::string& name, const std::string& spec) -> void;
     auto remove(const std::string& kind, const std::string& name) -> void;
     auto removeIfListed(const std::string& kind, const std::string& name) -> void;
     auto setMood(StoreMood mood) -> void { mood_ = mood; }
@@ -77,6 +79,8 @@
     auto answerPost(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& body) -> void;
     auto reply(const std::shared_ptr<Connection>& connection, int status, const nlohmann::json& body) -> void;
     auto wakeWatches() -> void;
+    // The body as text, with the specs of other writers.
+    auto render(const nlohmann::json& body) const -> std::string;
 
     using Kinds = std::map<std::string, std::map<std::string, nlohmann::json>>;
 
@@ -97,6 +101,8 @@
     std::int64_t copiedRevision_ = 0;
     std::uint64_t era_ = 1;
     bool isEraHidden_ = false;
+    // Specs of other writers, by the placeholder that stands for them.
+    std::map<std::string, std::string> texts_;
     std::vector<Change> history_;
     std::vector<std::shared_ptr<Connection>> watching_;
     std::vector<std::weak_ptr<Connection>> open_;
--- a/tests/feed_relay_test.cpp
+++ b/tests/feed_relay_test.cpp
@@ -73,6 +73,20 @@
 
 }
 
+// A watcher once passed such entries on as they were: what ended it or stopped its feed did the same to its followers.
+TEST_CASE("a follower gets later changes although an entry of another writer cannot be read", "[feed-relay][odd-entries]")
+{
+    RelayFixture fixture;
+    const auto spec = GENERATE(std::string(200'000, '[') + std::string(200'000, ']'), std::string("{\"status\":{\"cold_left_s\":1e400}}"), std::string("{\"info\":{\"zone\":\"\\ud83d\"}}"), std::string("\"\xff\""));
+    CAPTURE(spec.substr(0, 40));
+    fixture.store_.putText("servers", "i-other", spec);
+    fixture.store_.remove("servers", "i-0");
+    CHECK(runUntil(fixture.loop_, [&] { return !fixture.followerSink_.upstreams_.contains("i-0"); }));
+    CHECK(fixture.followerSink_.unreadable_ > 0);
+    CHECK(fixture.watcherSink_.lost_ == 0);
+    CHECK(fixture.followerSink_.lost_ == 0);
+}
+
 TEST_CASE("a follower receives every change from its watcher without calling the store", "[feed-relay]")
 {
     RelayFixture fixture;
