Numbers of upstreams' entries that do not fit their type name no upstream

Callers could have seen requests drawn to an upstream that is none: on arm64 an entry with 1e30 slots passed for one with 2,147,483,647.

Cause: slots and sequence numbers were converted from floating-point numbers without a check, which is undefined beyond the range of the result.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -41,7 +41,10 @@
         { "bytes that are not UTF-8", spoiled("\"north-a\"", "\"\xff\xfe\"") },
         { "a number beyond a double", spoiled("\"cold_left_s\":0", "\"cold_left_s\":1e400") },
         { "a time beyond all bounds", spoiled("\"cold_left_s\":0", "\"cold_left_s\":1e300") },
+        { "slots beyond an integer", spoiled("\"slots\":4", "\"slots\":1e30") },
+        { "a sequence beyond an integer", spoiled("\"seq\":1", "\"seq\":1e300") },
         { "a start beyond 64 bits", spoiled("\"born\":1", "\"born\":99999999999999999999") },
+        { "a start beyond 63 bits", spoiled("\"born\":1", "\"born\":18446744073709551615") },
         { "a port out of range", spoiled("127.0.0.1:9000", "127.0.0.1:70000") },
         { "a negative port", spoiled("127.0.0.1:9000", "127.0.0.1:-1") },
         { "a list", "[]" },
@@ -112,7 +115,7 @@
     OddEntriesFixture fixture;
     fixture.start();
     const auto specs = oddSpecs();
-    for (const auto index : { 0U, 2U, 3U, 4U, 13U }) {
+    for (const auto index : { 0U, 2U, 3U, 4U, 16U }) {
         const auto& odd = specs.at(index);
         CAPTURE(odd.what_);
         const auto id = fmt::format("i-1{}", index);
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -65,6 +65,27 @@
     CHECK(valueOf(platform::decodeDeclaration(changed)).routes_[0].repeat_ == RepeatRule::Once);
 }
 
+// An entry with 1e30 slots was taken for an upstream with more slots than all others together, or refused, by the processor.
+TEST_CASE("an entry whose numbers do not fit their type names no upstream", "[platform][odd-entries]")
+{
+    CHECK(isOk(platform::decodeUpstream("i-1", server())));
+    for (const auto& number : { json(1e30), json(-1e30), json(4.5), json(0), json(2'000'000), json("4") }) {
+        auto changed = server();
+        changed["info"]["slots"] = number;
+        CAPTURE(changed);
+        CHECK_FALSE(isOk(platform::decodeUpstream("i-1", changed)));
+    }
+    for (const auto& number : { json(1e300), json(-1), json("4") }) {
+        auto changed = server();
+        changed["status"]["seq"] = number;
+        CAPTURE(changed);
+        CHECK_FALSE(isOk(platform::decodeUpstream("i-1", changed)));
+    }
+    auto changed = server();
+    changed["born"] = 18'446'744'073'709'551'615U;
+    CHECK_FALSE(isOk(platform::decodeUpstream("i-1", changed)));
+}
+
 TEST_CASE("a manifest that cannot be read is an error", "[platform]")
 {
     auto changed = manifest();
