A response whose status HTTP does not have is an invalid response

Cause: the parser takes any three digits as a status, nothing behind it asked whether HTTP has it, and all that is neither a success nor a server error is passed on.

Change: a status outside of 100 to 599 makes the response invalid where bytes become a response: for upstreams, peers, the store, health paths and the entry. A 101 is invalid at once instead of awaited until the deadline. A Content-Length that was damaged to be shorter can't be told from a sound response with bytes behind it; its own length decides (test, postmortem).

Why it works: such a response is lost like any broken one: repeated elsewhere if it may be, else 502, which promises nothing.

--- a/src/forward/http_upstream_client.cpp
+++ b/src/forward/http_upstream_client.cpp
@@ -1,5 +1,7 @@
 #include "forward/http_upstream_client.h"
 
+#include "base/http_status.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <cpprest/rawptrstream.h>
 #include <fmt/format.h>
@@ -104,6 +106,10 @@
     return client->request(makeMessage(request), timer->token()).then([client, timer](const pplx::task<http::http_response>& task) -> UpstreamResult {
         try {
             auto response = task.get();
+            if (!isHttpStatus(response.status_code())) {
+                timer->stop();
+                return UpstreamError { UpstreamErrorKind::Lost, "the status is out of range" };
+            }
             // The deadline covers the body as well, so the timer runs until the body has arrived.
             response.content_ready().then([client, timer](const pplx::task<http::http_response>& ready) {
                 timer->stop();
--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -1,5 +1,7 @@
 #include "loop/call_channel.h"
 
+#include "base/http_status.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
@@ -98,6 +100,8 @@
         return fail(failure.message());
     if (!parser_->is_done())
         return buffer_.size() > maxUnparsedBytes ? fail("header too large") : readMore();
+    if (!isHttpStatus(parser_->get().result_int()))
+        return fail("status out of range");
     timer_.cancel();
     if (!parser_->keep_alive() || buffer_.size() > 0) {
         isConnected_ = false;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -1,6 +1,7 @@
 #include "loop/upstream_channel.h"
 
 #include "base/field.h"
+#include "base/http_status.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -200,6 +201,9 @@
     const auto& response = parser_->get();
     const auto status = response.result_int();
     const bool ended = !isOpen_ || parser_->need_eof();
+    // No request asks for another protocol, so no further response follows.
+    if (response.result() == http::status::switching_protocols)
+        return lose(TransportErrorKind::InvalidResponse, "protocol-switched");
     if (status / 100 == 1)
         return skipResponse();
     const boost::beast::string_view name { names_.attempt_.data(), names_.attempt_.size() };
@@ -212,6 +216,9 @@
             return lose(TransportErrorKind::InvalidResponse, "answer-of-another-request");
         return skipResponse();
     }
+    // A damaged status line: what the upstream meant is not known.
+    if (!isHttpStatus(status))
+        return lose(TransportErrorKind::InvalidResponse, "status-out-of-range");
     // A second copy of an earlier response may arrive in place of the awaited one.
     if (echoed.empty() && (status / 100 == 2 || hasCarriedResponse_)) {
         onLateResponse_(response);
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -1,4 +1,5 @@
 // The gateway's connections on loopback: what servers and callers may do to them.
+#include "loop/call_channel.h"
 #include "loop/caller_listener.h"
 #include "loop/line_log.h"
 #include "loop/upstream_pool.h"
@@ -144,6 +145,49 @@
     CHECK(fixture.server_.requests().size() == 1);
 }
 
+// review/4: a status of 000 reached callers as "HTTP/1.1 0 OK".
+TEST_CASE("a response whose status HTTP does not have is none", "[pool]")
+{
+    const std::string status = GENERATE("000", "001", "099", "101", "600", "999");
+    CAPTURE(status);
+    PoolFixture fixture([&status](int number, const std::string&) -> ScriptedBytes {
+        auto answer = success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n");
+        if (number == 0)
+            answer.replace(std::string("HTTP/1.1 ").size(), status.size(), status);
+        return { answer };
+    });
+    CHECK(lossOf(fixture.call("t0")) == TransportErrorKind::InvalidResponse);
+    CHECK(fixture.body(fixture.call("t1")) == "body");
+    CHECK(fixture.server_.connections() == 2);
+}
+
+TEST_CASE("a call whose answer has a status that HTTP does not have has failed", "[pool]")
+{
+    const std::string status = GENERATE("000", "099", "600");
+    CAPTURE(status);
+    PoolFixture fixture([&status](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 " + status + " OK\r\nContent-Length: 0\r\n\r\n" }; });
+    const auto channel = std::make_shared<CallChannel>(fixture.loop_, fixture.server_.address());
+    std::optional<CallResult> result;
+    channel->call(HttpRequest { http::verb::get, "/", 11 }, 2s, [&result](CallResult told) { result = std::move(told); });
+    REQUIRE(runUntil(fixture.loop_, [&result] { return result.has_value(); }));
+    CHECK(std::holds_alternative<CallError>(*result));
+}
+
+// The pages let a sound answer be followed by bytes that belong to nothing. A length that was damaged to be shorter looks the
+// same, and nothing tells the two apart, so the answer counts as its own length says.
+TEST_CASE("bytes behind a response are dropped, whatever they are, and its length decides what it is", "[pool]")
+{
+    const std::string behind = GENERATE("x", "rest of a body", "HTTP/1.1 200 OK\r\n", "\r\n\r\n");
+    CAPTURE(behind);
+    PoolFixture fixture([&behind](int number, const std::string&) -> ScriptedBytes {
+        const auto answer = success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n");
+        return { number == 0 ? answer + behind : answer };
+    });
+    CHECK(fixture.body(fixture.call("t0")) == "body");
+    CHECK(fixture.body(fixture.call("t1")) == "body");
+    CHECK(fixture.server_.connections() == 2);
+}
+
 TEST_CASE("a connection that the server closed while idle is not used", "[pool]")
 {
     PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes { return { success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n"), AfterBytes::Close }; });
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -66,6 +66,25 @@
     CHECK(fixture.beliefs_.lists_ == 1);
 }
 
+// review/4, as callers see it.
+TEST_CASE("a damaged status line of an upstream reaches no caller", "[gateway][odd-responses]")
+{
+    const std::string status = GENERATE("000", "099", "600", "999");
+    CAPTURE(status);
+    auto damaged = orderAnswer;
+    damaged.replace(std::string("HTTP/1.1 ").size(), status.size(), status);
+    GatewayFixture fixture([&damaged](int, const std::string&) -> ScriptedBytes { return { damaged }; });
+    fixture.store_.put("config", "main", declared(1));
+    fixture.store_.put("servers", "i-0", listed(fixture.server_.address()));
+    fixture.start();
+    REQUIRE(runUntil(fixture.loop_, [&] { return fixture.gateway_->isReady(); }));
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&client] { return !client.received().empty(); }));
+    CHECK(client.received().starts_with("HTTP/1.1 502 "));
+    CHECK(fixture.server_.requests().size() == 1);
+}
+
 TEST_CASE("a watch that is cut, or whose history is gone, is no outage and loses no change", "[store-source]")
 {
     SourceFixture fixture;
--- a/tests/truncated_response_test.cpp
+++ b/tests/truncated_response_test.cpp
@@ -72,6 +72,15 @@
         CHECK(upstream.requests() == 1);
 }
 
+TEST_CASE("a response whose status HTTP does not have is not forwarded", "[forward]")
+{
+    const std::string status = GENERATE("000", "099", "600");
+    CAPTURE(status);
+    const standin::RawUpstream upstream([&](int, const std::string&) { return fmt::format("HTTP/1.1 {} OK\r\nContent-Length: 2\r\n\r\nok", status); });
+    const standin::LocalEntry entry(configuration({ upstream.address() }));
+    CHECK(sendRequest(entry, "POST").status_ == 502);
+}
+
 TEST_CASE("complete responses are forwarded in both framings", "[forward]")
 {
     const auto framing = GENERATE(Framing::Sized, Framing::Chunked);
