A stopping instance refuses what its process would not see answered

Cause: nothing asked before an attempt whether the process would live to see its response, and the process ended 0.3 s before the grace time was over.

Change: ShutdownWindow is asked before each attempt, first or later, of callers or of peers: a run is taken to be as long as 95 of 100 of its route, else as their mean, else as the latency target. What would end too late is refused with 503 as not run. Upstreams and delegates get no more time than the process has. The process ends 20 ms before the grace time does; 100 ms before, requests that wait unsent are refused and unread connections close.

Why it works: what is sent is expected to be answered in time, and the rest has not run, so that callers can send it elsewhere.

--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -182,6 +182,32 @@
     });
 }
 
+// Most runs take no longer than this; a run ends at its request's deadline in any case.
+auto RequestHandler::mayFinishBeforeShutdown() const -> bool
+{
+    if (context_.shutdown_ == nullptr)
+        return true;
+    const auto expected = context_.secondAttempts_.longRun(route_->name_).value_or(query_.typicalResponseTime_);
+    return context_.shutdown_->mayFinish(std::min(expected, timeLeft()));
+}
+
+auto RequestHandler::finishShuttingDown() -> void
+{
+    finishWithProblem(mayHaveRun_ ? 502 : 503, "shutting-down", mayHaveRun_ ? Executed::Unknown : Executed::No, minRetryAfter);
+}
+
+// An upstream that knows when its response is of no use stops in time, and says what it has not run.
+auto RequestHandler::attemptTime() const -> Duration
+{
+    return context_.shutdown_ == nullptr ? timeLeft() : context_.shutdown_->bound(timeLeft());
+}
+
+auto RequestHandler::refuseUnsent() -> void
+{
+    if (!isDone_ && attempts_.empty() && !delegateCall_)
+        finishShuttingDown();
+}
+
 auto RequestHandler::checkRate() -> void
 {
     if (workspace_ == nullptr)
@@ -237,6 +263,8 @@
 
 auto RequestHandler::tryUpstream() -> void
 {
+    if (!mayFinishBeforeShutdown())
+        return finishShuttingDown();
     query_.maxQueueWait_ = std::chrono::duration_cast<Duration>(timeLeft() * maxWaitFraction);
     const auto unreachable = context_.linkDetector_.unreachableRegions(query_.requestHash_);
     if (!unreachable.empty())
@@ -300,7 +328,7 @@
 
 auto RequestHandler::tryDelegate(const std::string& upstreamRegion, bool isOwnRegionOnly) -> bool
 {
-    if (delegation_ || triedDelegates_.size() >= maxDelegates || sends_ >= route_->maxAttempts_ || timeLeft() <= delegationMargin)
+    if (delegation_ || triedDelegates_.size() >= maxDelegates || sends_ >= route_->maxAttempts_ || attemptTime() <= delegationMargin)
         return false;
     const auto* peer = context_.delegateSelector_.select({ homeRegions_, upstreamRegion, isOwnRegionOnly, triedDelegates_, route_->repeat_ == RepeatRule::Idempotent, query_.requestHash_ });
     if (peer == nullptr)
@@ -311,7 +339,7 @@
 
 auto RequestHandler::delegateTo(const MemberReport& peer) -> void
 {
-    const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, timeLeft() - delegationMargin, route_->latencyTarget_, query_.object_, query_.priority_ };
+    const Delegation delegation { context_.instanceName_, route_->name_, serviceName_, workspaceName(), homeRegions_, route_->repeat_, route_->maxAttempts_ - sends_, attemptTime() - delegationMargin, route_->latencyTarget_, query_.object_, query_.priority_ };
     auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
     request->body() = takeBody();
     sent_ = request;
@@ -408,7 +436,7 @@
 auto RequestHandler::onLimitVerdict(const Placement& placement, const RateVerdict& verdict) -> void
 {
     const bool isUsable = !isDone_ && context_.placer_.mayPlaceOn(*placement.upstream_, query_);
-    if (verdict.admitted_ && isUsable)
+    if (verdict.admitted_ && isUsable && mayFinishBeforeShutdown())
         return send(placement);
     context_.upstreamLimiter_.returnToken(*placement.upstream_, verdict);
     if (isDone_)
@@ -435,7 +463,7 @@
     auto request = std::make_shared<OutgoingRequest>(forwarded_->base());
     request->body() = takeBody();
     sent_ = request;
-    addAttemptHeaders(*request, context_.headerNames_, placement.upstream_->entry_, timeLeft());
+    addAttemptHeaders(*request, context_.headerNames_, placement.upstream_->entry_, attemptTime());
     context_.placer_.recordColdSend(*placement.upstream_, query_);
     context_.upstreams_.noteSent(*placement.upstream_, lastAttempt_.at_);
     context_.bodyLimiter_.recordSent(*placement.upstream_, query_.bodyBytes_);
@@ -480,6 +508,8 @@
         return refusal;
     if (context_.crashTracker_.isBlocked(fingerprint_))
         return SecondAttemptRefusal::Crashes;
+    if (!mayFinishBeforeShutdown())
+        return SecondAttemptRefusal::TooLate;
     const auto first = lastAttempt_;
     auto query = query_;
     query.tried_.push_back(first.upstream_->entry_.id_);
@@ -681,7 +711,7 @@
 {
     if (mayHaveRun && route_->repeat_ != RepeatRule::Idempotent)
         return false;
-    if (sends_ >= route_->maxAttempts_ || timeLeft() <= query_.typicalResponseTime_ / 4)
+    if (sends_ >= route_->maxAttempts_ || timeLeft() <= query_.typicalResponseTime_ / 4 || !mayFinishBeforeShutdown())
         return false;
     return context_.retryLimiter_.takeRetry(serviceName_);
 }
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -17,6 +17,7 @@
 #include "gateway/requests/forwarding.h"
 #include "gateway/requests/problem_response.h"
 #include "gateway/requests/second_attempt.h"
+#include "gateway/requests/shutdown_window.h"
 #include "gateway/requests/timer_service.h"
 #include "gateway/requests/traffic_splitter.h"
 #include "gateway/requests/upstream_caller.h"
@@ -60,6 +61,8 @@
     bool admitsByRoom_ = false;
     // Counts what callers offer; may be null.
     RegionDemand* regionDemand_ = nullptr;
+    // Null if the instance outlives all requests.
+    const ShutdownWindow* shutdown_ = nullptr;
 };
 
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
@@ -72,6 +75,8 @@
     auto start() -> void;
     // The caller has disconnected: ends all attempts; nothing more is sent.
     auto cancel() -> void;
+    // The process is about to end: refuses the request if no response is awaited for it.
+    auto refuseUnsent() -> void;
 
 private:
     enum class SecondAttemptState {
@@ -92,6 +97,11 @@
     auto prepareQuery() -> void;
     auto workspaceName() const -> std::string;
     auto startDeadline() -> void;
+    // Whether the process lives long enough for an attempt that starts now.
+    auto mayFinishBeforeShutdown() const -> bool;
+    auto finishShuttingDown() -> void;
+    // How long an attempt may take.
+    auto attemptTime() const -> Duration;
     auto tryUpstream() -> void;
     // Whether the request may be sent as its placement's estimates are; otherwise ends it. Asked once for each request.
     auto checkRoom(const Placement& placement) -> bool;
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -272,6 +272,12 @@
         close();
 }
 
+auto CallerChannel::closeIfUnread() -> void
+{
+    if (state_ == State::Reading && !hasBytes_)
+        close();
+}
+
 auto CallerChannel::checkTime() -> void
 {
     if (state_ == State::Writing)
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -33,6 +33,8 @@
     auto start() -> void;
     // Closes at once if no request is being read or answered.
     auto closeIfIdle() -> void;
+    // Closes at once if nothing of a request has been read.
+    auto closeIfUnread() -> void;
     // Ends a connection that has been idle, or a request that has been arriving, for too long.
     auto checkTime() -> void;
     // Reads on if the connection waits for memory and there is room.
--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -92,6 +92,14 @@
     }
 }
 
+auto CallerListener::closeUnread() -> void
+{
+    for (const auto& entry : channels_) {
+        if (const auto channel = entry.lock())
+            channel->closeIfUnread();
+    }
+}
+
 auto CallerListener::resumeWaiting() -> void
 {
     for (const auto& entry : channels_) {
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -24,7 +24,10 @@
     // An error message, or nothing.
     auto listen(const SocketAddress& address) -> std::string;
     auto stopAccepting() -> void;
+    // Connections that have carried a request and carry none now.
     auto closeIdle() -> void;
+    // Those on which nothing of a request has been read, new ones too.
+    auto closeUnread() -> void;
     // Lets connections read on that wait for memory.
     auto resumeWaiting() -> void;
     // Applies time limits and forgets closed connections. Called now and then.
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -29,7 +29,9 @@
     // After a request to stop: new connections are taken until callers have looked up another instance.
     constexpr Duration acceptAfterStop = 1'500ms;
     // Kept before the end of the grace time for the process to end by itself.
-    constexpr Duration graceMargin = 300ms;
+    constexpr Duration graceMargin = 20ms;
+    // Before that, for the last responses to reach their callers.
+    constexpr Duration lastResponseTime = 80ms;
     constexpr const char* metricsPath = "/metrics";
     // Addresses in one answer of the directory.
     constexpr std::size_t mostAddresses = 64;
@@ -83,14 +85,15 @@
         : gateway_(gateway)
         , run_(std::make_shared<RequestHandler>(gateway.context_, std::move(request), std::move(answer), std::move(delegation)))
     {
-        ++gateway_.inFlight_;
+        gateway_.runs_.insert(this);
     }
-    ~Run() override { --gateway_.inFlight_; }
+    ~Run() override { gateway_.runs_.erase(this); }
     Run(const Run&) = delete;
     auto operator=(const Run&) -> Run& = delete;
 
     auto start() -> void { run_->start(); }
     auto cancel() -> void override { run_->cancel(); }
+    auto handler() const -> const std::shared_ptr<RequestHandler>& { return run_; }
 
 private:
     Gateway& gateway_;
@@ -181,7 +184,8 @@
     , roomGate_(clock, log_, metrics_, incarnation_)
     , regionDemand_(clock, metrics_, settings_.region_, regionDemandMode(settings_.regionDemand_), [this](const std::string& service) { return settings_.expectedEnd_ != "never" && endEstimator_.isServiceEstimated(service); })
     , regionTargetLog_(clock, log_)
-    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, bodyLimits_, secondAttempts_, settings_.admissionByRoom_ == "on", &regionDemand_ }
+    , shutdown_(clock)
+    , context_ { clock, alarms_, adapter_.headers_, settings_.name_, nullptr, upstreams_, placer_, rates_, upstreamLimits_, roomGate_, retries_, crashes_, split_, workTimes_, endEstimator_, pool_, links_, delegates_, delegatePool_, notices_, loadExchange_, log_, metrics_, bodyLimits_, secondAttempts_, settings_.admissionByRoom_ == "on", &regionDemand_, &shutdown_ }
     , frontHandler_(*this)
     , delegationHandler_(*this)
     , strangerHandler_(*this)
@@ -198,6 +202,7 @@
           loop, [this](const std::string& host) -> CallerHandler& { return selectDelegationHandler(host); }, clock)
     , datagrams_(loop, [this](std::string_view bytes, const SocketAddress& from) { onDatagram(bytes, from); })
     , timer_(loop)
+    , stopTimer_(loop)
     , startedAt_(clock.now())
 {
     loadExchange_.addListener(endEstimator_);
@@ -289,7 +294,7 @@
 
 auto Gateway::answerMetrics() -> HttpResponse
 {
-    metrics_.set({ "gateway_requests_in_flight", {} }, asMetric(inFlight_));
+    metrics_.set({ "gateway_requests_in_flight", {} }, asMetric(runs_.size()));
     metrics_.set({ "gateway_connections_open", {} }, asMetric(front_.openCount()));
     metrics_.set({ "gateway_upstream_connections_opened_total", {} }, asMetric(pool_.counts().opened_));
     metrics_.set({ "gateway_upstream_connections_reused_total", {} }, asMetric(pool_.counts().reused_));
@@ -643,7 +648,7 @@
 
 auto Gateway::noteStatus() -> void
 {
-    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", inFlight_ }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "feed_lost_ms", beliefs_.outageDuration(Feed::Upstreams) / 1ms }, { "peers_ready", fleet_.allReadyMembers().size() } });
+    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", runs_.size() }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "feed_lost_ms", beliefs_.outageDuration(Feed::Upstreams) / 1ms }, { "peers_ready", fleet_.allReadyMembers().size() } });
 }
 
 auto Gateway::beginStop() -> void
@@ -652,10 +657,37 @@
         return;
     isStopping_ = true;
     stoppingAt_ = clock_.now();
-    log_.write(EventId::GatewayStopping, { { "in_flight", inFlight_ }, { "connections", front_.openCount() } });
+    log_.write(EventId::GatewayStopping, { { "in_flight", runs_.size() }, { "connections", front_.openCount() } });
     sendHeartbeat(Reach::All);
+    const auto lifetime = std::max<Duration>(Duration::zero(), settings_.grace_ - graceMargin);
+    shutdown_.begin(stoppingAt_ + lifetime);
+    stopTimer_.expires_after(std::max<Duration>(Duration::zero(), lifetime - lastResponseTime));
+    stopTimer_.async_wait([this](NetError error) {
+        if (!error)
+            refuseUnsent();
+    });
+}
+
+auto Gateway::refuseUnsent() -> void
+{
+    // Answering destroys a run.
+    std::vector<std::shared_ptr<RequestHandler>> handlers;
+    for (const auto* run : runs_)
+        handlers.push_back(run->handler());
+    for (const auto& handler : handlers)
+        handler->refuseUnsent();
+    for (auto* listener : { &front_, &delegated_ }) {
+        listener->stopAccepting();
+        listener->closeUnread();
+    }
+    stopTimer_.expires_after(lastResponseTime);
+    stopTimer_.async_wait([this](NetError error) {
+        if (!error && !isEnded_)
+            end();
+    });
 }
 
+// The end of the grace time has a timer of its own.
 auto Gateway::continueStop() -> void
 {
     const auto age = clock_.now() - stoppingAt_;
@@ -664,15 +696,15 @@
         if (age >= acceptAfterStop)
             listener->stopAccepting();
     }
-    const bool isDone = age >= acceptAfterStop && front_.openCount() == 0 && delegated_.openCount() == 0;
-    if (isDone || age >= settings_.grace_ - graceMargin)
+    if (age >= acceptAfterStop && front_.openCount() == 0 && delegated_.openCount() == 0)
         end();
 }
 
 auto Gateway::end() -> void
 {
     isEnded_ = true;
-    log_.write(EventId::GatewayStopped, { { "in_flight", inFlight_ }, { "ran_s", inSeconds(clock_.now() - startedAt_) } });
+    stopTimer_.cancel();
+    log_.write(EventId::GatewayStopped, { { "in_flight", runs_.size() }, { "ran_s", inSeconds(clock_.now() - startedAt_) } });
     log_.flush();
     adapter_.source_->stop();
     coldProber_.stop();
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -19,6 +19,8 @@
 #include "loop/upstream_pool.h"
 #include "settings/gateway_settings.h"
 
+#include <set>
+
 namespace sapphirepass {
 
 // Paths of the gateway's own that an adapter names.
@@ -153,6 +155,8 @@
     auto noteFleet() -> void;
     auto noteStatus() -> void;
     auto continueStop() -> void;
+    // Shortly before the end of the grace time: takes no further requests and refuses those that were not sent.
+    auto refuseUnsent() -> void;
     auto end() -> void;
 
     asio::io_context& loop_;
@@ -197,6 +201,7 @@
     RoomGate roomGate_;
     RegionDemand regionDemand_;
     RegionTargetLog regionTargetLog_;
+    ShutdownWindow shutdown_;
     RequestContext context_;
     FrontHandler frontHandler_;
     DelegationHandler delegationHandler_;
@@ -210,8 +215,10 @@
     CallerListener delegated_;
     DatagramSocket datagrams_;
     asio::steady_timer timer_;
+    asio::steady_timer stopTimer_;
     std::uint64_t ticks_ = 0;
-    std::size_t inFlight_ = 0;
+    // Requests that are being handled.
+    std::set<Run*> runs_;
     std::uint64_t delegationsTaken_ = 0;
     std::size_t readyPeers_ = 0;
     std::size_t sentColdNotices_ = 0;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -1037,6 +1037,113 @@
     }
 }
 
+// review/5: requests that came late in the grace time were sent and cut when the process ended.
+TEST_CASE("an instance that shuts down sends only what is answered before its end", "[request][shutdown]")
+{
+    Fixture fixture;
+    ShutdownWindow window { fixture.clock_ };
+    fixture.context_.shutdown_ = &window;
+    const auto post = [&] { return fixture.start(fixture.request("/order/1", "secret", http::verb::post)); };
+    SECTION("what is expected to end in time gets no longer than that")
+    {
+        window.begin(fixture.clock_.now() + 500ms);
+        post();
+        REQUIRE(fixture.calls() == 1);
+        CHECK(std::stoi(std::string((*fixture.caller_.calls().back().request_)[names.deadline_])) == 480);
+    }
+    SECTION("what is expected to end later is refused at once as not run")
+    {
+        for (int i = 0; i < 100; ++i)
+            fixture.secondAttempts_.recordRun("order", 700ms);
+        window.begin(fixture.clock_.now() + 500ms);
+        post();
+        CHECK(fixture.calls() == 0);
+        CHECK(fixture.status() == 503);
+        CHECK(fixture.answers_.back().count(http::field::retry_after) == 1);
+        CHECK(fixture.answers_.back().body().find("\"executed\":\"no\"") != std::string::npos);
+    }
+    SECTION("before anything is known of a route, its latency target counts")
+    {
+        window.begin(fixture.clock_.now() + 260ms);
+        post();
+        CHECK(fixture.calls() == 0);
+        CHECK(fixture.status() == 503);
+    }
+    SECTION("a run ends at its deadline, however long runs usually take")
+    {
+        for (int i = 0; i < 100; ++i)
+            fixture.secondAttempts_.recordRun("order", 5s);
+        window.begin(fixture.clock_.now() + 1'100ms);
+        post();
+        CHECK(fixture.calls() == 1);
+    }
+    SECTION("a request that waited for a token is not sent late")
+    {
+        Fixture limited(1);
+        ShutdownWindow end { limited.clock_ };
+        limited.context_.shutdown_ = &end;
+        limited.addCoordinator();
+        limited.limit("u0", 3);
+        limited.start(limited.request("/order/1", "secret", http::verb::post));
+        REQUIRE(limited.limitAsks_.asks_.size() == 1);
+        end.begin(limited.clock_.now() + 100ms);
+        limited.grantLastAsk(1);
+        CHECK(limited.calls() == 0);
+        CHECK(limited.status() == 503);
+    }
+    SECTION("a request that still waits at the end is refused, and one that was sent is awaited")
+    {
+        Fixture limited(1);
+        limited.addCoordinator();
+        limited.limit("u0", 3);
+        const auto waiting = limited.start(limited.request("/order/1", "secret", http::verb::post));
+        waiting->refuseUnsent();
+        CHECK(limited.status() == 503);
+        limited.grantLastAsk(1);
+        CHECK(limited.calls() == 0);
+        const auto sent = post();
+        sent->refuseUnsent();
+        CHECK(fixture.answers_.empty());
+        fixture.caller_.finish(fixture.success());
+        CHECK(fixture.status() == 200);
+    }
+}
+
+TEST_CASE("no attempt follows the first one if the process ends before its response", "[request][shutdown]")
+{
+    Fixture fixture;
+    ShutdownWindow window { fixture.clock_ };
+    fixture.context_.shutdown_ = &window;
+    for (int i = 0; i < 20; ++i)
+        fixture.retries_.countRequest("core");
+    window.begin(fixture.clock_.now() + 400ms);
+    const bool hasRun = GENERATE(true, false);
+    fixture.start(fixture.request("/read/1"));
+    REQUIRE(fixture.calls() == 1);
+    fixture.alarms_.advance(300ms);
+    if (hasRun)
+        fixture.caller_.finish(TransportError { TransportErrorKind::ConnectionLost, "reset" });
+    else
+        fixture.caller_.finish(fixture.failure(503, true));
+    CHECK(fixture.calls() == 1);
+    CHECK(fixture.status() == (hasRun ? 502U : 503U));
+}
+
+TEST_CASE("a delegated request that comes late in a shutdown is refused as not run, so that another peer can take it", "[request][delegation][shutdown]")
+{
+    Fixture fixture;
+    ShutdownWindow window { fixture.clock_ };
+    fixture.context_.shutdown_ = &window;
+    window.begin(fixture.clock_.now() + 200ms);
+    const Delegation delegation { "e9", "order", "core", "acme", {}, RepeatRule::Once, 2, 600ms, 250ms, std::nullopt };
+    auto handler = std::make_shared<RequestHandler>(
+        fixture.context_, fixture.request("/order/1", ""), [&fixture](UpstreamResponse response) { fixture.answers_.push_back(std::move(response)); }, delegation);
+    handler->start();
+    CHECK(fixture.calls() == 0);
+    const auto text = fixture.answers_.back()["Sapphirepass-Delegation-Outcome"];
+    CHECK(valueOf(decodeDelegationOutcome({ text.data(), text.size() })).refusal_ == Executed::No);
+}
+
 // Guards against demand that depends on how much room there is, or that several instances count.
 TEST_CASE("a caller's request counts once as demand, placed or not, but neither over the rate nor if bound to regions or delegated", "[request][region-demand]")
 {
