A head that is joined from two responses is an invalid response

Callers could have been told that a request had not run which a server had run: a part of an earlier refusal, written once more on a kept connection, took the status line of the next response for the rest of its last line.

Cause: the response was matched by its first id alone; nothing asked whether its head was one response's.

Change: two ids, or, on a connection that has carried a response, a status line within the reason or a field, make the response invalid.

Why it works: a part that ends within a line leaves that status line in it; one that ends elsewhere can't be parsed or is a response of its own.

--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "base/field.h"
 #include "base/http_status.h"
+#include "gateway/requests/response_head.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -201,6 +202,8 @@
     const auto& response = parser_->get();
     const auto status = response.result_int();
     const bool ended = !isOpen_ || parser_->need_eof();
+    if (const auto fault = findHeadFault(response, names_.attempt_, hasCarriedResponse_ || skippedResponses_ > 0); !fault.empty())
+        return lose(TransportErrorKind::InvalidResponse, std::string(fault));
     // No request asks for another protocol, so no further response follows.
     if (response.result() == http::status::switching_protocols)
         return lose(TransportErrorKind::InvalidResponse, "protocol-switched");
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -188,6 +188,82 @@
     CHECK(fixture.server_.connections() == 2);
 }
 
+namespace {
+
+// A request's first response is sound. Before the second one comes what is given, and then the second one's own.
+auto outcomeBehind(const std::string& before, const std::string& own) -> AttemptOutcome
+{
+    PoolFixture fixture([&](int number, const std::string&) -> ScriptedBytes { return { number == 0 ? success("t0", "body", "Keep-Alive: timeout=10\r\n") : before + own }; });
+    REQUIRE(fixture.body(fixture.call("t0")) == "body");
+    return fixture.call("t1", "order");
+}
+
+// Whether the outcome says that the request has not run.
+auto claimsNotRun(const AttemptOutcome& outcome) -> bool
+{
+    const auto* response = std::get_if<UpstreamResponse>(&outcome);
+    if (response == nullptr)
+        return lossOf(outcome) == TransportErrorKind::NotSent;
+    return response->result_int() == 421 || response->count(names.notExecuted_) > 0;
+}
+
+}
+
+// A report of operators: callers were told that requests had not run which a server had run.
+TEST_CASE("a refusal that is written once more, whole or in part, is never taken for the response to the next request", "[pool][odd-responses]")
+{
+    const std::string refusal = GENERATE(as<std::string> {},
+        "HTTP/1.1 503 Service Unavailable\r\nTry-Id: t0\r\nNot-Run: 1\r\nLoad: 4,8,4\r\nContent-Length: 4\r\n\r\nfull",
+        "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nLoad: 4,8,4\r\nContent-Length: 0\r\nTry-Id: t0\r\n\r\n",
+        "HTTP/1.1 400 Bad Request\r\nLoad: 4,8,4\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected Request\r\nLoad: 4,8,4\r\nContent-Length: 0\r\n\r\n");
+    const bool isOwnFailure = GENERATE(false, true);
+    auto own = success("t1", "done");
+    if (isOwnFailure)
+        own.replace(0, own.find('\r'), "HTTP/1.1 500 Internal Server Error");
+    const auto status = isOwnFailure ? 500U : 200U;
+    for (std::size_t cut = 1; cut <= refusal.size(); ++cut) {
+        CAPTURE(refusal.substr(0, cut), isOwnFailure);
+        const auto outcome = outcomeBehind(refusal.substr(0, cut), own);
+        CHECK_FALSE(claimsNotRun(outcome));
+        if (const auto* response = std::get_if<UpstreamResponse>(&outcome)) {
+            CHECK(response->result_int() == status);
+            CHECK(response->body() == "done");
+        }
+    }
+}
+
+TEST_CASE("a response that names two requests is none", "[pool][odd-responses]")
+{
+    const std::string ids = GENERATE("Try-Id: t0\r\nTry-Id: t1\r\n", "Try-Id: t1\r\nTry-Id: t0\r\n", "Try-Id: t1\r\nTry-Id: t1\r\n");
+    CAPTURE(ids);
+    CHECK_FALSE(claimsNotRun(outcomeBehind("", "HTTP/1.1 503 Service Unavailable\r\n" + ids + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")));
+}
+
+// A report of operators: a server stopped within its response's head and closed, and callers got a success with an empty body.
+TEST_CASE("a response that is cut within its head is never a response", "[pool][odd-responses]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\nKeep-Alive: timeout=10\r\n";
+    const std::string framing = GENERATE("Content-Length: 4\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n", "\r\n", "Connection: close\r\n\r\n");
+    const auto whole = head + framing;
+    for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+        CAPTURE(whole.substr(0, cut));
+        PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { whole.substr(0, cut), AfterBytes::Close }; });
+        CHECK(lossOf(fixture.call("t0")).has_value());
+    }
+}
+
+TEST_CASE("a response with a length or in chunks that is cut within its body is never a response", "[pool][odd-responses]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\n";
+    const std::string rest = GENERATE("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\nX: y\r\n\r\n");
+    for (std::size_t cut = rest.find("\r\n\r\n") + 4; cut < rest.size(); ++cut) {
+        CAPTURE(rest.substr(0, cut));
+        PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { head + rest.substr(0, cut), AfterBytes::Close }; });
+        CHECK(lossOf(fixture.call("t0")).has_value());
+    }
+}
+
 TEST_CASE("a connection that the server closed while idle is not used", "[pool]")
 {
     PoolFixture fixture([](int number, const std::string&) -> ScriptedBytes { return { success(fmt::format("t{}", number), "body", "Keep-Alive: timeout=10\r\n"), AfterBytes::Close }; });
