A request whose body can't be read ends its connection with 400

Cause: the parser takes such a request as one without a body, and nothing else looked at Transfer-Encoding.

Change: unless the field is there once and is "chunked", the request gets 400 and its connection ends (RFC 9112, 6.3).

Why it works: nothing behind such a head is read any more.

--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -49,6 +49,14 @@
         return head;
     }
 
+    // The parser takes a request with any other coding, or several, as one without a body; its body would be read as the next
+    // request (RFC 9112, 6.3).
+    auto isBodyReadable(const HttpRequest& request) -> bool
+    {
+        const auto codings = request.count(http::field::transfer_encoding);
+        return codings == 0 || (codings == 1 && boost::beast::iequals(request[http::field::transfer_encoding], "chunked"));
+    }
+
     auto statusFor(NetError error) -> unsigned
     {
         if (error == http::error::header_limit)
@@ -141,6 +149,10 @@
 {
     hasHeader_ = true;
     const auto& request = parser_->get();
+    if (!isBodyReadable(request)) {
+        refuse(http::error::bad_transfer_encoding);
+        return false;
+    }
     const auto length = parser_->content_length();
     if (length && *length > limits_.bodyBytes_) {
         refuse(http::error::body_limit);
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -422,6 +422,13 @@
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
+        // review/3: the body was read as a request of its own.
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, identity\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413" },
         { "GET /x HTTP/1.1\r\nHost: a\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", "HTTP/1.1 431" },
