Callers and upstreams that pause for some seconds are not taken for silent

Cause: the kernel's user timeout ends connections whose peer acknowledges but has no room, after 3 s for callers and 1.5 s for upstreams.

Change: a response above 1 KB that is unacknowledged after a second, or that ends its connection, gets the patience of a large one; bodies above 16 KB are given 3 s by upstreams' connections. Ordinary responses cost no calls to the kernel.

Why it works: the limits for silence are left to what is known to be read.

--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -25,6 +25,10 @@
     constexpr Duration bodyRetryAfter = 500ms;
     // Only responses above this size may have to wait for their caller, as the kernel takes smaller ones at once.
     constexpr std::size_t largeResponse = 16 * 1024;
+    // The smallest receive windows take these whole.
+    constexpr std::size_t smallResponse = 1'024;
+    // Callers that read without a pause have acknowledged a response by then; the limit for silent ones is longer.
+    constexpr Duration readingTime = 1s;
     // Large enough for a write to the kernel to be one block of async_write.
     constexpr int maxUnsent = 64 * 1024;
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -126,7 +130,7 @@
         hasBytes_ = true;
         since_ = clock_.now();
         // The kernel had the rest of a large response after it was written; by now the caller has read it.
-        if (std::exchange(isLarge_, false))
+        if (std::exchange(isPatient_, false))
             detectDeadPeer(socket_, PeerPatience::Long);
     }
     parseBuffer();
@@ -240,10 +244,14 @@
         body_.clear();
     if (readerHold_)
         readerHold_->begin(head_.size() + body_.capacity());
-    if (body_.size() > largeResponse && !std::exchange(isLarge_, true)) {
+    if (body_.size() > largeResponse) {
         limitUnsent(socket_, maxUnsent);
-        detectDeadPeer(socket_, PeerPatience::Reading);
+        beReadingPatient();
     }
+    // After the end of the connection nobody looks whether the caller has read it.
+    isUnreadDue_ = body_.size() > smallResponse;
+    if (isUnreadDue_ && !keepAfter_)
+        beReadingPatient();
     written_ = 0;
     acknowledged_ = 0;
     const std::array<asio::const_buffer, 2> parts { asio::buffer(head_), asio::buffer(body_) };
@@ -303,6 +311,8 @@
         return resume();
     if (!hasBytes_ && age > limits_.idleTimeout_)
         return close();
+    if (isUnreadDue_ && age > readingTime)
+        checkUnread();
     const auto most = hasHeader_ ? limits_.headerTimeout_ + bodyLimit : limits_.headerTimeout_;
     if (hasBytes_ && age > most) {
         state_ = State::Answering;
@@ -325,6 +335,20 @@
         close();
 }
 
+auto CallerChannel::beReadingPatient() -> void
+{
+    if (!std::exchange(isPatient_, true))
+        detectDeadPeer(socket_, PeerPatience::Reading);
+}
+
+// Smaller responses are in the kernel as a whole. It takes a caller that does not read them for a silent one.
+auto CallerChannel::checkUnread() -> void
+{
+    isUnreadDue_ = false;
+    if (unacknowledged(socket_) > 0)
+        beReadingPatient();
+}
+
 auto CallerChannel::close() -> void
 {
     state_ = State::Closed;
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -65,6 +65,9 @@
     auto answer(HttpResponse response, bool mayKeep) -> void;
     auto onWritten(NetError error) -> void;
     auto checkWriting() -> void;
+    // Gives a caller time that has not read all of the last response.
+    auto checkUnread() -> void;
+    auto beReadingPatient() -> void;
 
     Tcp::socket socket_;
     CallerHandler& handler_;
@@ -87,8 +90,10 @@
     std::shared_ptr<CallerChannel> waiting_;
     // The body is refused: what arrives is discarded.
     bool isDiscarding_ = false;
-    // The response under way or the last one is large.
-    bool isLarge_ = false;
+    // The connection outlives a caller that reads the response slowly.
+    bool isPatient_ = false;
+    // Whether it is still to be seen if the caller has read the last response.
+    bool isUnreadDue_ = false;
     std::size_t written_ = 0;
     std::size_t acknowledged_ = 0;
     std::uint64_t answered_ = 0;
--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -42,9 +42,10 @@
 enum class PeerPatience {
     // A server: requests that it does not acknowledge are given up early enough to be tried elsewhere.
     Short,
-    // A caller, whose idle connection should outlive a short freeze or cut of its machine.
+    // A caller, whose idle connection should outlive a short freeze or cut of its machine, and a server that is being sent a
+    // large body and may pause.
     Long,
-    // A caller that is being sent a large response. The kernel takes a reader that pauses for a silent peer.
+    // A caller that has not read all of its response. The kernel takes a reader that pauses for a silent peer.
     Reading
 };
 
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -19,6 +19,8 @@
     // A status line, header, chunk header or trailer that is longer can't be read. Complete ones are read as they arrive.
     constexpr std::size_t maxUnparsedBytes = 64 * 1024;
     constexpr int maxSkippedResponses = 32;
+    // The kernel of a server takes smaller bodies at once, whether the server reads them or not.
+    constexpr std::size_t largeBody = 16 * 1024;
     // While the memory is full, it is looked for room this often.
     constexpr Duration roomPoll = 50ms;
 
@@ -89,8 +91,17 @@
     writeRequest();
 }
 
+// A server that pauses before it reads a large body looks like a silent one.
+auto UpstreamChannel::setPatience() -> void
+{
+    const auto patience = request_->body().size() > largeBody ? PeerPatience::Long : PeerPatience::Short;
+    if (std::exchange(patience_, patience) != patience)
+        detectDeadPeer(socket_, patience);
+}
+
 auto UpstreamChannel::writeRequest() -> void
 {
+    setPatience();
     skippedResponses_ = 0;
     newParser();
     head_ = renderHead(*request_);
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -48,6 +48,7 @@
 
     auto onConnected(NetError error) -> void;
     auto writeRequest() -> void;
+    auto setPatience() -> void;
     auto onWritten(NetError error) -> void;
     auto readMore() -> void;
     // Reads on once the memory has room.
@@ -84,6 +85,8 @@
     bool isTainted_ = false;
     bool isHeldBack_ = false;
     bool hasCarriedResponse_ = false;
+    // What the kernel has been told.
+    PeerPatience patience_ = PeerPatience::Short;
     // Interim responses and those to earlier requests that came before the one awaited.
     int skippedResponses_ = 0;
     std::optional<Duration> statedIdle_;
--- a/tests/memory_loop_test.cpp
+++ b/tests/memory_loop_test.cpp
@@ -50,12 +50,12 @@
 // A caller that reads only when the test says so.
 class PausedCaller {
 public:
-    PausedCaller(asio::io_context& loop, const SocketAddress& server)
+    // The receive buffer is small, so that most of a response cannot leave the gateway.
+    PausedCaller(asio::io_context& loop, const SocketAddress& server, int receiveBuffer = 32 * 1024)
         : socket_(loop)
     {
         socket_.open(Tcp::v4());
-        // Small, so that most of a response cannot leave the gateway.
-        socket_.set_option(asio::socket_base::receive_buffer_size(32 * 1024));
+        socket_.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
         socket_.connect({ asio::ip::make_address_v4(server.host_), server.port_ });
     }
 
@@ -89,6 +89,57 @@
     bool isEnded_ = false;
 };
 
+// An upstream that pauses after it has accepted a connection, then reads all and answers.
+class PausingServer {
+public:
+    PausingServer(asio::io_context& loop, Duration pause)
+        : acceptor_(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , socket_(loop)
+        , timer_(loop)
+    {
+        // Inherited by its connections.
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(32 * 1024));
+        acceptor_.async_accept(socket_, [this, pause](NetError error) {
+            timer_.expires_after(pause);
+            timer_.async_wait([this, error](NetError cancelled) {
+                if (!error && !cancelled)
+                    read();
+            });
+        });
+    }
+    auto address() const -> SocketAddress { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    auto read() -> void
+    {
+        socket_.async_read_some(asio::buffer(buffer_), [this](NetError error, std::size_t count) {
+            if (error)
+                return;
+            received_ += count;
+            NetError ignored;
+            // Headers are on top.
+            if (received_ >= upload && !std::exchange(isAnswered_, true))
+                asio::write(socket_, asio::buffer(orderAnswer), ignored);
+            read();
+        });
+    }
+
+    Tcp::acceptor acceptor_;
+    Tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::array<char, 64 * 1024> buffer_ {};
+    std::size_t received_ = 0;
+    bool isAnswered_ = false;
+};
+
+auto passTime(asio::io_context& loop, Duration time) -> void
+{
+    asio::steady_timer timer(loop, time);
+    bool isOver = false;
+    timer.async_wait([&isOver](NetError) { isOver = true; });
+    REQUIRE(runUntil(loop, [&isOver] { return isOver; }));
+}
+
 struct MemoryFixture : GatewayFixture {
     explicit MemoryFixture(LoopServer::Script script = answerByPath, int upstreams = 1)
         : GatewayFixture(std::move(script))
@@ -140,6 +191,45 @@
 
 }
 
+// The kernel took a caller that did not read for a silent one after three seconds and reset its connection.
+TEST_CASE("a caller that pauses for some seconds gets the rest of a response that is not large", "[memory-loop][slow]")
+{
+    constexpr std::size_t body = 12'000;
+    constexpr int smallBuffer = 2'048;
+    const bool isLastRequest = GENERATE(false, true);
+    CAPTURE(isLastRequest);
+    MemoryFixture fixture([](int, const std::string&) -> ScriptedBytes { return { answerOf(body) }; });
+    PausedCaller caller(fixture.loop_, fixture.settings_.front_, smallBuffer);
+    auto request = orderOf("1");
+    if (isLastRequest)
+        request.insert(request.find("Content-Length"), "Connection: close\r\n");
+    caller.send(request);
+    passTime(fixture.loop_, 3'800ms);
+    const auto hasWhole = [&] {
+        caller.read(body);
+        return caller.hasWhole(body) || caller.isEnded();
+    };
+    runUntil(fixture.loop_, hasWhole);
+    CHECK(caller.hasWhole(body));
+}
+
+// The connection to an upstream that did not read for a second and a half was given up, and the upload with it.
+TEST_CASE("an upload to an upstream that pauses is not given up", "[memory-loop][slow]")
+{
+    MemoryFixture fixture;
+    PausingServer server(fixture.loop_, 1'900ms);
+    auto declaration = declared(1);
+    declaration["version"] = "00000002";
+    declaration["routes"][0]["timeout_s"] = 60;
+    fixture.store_.put("config", "main", declaration);
+    fixture.store_.put("servers", "i-0", listed(server.address()));
+    passTime(fixture.loop_, 1s);
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(orderOf("1", upload));
+    REQUIRE(runUntil(fixture.loop_, [&client] { return !client.received().empty(); }));
+    CHECK(client.received().starts_with("HTTP/1.1 200 "));
+}
+
 TEST_CASE("callers that read nothing are cut within the memory; slow readers get all, and others are served", "[memory]")
 {
     constexpr std::size_t stalled = 60;
