--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -175,7 +175,7 @@
     return found == members.rend() ? std::string_view() : found->value_;
 }
 
-// The parser itself bears any depth, but copying and writing out what it returns call themselves once for each level.
+// The parser is not recursive, but copying and serializing its result are.
 auto readJson(std::string_view text, const JsonBounds& bounds) -> Result<nlohmann::json, JsonError>
 {
     if (text.size() > bounds.bytes_)
--- a/src/gateway/feeds/discovery_state.cpp
+++ b/src/gateway/feeds/discovery_state.cpp
@@ -19,7 +19,7 @@
     // Time for the instances in a received peer list to send a heartbeat: two heartbeat intervals between regions.
     constexpr Duration peerListSettleTime = 1'600ms;
 
-    // Names and reasons come from whoever wrote the entry.
+    // Names and reasons hold text of other writers, of any length.
     constexpr std::size_t maxLoggedName = 64;
     constexpr std::size_t maxLoggedReason = 200;
 
--- a/src/gateway/requests/response_head.cpp
+++ b/src/gateway/requests/response_head.cpp
@@ -27,9 +27,9 @@
     return response.count({ names.notExecuted_.data(), names.notExecuted_.size() }) > 0 || response.result() == boost::beast::http::status::misdirected_request;
 }
 
-// A part that ends within a line takes the status line of the response behind it for the rest of that line. What is parsed has
-// the earlier status, the fields of both and the later body. A false refusal does the most harm, so it is looked for on new
-// connections too.
+// If a partial response ends within a line, the next response's status line is parsed as the rest of that line. The result has
+// the first status, the fields of both heads and the second body. False refusals do the most harm, so new connections are
+// checked for them too.
 auto findHeadFault(const UpstreamResponse& response, const HeaderNames& names, bool mayFollowPart) -> std::string_view
 {
     if (response.count({ names.attempt_.data(), names.attempt_.size() }) > 1)
--- a/src/gateway/requests/shutdown_window.h
+++ b/src/gateway/requests/shutdown_window.h
@@ -1,4 +1,4 @@
-// What an instance that shuts down may still send: only what is answered before its process ends.
+// Decides whether a request can still be answered before an instance that is shutting down ends.
 #pragma once
 
 #include "base/clock.h"
@@ -16,7 +16,7 @@
 
     // A shutdown has begun; the process ends then.
     auto begin(MonotonicTime endsAt) -> void { endsAt_ = endsAt; }
-    // Whether the response to what is sent now, and takes so long, still reaches the caller.
+    // Whether the response to a request that is sent now and runs this long still reaches the caller.
     auto mayFinish(Duration expected) const -> bool;
     // The part of a request's time that an upstream or a peer may use.
     auto bound(Duration timeLeft) const -> Duration;
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -85,7 +85,7 @@
     bool isTainted_ = false;
     bool isHeldBack_ = false;
     bool hasCarriedResponse_ = false;
-    // What the kernel has been told.
+    // Current setting of the socket.
     PeerPatience patience_ = PeerPatience::Short;
     // Interim responses and those to earlier requests that came before the one awaited.
     int skippedResponses_ = 0;
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -190,7 +190,7 @@
 
 namespace {
 
-// A request's first response is sound. Before the second one comes what is given, and then the second one's own.
+// The outcome of a second request on a connection whose response follows the given bytes.
 auto outcomeBehind(const std::string& before, const std::string& own) -> AttemptOutcome
 {
     PoolFixture fixture([&](int number, const std::string&) -> ScriptedBytes { return { number == 0 ? success("t0", "body", "Keep-Alive: timeout=10\r\n") : before + own }; });
@@ -209,7 +209,7 @@
 
 }
 
-// A report of operators: callers were told that requests had not run which a server had run.
+// Callers were told that requests had not run, although a server had run them.
 TEST_CASE("a refusal that is written once more, whole or in part, is never taken for the response to the next request", "[pool][odd-responses]")
 {
     const std::string refusal = GENERATE(as<std::string> {},
@@ -251,7 +251,7 @@
     CHECK_FALSE(claimsNotRun(outcomeBehind("", "HTTP/1.1 503 Service Unavailable\r\n" + ids + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n")));
 }
 
-// A report of operators: a server stopped within its response's head and closed, and callers got a success with an empty body.
+// Callers got a success with an empty body after a server had closed within the head of its response.
 TEST_CASE("a response that is cut within its head is never a response", "[pool][odd-responses]")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\nKeep-Alive: timeout=10\r\n";
