A request at recovering links and limited upstreams is not placed again without end

Callers saw all connections to one instance end: its process ended by SIGSEGV, the stack had overflowed. Cause: where links recover and no peer takes a request, it is sent to an upstream behind those links, but its query still excluded their region. An upstream that names a limit is checked again by that query once a token is there: it was found unusable, the token went back, and the request was placed anew, on the same upstream with the same token, with no return to the event loop where the instance coordinates the limit itself. The class: a decision that is checked later against other conditions than it was made by, in a cycle without a bound. Change: the query is the one of the placement when it is sent. Measured: the test passes; 20 requests, each sent or refused.

--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -322,9 +322,11 @@
     }
     // Suspected and recovering links may work, so the request is sent instead of refused.
     const bool mayReach = placement != nullptr && context_.linkDetector_.state(placement->upstream_->region_) != LinkState::Unreachable;
-    if (mayReach)
-        return sendWithinLimit(*placement);
-    finishUnreachable();
+    if (!mayReach)
+        return finishUnreachable();
+    // A placement is checked again after a wait for a token, by the query that it was made with.
+    query_.unreachableRegions_.clear();
+    sendWithinLimit(*placement);
 }
 
 auto RequestHandler::tryDelegate(const std::string& upstreamRegion, bool isOwnRegionOnly) -> bool
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -1220,6 +1220,32 @@
     CHECK(fixture.answers_.empty());
 }
 
+TEST_CASE("a request that waits for recovering links at upstreams with limits is sent or refused", "[request][delegation][upstream-limit]")
+{
+    CutOffFixture fixture;
+    fixture.fleet_.setReady(true);
+    // The instance is alone: it coordinates the limits itself.
+    fixture.clock_.advance(30s);
+    fixture.fleet_.removeSilent();
+    for (const auto& [id, upstream] : fixture.upstreams_.byId())
+        fixture.limit(id, 20);
+    for (int i = 0; i < 2; ++i) {
+        for (const auto& [id, upstream] : fixture.upstreams_.byId())
+            fixture.links_.recordConnect(*upstream, fixture.clock_.now(), true);
+        fixture.clock_.advance(400ms);
+        fixture.links_.update();
+    }
+    REQUIRE(fixture.links_.state("north") == LinkState::Recovering);
+    for (int i = 0; i < 20; ++i) {
+        auto request = fixture.request("/read/1");
+        request.set(names.attempt_, fmt::format("t{}", i));
+        fixture.start(request);
+    }
+    CAPTURE(fixture.answers_.empty() ? std::string() : fixture.answers_.back().body(), fixture.delegates_.calls().size(), fixture.limitAsks_.asks_.size());
+    CHECK(fixture.calls() + fixture.answers_.size() == 20);
+    CHECK(fixture.calls() > 0);
+}
+
 TEST_CASE("every attempt carries the whole body, and a request ends without bytes outstanding", "[request][memory]")
 {
     Fixture fixture;
