Requests sent ahead on a connection run once and get their own responses

A caller that sends a request before the response to an earlier one has come saw the second one run twice, and got its response for the third, which was never run (TWICE, MIXED, LOST). Cause: while a request is answered, a pending read owned the end of the buffer from which requests sent ahead were then parsed. Parsing all of it moved the buffer's end to its beginning; the bytes that the read brought stood behind the old end, and stale ones counted in their place. The class: a buffer that changes while an asynchronous operation owns a part of it. Evidence: on the new tests fail in all six forms of three requests and in three of five forms of a request that comes in parts. Change: the connection waits until bytes can be read and then reads them at once, so nothing owns a part of the buffer between. Looked at for the same cause: connections to upstreams change their buffer only when their read has ended; calls of the store clear it only after their socket was closed.

--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -85,6 +85,10 @@
 auto CallerChannel::start() -> void
 {
     detectDeadPeer(socket_, PeerPatience::Long);
+    NetError error;
+    socket_.non_blocking(true, error);
+    if (error)
+        return close();
     beginRequest();
     readMore();
 }
@@ -104,21 +108,33 @@
     state_ = State::Reading;
 }
 
+// Waits without a part of the buffer: requests that were sent ahead are parsed from it while the wait goes on.
 auto CallerChannel::readMore() -> void
 {
     const bool full = state_ != State::Reading && buffer_.size() >= mostAhead;
-    if (isReading_ || state_ == State::Closed || full)
+    if (isWaitingForBytes_ || state_ == State::Closed || full)
         return;
-    isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(readBytes), [self = shared_from_this()](NetError error, std::size_t count) { self->onRead(error, count); });
+    isWaitingForBytes_ = true;
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](NetError error) { self->onReadable(error); });
+}
+
+auto CallerChannel::onReadable(NetError error) -> void
+{
+    isWaitingForBytes_ = false;
+    // While the connection waits for memory, it is not read on.
+    if (state_ == State::Closed || waiting_)
+        return;
+    std::size_t count = 0;
+    if (!error)
+        count = socket_.read_some(buffer_.prepare(readBytes), error);
+    if (error == asio::error::would_block)
+        return readMore();
+    onRead(error, count);
 }
 
 // While a request is being answered, a read that ends tells that the caller has left.
 auto CallerChannel::onRead(NetError error, std::size_t count) -> void
 {
-    isReading_ = false;
-    if (state_ == State::Closed)
-        return;
     if (error)
         return close();
     buffer_.commit(count);
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -54,6 +54,7 @@
 
     auto beginRequest() -> void;
     auto readMore() -> void;
+    auto onReadable(NetError error) -> void;
     auto onRead(NetError error, std::size_t count) -> void;
     auto parseBuffer() -> void;
     auto onHeader() -> bool;
@@ -81,7 +82,7 @@
     std::string head_;
     std::string body_;
     State state_ = State::Reading;
-    bool isReading_ = false;
+    bool isWaitingForBytes_ = false;
     bool hasHeader_ = false;
     bool mustContinue_ = false;
     bool keepAfter_ = false;
