A connection on which much is sent ahead lives until its request is answered

A caller that sent more than 64 KB behind a request got no response: its connection was closed and the request dropped without a log line, and the upstream counted as running it for ever (LOST). Cause: only pending operations keep a connection alive. Beyond 64 KB it is not read on, so while the request was being answered nothing kept it. Change: such a connection keeps itself until the response is written or it is closed, as one that waits for memory does.

--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -103,6 +103,7 @@
     hasHeader_ = false;
     mustContinue_ = false;
     waiting_.reset();
+    unread_.reset();
     hasBytes_ = buffer_.size() > 0;
     since_ = clock_.now();
     state_ = State::Reading;
@@ -111,9 +112,12 @@
 // Waits without a part of the buffer: requests that were sent ahead are parsed from it while the wait goes on.
 auto CallerChannel::readMore() -> void
 {
-    const bool full = state_ != State::Reading && buffer_.size() >= mostAhead;
-    if (isWaitingForBytes_ || state_ == State::Closed || full)
+    if (isWaitingForBytes_ || state_ == State::Closed)
         return;
+    if (state_ != State::Reading && buffer_.size() >= mostAhead) {
+        unread_ = shared_from_this();
+        return;
+    }
     isWaitingForBytes_ = true;
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](NetError error) { self->onReadable(error); });
 }
@@ -369,6 +373,7 @@
 {
     state_ = State::Closed;
     waiting_.reset();
+    unread_.reset();
     closeQuietly(socket_);
     if (const auto running = std::exchange(running_, nullptr))
         running->cancel();
--- a/tests/requests_ahead_test.cpp
+++ b/tests/requests_ahead_test.cpp
@@ -99,3 +99,13 @@
     fixture.awaitAnswers(client, 3);
     fixture.checkRunOnceInOrder(client, 3);
 }
+
+// Beyond 64 KB the connection is not read on until the response is written.
+TEST_CASE("a request is answered although more is sent ahead of its response than is read", "[caller][ahead]")
+{
+    AheadFixture fixture;
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(orderNumber(1, 2) + orderNumber(2, 90'000));
+    fixture.awaitAnswers(client, 2);
+    fixture.checkRunOnceInOrder(client, 2);
+}
