A call does not replace the bytes of an earlier one that are still being written

Found while looking for more buffers that change under an operation: a server may answer a call before it has read all of it. The connection then counted as free, and the next call put its bytes into the string from which the rest of the first was still being written: freed memory went out, and the next call got no answer. No caller is known to have seen it: calls to the store are small. Change: a connection that is still being written to carries no further call.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -76,8 +76,12 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->body_limit(maxBodyBytes_);
+    isWriting_ = true;
     asio::async_write(socket_, asio::buffer(bytes_), [self = shared_from_this(), number = number_](NetError error, std::size_t) {
-        if (error && number == self->number_ && self->done_)
+        if (number != self->number_)
+            return;
+        self->isWriting_ = false;
+        if (error && self->done_)
             self->fail(error.message());
     });
     readMore();
@@ -103,7 +107,8 @@
     if (!isHttpStatus(parser_->get().result_int()))
         return fail("status out of range");
     timer_.cancel();
-    if (!parser_->keep_alive() || buffer_.size() > 0) {
+    // A server may answer before it has read all; the next request must not take the place of bytes that are still written.
+    if (!parser_->keep_alive() || buffer_.size() > 0 || isWriting_) {
         isConnected_ = false;
         closeQuietly(socket_);
     }
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -65,6 +65,7 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     bool isConnected_ = false;
     bool isSent_ = false;
+    bool isWriting_ = false;
     bool isReused_ = false;
     std::uint64_t number_ = 0;
 };
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -5,6 +5,7 @@
 #include "loop/upstream_pool.h"
 #include "standin/loop_peer.h"
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -173,6 +174,57 @@
     CHECK(std::holds_alternative<CallError>(*result));
 }
 
+namespace {
+
+// Answers each connection at once and reads nothing.
+class HastyServer {
+public:
+    explicit HastyServer(asio::io_context& loop)
+        : acceptor_(loop, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        acceptNext();
+    }
+    auto address() const -> SocketAddress { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+    auto connections() const -> std::size_t { return sockets_.size(); }
+
+private:
+    auto acceptNext() -> void
+    {
+        acceptor_.async_accept([this](NetError error, Tcp::socket socket) {
+            if (error)
+                return;
+            NetError ignored;
+            asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")), ignored);
+            sockets_.push_back(std::move(socket));
+            acceptNext();
+        });
+    }
+
+    Tcp::acceptor acceptor_;
+    std::vector<Tcp::socket> sockets_;
+};
+
+}
+
+TEST_CASE("a call does not replace the bytes of an earlier one that are still being written", "[pool]")
+{
+    constexpr std::size_t longBody = 16 * 1024 * 1024;
+    asio::io_context loop;
+    HastyServer server(loop);
+    const auto channel = std::make_shared<CallChannel>(loop, server.address());
+    const auto call = [&](std::size_t bodyBytes) {
+        HttpRequest request { http::verb::post, "/", 11 };
+        request.body() = std::string(bodyBytes, 'b');
+        std::optional<CallResult> result;
+        channel->call(std::move(request), 2s, [&result](CallResult told) { result = std::move(told); });
+        REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+        return std::holds_alternative<HttpResponse>(*result);
+    };
+    CHECK(call(longBody));
+    CHECK(call(2));
+    CHECK(server.connections() == 2);
+}
+
 // The pages let a sound answer be followed by bytes that belong to nothing. A length that was damaged to be shorter looks the
 // same, and nothing tells the two apart, so the answer counts as its own length says.
 TEST_CASE("bytes behind a response are dropped, whatever they are, and its length decides what it is", "[pool]")
