A gateway that ends with requests in flight ends them while all is alive

Callers saw the connections of a stopping instance end without a response, and its process ended by SIGSEGV instead of exit 0 when requests were in flight at the end of the grace time. The class: members that the destructors of earlier members use. Change: the destructor ends all connections and calls before any member goes, so the order of the members no longer matters.

--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -22,6 +22,11 @@
 
 // The event loop keeps connections for longer than this, and their handlers.
 CallerListener::~CallerListener()
+{
+    closeAll();
+}
+
+auto CallerListener::closeAll() -> void
 {
     for (const auto& entry : channels_) {
         if (const auto channel = entry.lock(); channel && channel->isOpen())
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -24,6 +24,8 @@
     // An error message, or nothing.
     auto listen(const SocketAddress& address) -> std::string;
     auto stopAccepting() -> void;
+    // Ends all connections and the requests under way on them.
+    auto closeAll() -> void;
     // Connections that have carried a request and carry none now.
     auto closeIdle() -> void;
     // Those on which nothing of a request has been read, new ones too.
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -212,6 +212,16 @@
     beliefs_.onDeclaration([this] { onDeclaration(); });
 }
 
+// Requests end while all that they refer to is alive, whatever the order of the members.
+Gateway::~Gateway()
+{
+    for (auto* listener : listeners())
+        listener->closeAll();
+    adapter_.source_->stop();
+    coldProber_.stop();
+    linkProber_.stop();
+}
+
 auto Gateway::start() -> std::string
 {
     struct Opening {
@@ -372,7 +382,7 @@
     renewFeeds();
     if (pulse_.isProbeDue(adapter_.source_->answers()))
         adapter_.source_->probe();
-    for (auto* listener : { &front_, &directory_, &ready_, &control_, &delegated_ })
+    for (auto* listener : listeners())
         listener->sweep();
     memory_.relieve();
     pool_.sweep();
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -19,6 +19,7 @@
 #include "loop/upstream_pool.h"
 #include "settings/gateway_settings.h"
 
+#include <array>
 #include <set>
 
 namespace sapphirepass {
@@ -42,6 +43,10 @@
 class Gateway final : private RateAskSender, private LimitAskSender, private MemoryListener {
 public:
     Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter);
+    // Cuts off what is still in flight.
+    ~Gateway() override;
+    Gateway(const Gateway&) = delete;
+    auto operator=(const Gateway&) -> Gateway& = delete;
 
     // An error message, or nothing.
     auto start() -> std::string;
@@ -158,6 +163,7 @@
     // Shortly before the end of the grace time: takes no further requests and refuses those that were not sent.
     auto refuseUnsent() -> void;
     auto end() -> void;
+    auto listeners() -> std::array<CallerListener*, 5> { return { &front_, &directory_, &ready_, &control_, &delegated_ }; }
 
     asio::io_context& loop_;
     const Clock& clock_;
@@ -203,6 +209,8 @@
     RegionTargetLog regionTargetLog_;
     ShutdownWindow shutdown_;
     RequestContext context_;
+    // Requests that are being handled.
+    std::set<Run*> runs_;
     FrontHandler frontHandler_;
     DelegationHandler delegationHandler_;
     StrangerHandler strangerHandler_;
@@ -217,8 +225,6 @@
     asio::steady_timer timer_;
     asio::steady_timer stopTimer_;
     std::uint64_t ticks_ = 0;
-    // Requests that are being handled.
-    std::set<Run*> runs_;
     std::uint64_t delegationsTaken_ = 0;
     std::size_t readyPeers_ = 0;
     std::size_t sentColdNotices_ = 0;
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -78,3 +78,18 @@
     CHECK((isServed || !isInTime));
     CHECK((isServed || fixture.server_.requests().size() == 1));
 }
+
+TEST_CASE("a gateway that ends with requests in flight cancels them all", "[shutdown][gateway]")
+{
+    constexpr std::size_t callers = 6;
+    ShutdownFixture fixture(10s);
+    std::vector<std::unique_ptr<LoopClient>> clients;
+    for (std::size_t i = 0; i < callers; ++i) {
+        clients.push_back(std::make_unique<LoopClient>(fixture.loop_, fixture.settings_.front_));
+        clients.back()->send(order);
+    }
+    REQUIRE(runUntil(fixture.loop_, [&fixture] { return fixture.server_.requests().size() == callers; }));
+    fixture.gateway_.reset();
+    CHECK(runUntil(fixture.loop_, [&fixture] { return fixture.server_.ended() == callers; }));
+    CHECK(runUntil(fixture.loop_, [&clients] { return std::all_of(clients.begin(), clients.end(), [](const auto& client) { return client->isEnded(); }); }));
+}
