--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -53,6 +53,7 @@
     // Finishes what is in flight, then ends the loop.
     auto beginStop() -> void;
     auto rereadSettings(const std::string& path) -> void;
+    auto log() const -> const LineLog& { return log_; }
     auto isReady() const -> bool { return beliefs_.isComplete() && !isStopping_; }
 
 private:
--- a/src/loop/line_log.cpp
+++ b/src/loop/line_log.cpp
@@ -31,9 +31,12 @@
     , handle_(handle)
     , bounds_(bounds)
     , instance_(std::move(instance))
+    , bytes_(nullptr)
     , allowance_(bounds.bytesPerSecond_ * burstSeconds)
     , filledAt_(clock.now())
 {
+    buffer_.reserve(bounds_.bufferBytes_);
+    bytes_ = buffer_.data();
 }
 
 auto LineLog::isSuccessSampled(std::string_view requestId) const -> bool
@@ -68,6 +71,7 @@
         return false;
     allowance_ -= size;
     buffer_ += text;
+    pendingBytes_ = buffer_.size();
     return true;
 }
 
@@ -81,7 +85,11 @@
             break;
         written += static_cast<std::size_t>(count);
     }
+    if (written == 0)
+        return;
+    pendingBytes_ = 0;
     buffer_.erase(0, written);
+    pendingBytes_ = buffer_.size();
 }
 
 } // namespace sapphirepass
--- a/src/loop/line_log.h
+++ b/src/loop/line_log.h
@@ -4,7 +4,9 @@
 #include "base/clock.h"
 #include "gateway/requests/decision_log.h"
 
+#include <atomic>
 #include <string>
+#include <string_view>
 
 namespace sapphirepass {
 
@@ -25,6 +27,9 @@
     auto write(EventId id, LogFields fields) -> void override;
     // Writes what the reader takes without waiting. Called now and then by the loop.
     auto flush() -> void;
+    // Whole lines that are not yet written, though the first may have lost its beginning. May be called by a signal handler
+    // at any time, as the bytes never move to other memory.
+    auto pending() const -> std::string_view { return { bytes_, pendingBytes_.load() }; }
     auto dropped() const -> std::uint64_t { return dropped_; }
 
 private:
@@ -35,6 +40,8 @@
     LineLogBounds bounds_;
     std::string instance_;
     std::string buffer_;
+    const char* bytes_;
+    std::atomic<std::size_t> pendingBytes_ { 0 };
     double allowance_;
     MonotonicTime filledAt_;
     std::uint64_t dropped_ = 0;
