Requests in flight get a final answer before the grace time ends

Callers saw: a request that was still awaited at an upstream or a peer when the process ended got no answer, only a closed connection.

Cause: 100 ms before the end, only requests that were not sent were refused; the rest ended with the process. Two steps of a fixed length followed each other, so that a grace time below 100 ms, or a loop that was late for the first one, would have put the end after it (read, not run).

With the route's timeout at the grace time the case passed by that timeout; the fixture now has a longer one. "a request of which a part has arrived at the end of the grace time is refused as not run" failed in both forms and "bytes that arrive after a refusal at the end of the grace time are not run" found no refusal.

Change: shutdownTimes sets three times from the signal and the grace time. 80 ms before the end, unsent requests are refused as before, and so are those that are still arriving, whose rest is discarded. 10 ms before the end, each request in flight is answered: 504, may have run, if it awaits an upstream or a peer; else 502 or 503 as it has or has not run. The reading of a request forgets that the one before was a HEAD: a refusal in the middle of reading would have had no body.

Why it works: upstreams and peers get no more time than until 20 ms before the end, so their last responses come first. An answer is in the kernel when it is written, and the end of the loop comes 10 ms later. Nothing is sent after an answer, so that "not run" is true.

--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -210,6 +210,15 @@
         finishShuttingDown();
 }
 
+auto RequestHandler::giveUp() -> void
+{
+    if (isDone_)
+        return;
+    if (attempts_.empty() && !delegateCall_)
+        return finishShuttingDown();
+    finishWithProblem(504, "shutting-down", Executed::Unknown);
+}
+
 auto RequestHandler::checkRate() -> void
 {
     if (workspace_ == nullptr)
--- a/src/gateway/requests/request_handler.h
+++ b/src/gateway/requests/request_handler.h
@@ -77,6 +77,8 @@
     auto cancel() -> void;
     // The process is about to end: refuses the request if no response is awaited for it.
     auto refuseUnsent() -> void;
+    // The process ends now: gives the request its final answer.
+    auto giveUp() -> void;
 
 private:
     enum class SecondAttemptState {
--- a/src/gateway/requests/shutdown_window.h
+++ b/src/gateway/requests/shutdown_window.h
@@ -7,6 +7,20 @@
 
 namespace sapphirepass {
 
+// When the steps of a shutdown are due.
+struct ShutdownTimes {
+    // Takes no further requests; refuses those that were not sent to an upstream.
+    MonotonicTime refuseUnsentAt_ {};
+    // Gives requests whose responses are still awaited their final answer.
+    MonotonicTime giveUpAt_ {};
+    MonotonicTime endsAt_ {};
+
+    auto operator<=>(const ShutdownTimes&) const = default;
+};
+
+// The process is killed once the grace time is over.
+auto shutdownTimes(MonotonicTime requestedAt, Duration grace) -> ShutdownTimes;
+
 class ShutdownWindow {
 public:
     explicit ShutdownWindow(const Clock& clock)
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -23,6 +23,8 @@
     constexpr Duration drainLimit = 2s;
     // Retry-After of refused bodies is one to two times this, about the time that requests in flight take.
     constexpr Duration bodyRetryAfter = 500ms;
+    // Another instance takes the request at once.
+    constexpr Duration shutdownRetryAfter = 150ms;
     // Only responses above this size may have to wait for their caller, as the kernel takes smaller ones at once.
     constexpr std::size_t largeResponse = 16 * 1024;
     // The smallest receive windows take these whole.
@@ -101,6 +103,7 @@
     parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
     parser_->body_limit(limits_.bodyBytes_);
     hasHeader_ = false;
+    isHead_ = false;
     mustContinue_ = false;
     waiting_.reset();
     unread_.reset();
@@ -213,10 +216,16 @@
 {
     constexpr std::uint64_t steps = 1'000;
     const auto spread = bodyRetryAfter * static_cast<std::int64_t>(randomNumber() % steps) / static_cast<std::int64_t>(steps);
+    refuseArriving(problemResponse(503, "memory", Executed::No, bodyRetryAfter + spread));
+}
+
+auto CallerChannel::refuseArriving(HttpResponse response) -> void
+{
+    waiting_.reset();
     isDiscarding_ = true;
     buffer_.clear();
     state_ = State::Answering;
-    answer(problemResponse(503, "memory", Executed::No, bodyRetryAfter + spread), false);
+    answer(std::move(response), false);
     readMore();
 }
 
@@ -312,10 +321,13 @@
         close();
 }
 
-auto CallerChannel::closeIfUnread() -> void
+auto CallerChannel::endReading() -> void
 {
-    if (state_ == State::Reading && !hasBytes_)
-        close();
+    if (state_ != State::Reading)
+        return;
+    if (!hasBytes_)
+        return close();
+    refuseArriving(problemResponse(503, "shutting-down", Executed::No, shutdownRetryAfter));
 }
 
 auto CallerChannel::checkTime() -> void
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -33,8 +33,8 @@
     auto start() -> void;
     // Closes at once if no request is being read or answered.
     auto closeIfIdle() -> void;
-    // Closes at once if nothing of a request has been read.
-    auto closeIfUnread() -> void;
+    // Reads no further request: closes if nothing of one has been read, and refuses one of which a part has arrived.
+    auto endReading() -> void;
     // Ends a connection that has been idle, or a request that has been arriving, for too long.
     auto checkTime() -> void;
     // Reads on if the connection waits for memory and there is room.
@@ -61,6 +61,8 @@
     auto takeBody() -> bool;
     auto sendContinue() -> void;
     auto refuseBody() -> void;
+    // Answers a request that is still arriving; the rest is discarded.
+    auto refuseArriving(HttpResponse response) -> void;
     auto onWholeRequest() -> void;
     auto refuse(NetError error) -> void;
     auto answer(HttpResponse response, bool mayKeep) -> void;
--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -97,11 +97,11 @@
     }
 }
 
-auto CallerListener::closeUnread() -> void
+auto CallerListener::endReading() -> void
 {
     for (const auto& entry : channels_) {
         if (const auto channel = entry.lock())
-            channel->closeIfUnread();
+            channel->endReading();
     }
 }
 
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -28,8 +28,8 @@
     auto closeAll() -> void;
     // Connections that have carried a request and carry none now.
     auto closeIdle() -> void;
-    // Those on which nothing of a request has been read, new ones too.
-    auto closeUnread() -> void;
+    // On all connections, new ones too.
+    auto endReading() -> void;
     // Lets connections read on that wait for memory.
     auto resumeWaiting() -> void;
     // Applies time limits and forgets closed connections. Called now and then.
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -28,10 +28,6 @@
     constexpr std::size_t maxNamedPeers = 64;
     // After a request to stop: new connections are taken until callers have looked up another instance.
     constexpr Duration acceptAfterStop = 1'500ms;
-    // Kept before the end of the grace time for the process to end by itself.
-    constexpr Duration graceMargin = 20ms;
-    // Before that, for the last responses to reach their callers.
-    constexpr Duration lastResponseTime = 80ms;
     constexpr const char* metricsPath = "/metrics";
     // Addresses in one answer of the directory.
     constexpr std::size_t mostAddresses = 64;
@@ -669,32 +665,45 @@
     stoppingAt_ = clock_.now();
     log_.write(EventId::GatewayStopping, { { "in_flight", runs_.size() }, { "connections", front_.openCount() } });
     sendHeartbeat(Reach::All);
-    const auto lifetime = std::max<Duration>(Duration::zero(), settings_.grace_ - graceMargin);
-    shutdown_.begin(stoppingAt_ + lifetime);
-    stopTimer_.expires_after(std::max<Duration>(Duration::zero(), lifetime - lastResponseTime));
-    stopTimer_.async_wait([this](NetError error) {
-        if (!error)
-            refuseUnsent();
+    stopTimes_ = shutdownTimes(stoppingAt_, settings_.grace_);
+    shutdown_.begin(stopTimes_.endsAt_);
+    continueStopAt(stopTimes_.refuseUnsentAt_, [this] { refuseUnsent(); });
+}
+
+auto Gateway::continueStopAt(MonotonicTime at, std::function<void()> step) -> void
+{
+    stopTimer_.expires_after(std::max<Duration>(Duration::zero(), at - clock_.now()));
+    stopTimer_.async_wait([this, step = std::move(step)](NetError error) {
+        if (!error && !isEnded_)
+            step();
     });
 }
 
-auto Gateway::refuseUnsent() -> void
+// Answering destroys a run.
+auto Gateway::runningHandlers() const -> std::vector<std::shared_ptr<RequestHandler>>
 {
-    // Answering destroys a run.
     std::vector<std::shared_ptr<RequestHandler>> handlers;
     for (const auto* run : runs_)
         handlers.push_back(run->handler());
-    for (const auto& handler : handlers)
+    return handlers;
+}
+
+auto Gateway::refuseUnsent() -> void
+{
+    for (const auto& handler : runningHandlers())
         handler->refuseUnsent();
     for (auto* listener : { &front_, &delegated_ }) {
         listener->stopAccepting();
-        listener->closeUnread();
+        listener->endReading();
     }
-    stopTimer_.expires_after(lastResponseTime);
-    stopTimer_.async_wait([this](NetError error) {
-        if (!error && !isEnded_)
-            end();
-    });
+    continueStopAt(stopTimes_.giveUpAt_, [this] { giveUp(); });
+}
+
+auto Gateway::giveUp() -> void
+{
+    for (const auto& handler : runningHandlers())
+        handler->giveUp();
+    continueStopAt(stopTimes_.endsAt_, [this] { end(); });
 }
 
 // The end of the grace time has a timer of its own.
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -163,6 +163,10 @@
     auto continueStop() -> void;
     // Shortly before the end of the grace time: takes no further requests and refuses those that were not sent.
     auto refuseUnsent() -> void;
+    // At the end of the grace time: gives requests in flight their final answer.
+    auto giveUp() -> void;
+    auto continueStopAt(MonotonicTime at, std::function<void()> step) -> void;
+    auto runningHandlers() const -> std::vector<std::shared_ptr<RequestHandler>>;
     auto end() -> void;
     auto listeners() -> std::array<CallerListener*, 5> { return { &front_, &directory_, &ready_, &control_, &delegated_ }; }
 
@@ -232,6 +236,7 @@
     bool isStopping_ = false;
     bool isEnded_ = false;
     MonotonicTime stoppingAt_ {};
+    ShutdownTimes stopTimes_;
     MonotonicTime startedAt_;
 };
 
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -1119,6 +1119,76 @@
     }
 }
 
+// Issue 50: what was awaited at the end of the grace time ended without an answer.
+TEST_CASE("a request that is given up at the end of a shutdown is answered, as not run only if it was not sent", "[request][delegation][shutdown]")
+{
+    SECTION("an attempt is in flight")
+    {
+        Fixture fixture;
+        const auto handler = fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+        REQUIRE(fixture.calls() == 1);
+        handler->refuseUnsent();
+        CHECK(fixture.answers_.empty());
+        handler->giveUp();
+        CHECK(fixture.status() == 504);
+        CHECK(fixture.answers_.back().body().find("\"executed\":\"unknown\"") != std::string::npos);
+        fixture.caller_.finish(fixture.success());
+        handler->giveUp();
+        CHECK(fixture.answers_.size() == 1);
+    }
+    SECTION("an attempt was lost and the next one waits for a token")
+    {
+        Fixture fixture(1);
+        for (int i = 0; i < 20; ++i)
+            fixture.retries_.countRequest("core");
+        const auto handler = fixture.start(fixture.request("/read/1"));
+        REQUIRE(fixture.calls() == 1);
+        fixture.upstreams_.put({ "u9", 1, "core", { "127.0.0.1", 9000 }, "north-a", 4, UpstreamState::Ready, 0s });
+        fixture.addCoordinator();
+        fixture.limit("u9", 3);
+        fixture.caller_.finish(fixture.failure(500));
+        REQUIRE(fixture.limitAsks_.asks_.size() == 1);
+        handler->giveUp();
+        CHECK(fixture.status() == 502);
+        CHECK(fixture.answers_.back().body().find("\"executed\":\"unknown\"") != std::string::npos);
+    }
+    SECTION("a peer handles it")
+    {
+        CutOffFixture fixture;
+        const auto handler = fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+        REQUIRE(fixture.delegates_.calls().size() == 1);
+        handler->giveUp();
+        CHECK(fixture.status() == 504);
+        CHECK(fixture.answers_.back().body().find("\"executed\":\"unknown\"") != std::string::npos);
+    }
+    SECTION("it is handled for a peer, which learns that it may have run")
+    {
+        Fixture fixture;
+        const Delegation delegation { "e9", "order", "core", "acme", {}, RepeatRule::Once, 2, 600ms, 250ms, std::nullopt };
+        auto handler = std::make_shared<RequestHandler>(
+            fixture.context_, fixture.request("/order/1", ""), [&fixture](UpstreamResponse response) { fixture.answers_.push_back(std::move(response)); }, delegation);
+        handler->start();
+        REQUIRE(fixture.calls() == 1);
+        handler->giveUp();
+        CHECK(fixture.status() == 504);
+        const auto text = fixture.answers_.back()["Sapphirepass-Delegation-Outcome"];
+        CHECK(valueOf(decodeDelegationOutcome({ text.data(), text.size() })).refusal_ == Executed::Unknown);
+    }
+    SECTION("it waits for a token")
+    {
+        Fixture fixture(1);
+        fixture.addCoordinator();
+        fixture.limit("u0", 3);
+        const auto handler = fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+        REQUIRE(fixture.limitAsks_.asks_.size() == 1);
+        handler->giveUp();
+        CHECK(fixture.status() == 503);
+        CHECK(fixture.answers_.back().body().find("\"executed\":\"no\"") != std::string::npos);
+        fixture.grantLastAsk(1);
+        CHECK(fixture.calls() == 0);
+    }
+}
+
 TEST_CASE("no attempt follows the first one if the process ends before its response", "[request][shutdown]")
 {
     Fixture fixture;
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -13,11 +13,14 @@
 constexpr std::chrono::milliseconds grace = 2s;
 
 struct ShutdownFixture : GatewayFixture {
-    explicit ShutdownFixture(std::chrono::milliseconds work)
-        : GatewayFixture([work](int, const std::string&) -> ScriptedBytes { return { orderAnswer, AfterBytes::Keep, work }; })
+    explicit ShutdownFixture(std::chrono::milliseconds work, const std::string& answer = orderAnswer)
+        : GatewayFixture([work, answer](int, const std::string&) -> ScriptedBytes { return { answer, AfterBytes::Keep, work }; })
     {
         settings_.grace_ = grace;
-        store_.put("config", "main", declared(1));
+        auto declaration = declared(1);
+        // Beyond the grace time, so that no request ends by its timeout.
+        declaration["routes"][0]["timeout_s"] = 60;
+        store_.put("config", "main", declaration);
         store_.put("servers", "i-0", listed(server_.address()));
         start();
         REQUIRE(runUntil(loop_, [this] { return gateway_->isReady(); }));
@@ -111,3 +114,79 @@
     const bool isServed = client.received().starts_with("HTTP/1.1 200 ") && client.count("done") == 1;
     CHECK((isServed || !isInTime));
 }
+
+// Issue 50: these connections were closed without an answer. Whether the request has run is not known.
+TEST_CASE("a request still awaited at the end of the grace time gets a final answer", "[shutdown][gateway]")
+{
+    const std::string answer = GENERATE(as<std::string>(), "", orderAnswer.substr(0, orderAnswer.size() - 1), "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ndo\r\n");
+    CAPTURE(answer);
+    ShutdownFixture fixture(0s, answer);
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&fixture] { return fixture.server_.requests().size() == 1; }));
+    fixture.gateway_->beginStop();
+    const auto stoppedAt = fixture.clock_.now();
+    CHECK(runUntil(fixture.loop_, [&client] { return client.isEnded(); }));
+    CHECK(fixture.clock_.now() - stoppedAt > grace - 200ms);
+    CHECK(client.received().starts_with("HTTP/1.1 504 "));
+    CHECK(client.count("\"executed\":\"unknown\"") == 1);
+    CHECK(fixture.server_.requests().size() == 1);
+}
+
+TEST_CASE("a request of which a part has arrived at the end of the grace time is refused as not run", "[shutdown][gateway]")
+{
+    const auto arrived = GENERATE(as<std::size_t>(), 10, order.size() - 1);
+    CAPTURE(arrived);
+    ShutdownFixture fixture(0s);
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order.substr(0, arrived));
+    fixture.wait(50ms);
+    fixture.gateway_->beginStop();
+    CHECK(runUntil(fixture.loop_, [&client] { return client.isEnded(); }));
+    CHECK(client.received().starts_with("HTTP/1.1 503 "));
+    CHECK(client.count("\"executed\":\"no\"") == 1);
+    CHECK(fixture.server_.requests().empty());
+}
+
+// The refusal says that the request will not run.
+TEST_CASE("bytes that arrive after a refusal at the end of the grace time are not run", "[shutdown][gateway]")
+{
+    ShutdownFixture fixture(0s);
+    fixture.learn();
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order.substr(0, order.size() - 1));
+    fixture.wait(50ms);
+    fixture.gateway_->beginStop();
+    REQUIRE(runUntil(fixture.loop_, [&client] { return client.count("HTTP/1.1 503 ") == 1; }));
+    client.send(order.substr(order.size() - 1) + order);
+    fixture.wait(50ms);
+    CHECK(client.count("HTTP/1.1 ") == 1);
+    CHECK(fixture.server_.requests().size() == 1);
+}
+
+TEST_CASE("a second signal does not take the final answer away", "[shutdown][gateway]")
+{
+    ShutdownFixture fixture(0s, "");
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    REQUIRE(runUntil(fixture.loop_, [&fixture] { return fixture.server_.requests().size() == 1; }));
+    fixture.gateway_->beginStop();
+    fixture.wait(1s);
+    fixture.gateway_->beginStop();
+    CHECK(runUntil(fixture.loop_, [&client] { return client.isEnded(); }));
+    CHECK(client.count("HTTP/1.1 504 ") == 1);
+}
+
+TEST_CASE("a request to an instance that is stopped right after its start is refused as not run", "[shutdown][gateway]")
+{
+    GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer, AfterBytes::Keep, 0ms }; });
+    fixture.settings_.grace_ = grace;
+    fixture.start();
+    fixture.gateway_->beginStop();
+    LoopClient client(fixture.loop_, fixture.settings_.front_);
+    client.send(order);
+    CHECK(runUntil(fixture.loop_, [&client] { return client.isEnded(); }));
+    CHECK(client.received().starts_with("HTTP/1.1 503 "));
+    CHECK(client.count("\"executed\":\"no\"") == 1);
+    CHECK(fixture.server_.requests().empty());
+}
