Soak: ends of processes judged, unusual callers, long work at stops, limits while links are cut

Missed: an end by a signal at a planned stop was taken for the stop asked for; no caller sent requests ahead, in parts, in chunks, with Expect, half-closed, or late; no work was longer than the grace time; no upstream named a limit while the links to all were cut.

Change: the end after SIGTERM must be status 0 within the grace time, and signal 9 only where the soak sent it; anything else names the signal and the log. UnusualCaller plays the forms above. A request that ran and got no answer is a violation unless its gateway was harmed or its caller left. All gateways are stopped at the end under load. One fault in eight cuts all links while all upstreams name a limit.

--- a/soak/gateway_process.cpp
+++ b/soak/gateway_process.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstring>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
@@ -13,6 +14,20 @@
 
 namespace sapphirepass::soak {
 
+auto faultOfEnd(int waitStatus, const AskedEnd& asked) -> std::string
+{
+    const auto when = asked.isStop_ ? "at a planned stop" : "by itself";
+    if (WIFSIGNALED(waitStatus)) {
+        const auto number = WTERMSIG(waitStatus);
+        if (asked.isKill_ && number == SIGKILL)
+            return {};
+        return fmt::format("ended {} by signal {} ({})", when, number, ::strsignal(number));
+    }
+    if (asked.isStop_ && WEXITSTATUS(waitStatus) == 0)
+        return {};
+    return fmt::format("ended {} with status {}", when, WEXITSTATUS(waitStatus));
+}
+
 GatewayProcess::GatewayProcess(GatewayPlan plan)
     : plan_(std::move(plan))
 {
@@ -31,7 +46,7 @@
 auto GatewayProcess::start() -> void
 {
     const auto settings = fmt::format("{}/{}.ini", plan_.folder_, plan_.settings_.name_);
-    const auto log = fmt::format("{}/{}.log", plan_.folder_, plan_.settings_.name_);
+    const auto log = logPath();
     std::string config = "--config=" + settings;
     std::string subcommand = "gateway";
     const bool isFirst = !std::exchange(wasStarted_, true);
@@ -47,6 +62,11 @@
         throw std::runtime_error(fmt::format("cannot start {}", binary));
 }
 
+auto GatewayProcess::logPath() const -> std::string
+{
+    return fmt::format("{}/{}.log", plan_.folder_, plan_.settings_.name_);
+}
+
 auto GatewayProcess::signal(int number) -> void
 {
     if (pid_ > 0)
--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -21,6 +21,15 @@
     GatewaySettings settings_;
 };
 
+// What a process was asked for from outside.
+struct AskedEnd {
+    bool isStop_ = false;
+    bool isKill_ = false;
+};
+
+// What is wrong with the end of a process; empty if it is the one asked for.
+auto faultOfEnd(int waitStatus, const AskedEnd& asked) -> std::string;
+
 class GatewayProcess {
 public:
     explicit GatewayProcess(GatewayPlan plan);
@@ -33,6 +42,7 @@
     // The exit status once the process has ended, told once.
     auto ended() -> std::optional<int>;
     auto isRunning() const -> bool { return pid_ > 0; }
+    auto logPath() const -> std::string;
     auto settings() const -> const GatewaySettings& { return plan_.settings_; }
 
 private:
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,5 +1,5 @@
 // A randomized soak: real gateways as processes, harmed from outside, judged by what callers and upstreams see.
-#include "soak/world.h"
+#include "soak/unusual_caller.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -14,6 +14,7 @@
 ABSL_FLAG(std::size_t, gateways, 4, "gateway processes");
 ABSL_FLAG(std::size_t, servers, 6, "upstreams");
 ABSL_FLAG(std::size_t, callers, 24, "callers, each with one request at a time");
+ABSL_FLAG(std::size_t, unusual_callers, 12, "callers that use rare forms of requests");
 ABSL_FLAG(std::string, binary, "build/sapphirepass", "the program");
 ABSL_FLAG(std::string, before, "", "the program of an earlier build: gateways start with it and are replaced by the other at each restart");
 ABSL_FLAG(std::string, folder, "", "where settings and logs go; the default is a new folder that is removed");
@@ -31,6 +32,11 @@
     constexpr auto noticeTime = 1500ms;
     constexpr auto limitTime = 4s;
     constexpr int limitPerSecond = 4;
+    constexpr int cutLimitPerSecond = 20;
+    // For limits to be noticed before the links are cut.
+    constexpr auto linkCutTime = 300ms;
+    // For the end of a process to be noticed.
+    constexpr auto endSlack = 500ms;
 
     auto now() -> Time { return std::chrono::steady_clock::now(); }
 
@@ -46,6 +52,8 @@
                 world_.addGateway(i);
             for (std::size_t i = 0; i < absl::GetFlag(FLAGS_callers); ++i)
                 callers_.push_back(std::make_unique<Caller>(loop_, world_, i));
+            for (std::size_t i = 0; i < absl::GetFlag(FLAGS_unusual_callers); ++i)
+                unusualCallers_.push_back(std::make_unique<UnusualCaller>(loop_, world_, i, absl::GetFlag(FLAGS_seed)));
         }
 
         auto run() -> void
@@ -59,6 +67,7 @@
             checkCalm();
             checkLimit();
             checkNotices();
+            stopAll();
             finishCallers();
             world_.checkAll();
         }
@@ -90,6 +99,8 @@
             loop_.run_for(2ms);
             for (auto& caller : callers_)
                 caller->step();
+            for (auto& caller : unusualCallers_)
+                caller->step();
             for (std::size_t i = 0; i < undos_.size(); ++i) {
                 if (now() < undos_[i].at_)
                     continue;
@@ -101,25 +112,36 @@
                 watch(*slot);
         }
 
-        // Starts ended gateways again; one that ended by itself is a violation.
+        // Starts ended gateways again, unless all are to end; any other end than the one asked for is a violation.
         auto watch(GatewaySlot& slot) -> void
         {
             if (const auto status = slot.process_->ended()) {
-                if (!slot.isExpectedToEnd_)
-                    world_.violations_.add(fmt::format("{} ended by itself with status {}", slot.process_->settings().name_, *status));
-                slot.isExpectedToEnd_ = false;
+                if (const auto fault = faultOfEnd(*status, slot.asked_); !fault.empty())
+                    world_.violations_.add(fmt::format("{} {}; log: {}", slot.process_->settings().name_, fault, slot.process_->logPath()));
+                slot.asked_ = {};
                 slot.restartAt_ = now() + std::chrono::milliseconds(world_.random(500));
             }
-            if (!slot.process_->isRunning() && now() >= slot.restartAt_)
+            if (!slot.process_->isRunning() && now() >= slot.restartAt_ && !isEnding_)
                 slot.process_->start();
+            checkGrace(slot);
+        }
+
+        // A process that was suspended meanwhile may take longer.
+        auto checkGrace(const GatewaySlot& slot) -> void
+        {
+            const bool isOver = slot.asked_.isStop_ && now() - slot.stoppingAt_ > graceTime + endSlack;
+            if (isOver && slot.process_->isRunning() && now() - slot.harmedAt_ > graceTime)
+                world_.violations_.add(fmt::format("{} still runs after its grace time; log: {}", slot.process_->settings().name_, slot.process_->logPath()));
         }
 
         auto undoLater(std::function<void()> action) -> void
         {
             const auto length = std::chrono::milliseconds(200 + world_.random(static_cast<std::size_t>(longestFault.count()) - 200));
-            undos_.push_back({ now() + length, std::move(action) });
+            undoAfter(length, std::move(action));
         }
 
+        auto undoAfter(std::chrono::milliseconds length, std::function<void()> action) -> void { undos_.push_back({ now() + length, std::move(action) }); }
+
         auto anyGateway() -> GatewaySlot& { return *world_.gateways_[world_.random(world_.gateways_.size())]; }
 
         auto injectFault() -> void
@@ -127,6 +149,8 @@
             ++faults_;
             if (world_.randomOfLater(4) == 0)
                 world_.putOddEntry();
+            if (world_.randomOfUnusual(8) == 0)
+                cutLimited();
             switch (world_.random(11)) {
             case 0:
                 return harmGateway(SIGKILL);
@@ -158,7 +182,7 @@
             slot.harmedAt_ = now();
             slot.process_->signal(number);
             if (number == SIGKILL) {
-                slot.isExpectedToEnd_ = true;
+                slot.asked_.isKill_ = slot.process_->isRunning();
                 return;
             }
             undoLater([&slot] {
@@ -169,12 +193,28 @@
 
         auto stopGateway() -> void
         {
-            auto& slot = anyGateway();
+            stop(anyGateway());
+        }
+
+        // A second request to stop changes nothing.
+        auto stop(GatewaySlot& slot) -> void
+        {
+            if (!slot.process_->isRunning() || slot.asked_.isStop_)
+                return;
             slot.stoppingAt_ = now();
-            slot.isExpectedToEnd_ = true;
+            slot.asked_.isStop_ = true;
             slot.process_->signal(SIGTERM);
         }
 
+        // All gateways are stopped as planned, under load.
+        auto stopAll() -> void
+        {
+            isEnding_ = true;
+            for (auto& slot : world_.gateways_)
+                stop(*slot);
+            play(std::chrono::duration_cast<std::chrono::milliseconds>(graceTime + endSlack), false);
+        }
+
         auto harmServer() -> void
         {
             const auto server = world_.servers_[world_.random(world_.servers_.size())];
@@ -185,6 +225,17 @@
             undoLater([server] { server->proxy_->setFault(LinkFault::None); });
         }
 
+        // All links to upstreams that have named a limit end at once, and recover.
+        auto cutLimited() -> void
+        {
+            for (const auto& server : world_.servers_) {
+                server->limitPerSecond_ = cutLimitPerSecond;
+                undoAfter(linkCutTime, [server] { server->proxy_->setCut(true); });
+                undoAfter(linkCutTime + std::chrono::milliseconds(100 + world_.randomOfUnusual(1'000)), [server] { server->proxy_->setCut(false); });
+                undoAfter(longestFault, [server] { server->limitPerSecond_ = server->usualLimitPerSecond_; });
+            }
+        }
+
         auto replaceServer() -> void
         {
             world_.addServer();
@@ -242,6 +293,8 @@
                 undos_.pop_back();
                 action();
             }
+            for (const auto& server : world_.servers_)
+                server->proxy_->setCut(false);
         }
 
         // In calm all gateways are ready and serve; a key that was taken away works nowhere.
@@ -324,16 +377,20 @@
         {
             for (auto& caller : callers_)
                 caller->finishOnly();
-            const auto idle = [this] { return std::all_of(callers_.begin(), callers_.end(), [](const auto& caller) { return caller->isIdle(); }); };
-            while (!idle())
+            for (auto& caller : unusualCallers_)
+                caller->finishOnly();
+            const auto areIdle = [](const auto& callers) { return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->isIdle(); }); };
+            while (!areIdle(callers_) || !areIdle(unusualCallers_))
                 stepAll();
         }
 
         asio::io_context& loop_;
         World& world_;
         std::vector<std::unique_ptr<Caller>> callers_;
+        std::vector<std::unique_ptr<UnusualCaller>> unusualCallers_;
         std::vector<Undo> undos_;
         int faults_ = 0;
+        bool isEnding_ = false;
     };
 
     auto soak() -> int
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -11,24 +11,11 @@
 using nlohmann::json;
 
 namespace {
-    // A planned stop ends within the grace time.
-    constexpr auto graceTime = 6s;
     // Callers give up after the routes' time and a while.
     constexpr auto callerTime = 4s;
 
     auto now() -> std::chrono::steady_clock::time_point { return std::chrono::steady_clock::now(); }
 
-    auto headerOf(const std::string& message, const std::string& name) -> std::string
-    {
-        const auto at = message.find("\r\n" + name + ": ");
-        if (at == std::string::npos || at > message.find("\r\n\r\n"))
-            return {};
-        const auto from = at + name.size() + 4;
-        return message.substr(from, message.find("\r\n", from) - from);
-    }
-
-    auto bodyOf(const std::string& attempt) -> std::string { return fmt::format("made for {} {}", attempt, std::string(200, 'x')); }
-
     auto routeOf(const std::string& prefix, const std::string& kind) -> json
     {
         return { { "name", prefix }, { "host", "a.example" }, { "path_prefix", fmt::format("/{}/", prefix) }, { "kind", kind }, { "timeout_s", 1.5 }, { "target_latency_s", 0.3 }, { "service", "s" }, { "max_attempts", 2 }, { "session_affinity", true } };
@@ -41,12 +28,35 @@
         return fmt::format("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, 1 + gateway);
     }
 
+    // Runs may be longer than the grace time.
+    auto longRoute() -> json
+    {
+        auto route = routeOf("long", "non_idempotent");
+        route["timeout_s"] = 10;
+        route["target_latency_s"] = 10;
+        return route;
+    }
+
     auto tenant(const std::string& name, const std::vector<std::string>& keys) -> json
     {
         return { { "name", name }, { "api_keys", keys } };
     }
 }
 
+auto headerOf(const std::string& message, const std::string& name) -> std::string
+{
+    const auto at = message.find("\r\n" + name + ": ");
+    if (at == std::string::npos || at > message.find("\r\n\r\n"))
+        return {};
+    const auto from = at + name.size() + 4;
+    return message.substr(from, message.find("\r\n", from) - from);
+}
+
+auto bodyOf(const std::string& attempt) -> std::string
+{
+    return fmt::format("made for {} {}", attempt, std::string(200, 'x'));
+}
+
 World::World(asio::io_context& loop, Programs programs, std::string folder, std::uint64_t seed)
     : loop_(loop)
     , store_(loop)
@@ -54,6 +64,7 @@
     , folder_(std::move(folder))
     , random_(seed)
     , laterRandom_(~seed)
+    , unusualRandom_(~seed >> 1U)
 {
     declare();
 }
@@ -61,7 +72,7 @@
 auto World::declare() -> void
 {
     const auto beta = isRevoked_ ? std::vector<std::string>() : std::vector<std::string> { "key-beta" };
-    store_.put("config", "main", { { "version", fmt::format("{:08x}", ++version_) }, { "routes", { routeOf("order", "non_idempotent"), routeOf("read", "idempotent") } }, { "services", { { { "name", "s" }, { "max_conns", 100 }, { "cold_start_s", 1 }, { "cold_per_s", 50 } } } }, { "tenants", { tenant("acme", { "key-acme" }), tenant("beta", beta) } } });
+    store_.put("config", "main", { { "version", fmt::format("{:08x}", ++version_) }, { "routes", { routeOf("order", "non_idempotent"), routeOf("read", "idempotent"), longRoute() } }, { "services", { { { "name", "s" }, { "max_conns", 100 }, { "cold_start_s", 1 }, { "cold_per_s", 50 } } } }, { "tenants", { tenant("acme", { "key-acme" }), tenant("beta", beta) } } });
 }
 
 auto World::addGateway(std::size_t number) -> void
@@ -83,7 +94,8 @@
     auto server = std::make_shared<Server>();
     server->id_ = fmt::format("u{}", ++lastServer_);
     // Every fourth one is in need.
-    server->limitPerSecond_ = lastServer_ % 4 == 0 ? 20 : 0;
+    server->usualLimitPerSecond_ = lastServer_ % 4 == 0 ? 20 : 0;
+    server->limitPerSecond_ = server->usualLimitPerSecond_;
     auto* raw = server.get();
     server->upstream_ = std::make_unique<standin::LoopServer>(loop_, [this, raw](int, const std::string& request) { return runOne(*raw, request); });
     server->proxy_ = std::make_unique<FaultProxy>(loop_, server->upstream_->address());
@@ -139,6 +151,18 @@
         return { "HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n" };
     }
     auto& record = found->second;
+    judgeRun(server, request, record);
+    ++record.runs_;
+    const auto body = bodyOf(attempt);
+    const auto response = fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: made\r\n{}Keep-Alive: timeout=4\r\nContent-Length: {}\r\n\r\n{}", attempt, notices, body.size(), body);
+    // Drawn only for attempts of usual callers, as ever.
+    const auto work = record.work_ ? *record.work_ : std::chrono::milliseconds(10 + random(40));
+    return { areUpstreamsFaulty_ ? damaged(response, record.work_ ? unusualRandom_ : laterRandom_) : response, standin::AfterBytes::Keep, work };
+}
+
+auto World::judgeRun(const Server& server, const std::string& request, const AttemptRecord& record) -> void
+{
+    const auto attempt = headerOf(request, "Attempt-Id");
     if (!record.mayRepeat_ && record.runs_ > 0)
         violations_.add(fmt::format("attempt {} ran twice", attempt));
     if (record.status_ == 503 || record.status_ == 429)
@@ -147,23 +171,21 @@
         violations_.add(fmt::format("attempt {} ran for another workspace", attempt));
     if (request.find("key-") != std::string::npos)
         violations_.add("an upstream was shown a key");
-    ++record.runs_;
-    const auto body = bodyOf(attempt);
-    const auto response = fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Signature: made\r\n{}Keep-Alive: timeout=4\r\nContent-Length: {}\r\n\r\n{}", attempt, notices, body.size(), body);
-    return { areUpstreamsFaulty_ ? damaged(response) : response, standin::AfterBytes::Keep, std::chrono::milliseconds(10 + random(40)) };
+    if (!record.body_.empty() && request.substr(request.find("\r\n\r\n") + 4) != record.body_)
+        violations_.add(fmt::format("{} was sent another body of attempt {}", server.id_, attempt));
 }
 
 // One response in fifty: another status, or a part of an earlier refusal before it.
-auto World::damaged(std::string response) -> std::string
+auto World::damaged(std::string response, std::mt19937_64& draws) -> std::string
 {
     constexpr std::size_t damagedOneIn = 50;
     static const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nServer-Load: 8,8,8\r\nAttempt-Id: t0-0\r\nContent-Length: 0\r\n\r\n";
-    if (randomOfLater(damagedOneIn) != 0)
+    if (draws() % damagedOneIn != 0)
         return response;
     constexpr std::size_t statusAt = 9;
-    if (randomOfLater(2) == 0)
-        return response.replace(statusAt, 1, randomOfLater(2) == 0 ? "0" : "6");
-    return refusal.substr(0, 1 + randomOfLater(refusal.size())) + response;
+    if (draws() % 2 == 0)
+        return response.replace(statusAt, 1, draws() % 2 == 0 ? "0" : "6");
+    return refusal.substr(0, 1 + draws() % refusal.size()) + response;
 }
 
 auto World::checkAll() -> void
@@ -174,6 +196,8 @@
             violations_.add(fmt::format("attempt {} ran and was answered {}", attempt, record.status_));
         if (record.status_ == 200 && record.runs_ == 0)
             violations_.add(fmt::format("attempt {} was answered without a run", attempt));
+        if (!record.cut_.empty() && record.runs_ > 0 && record.status_ == 0)
+            violations_.add(fmt::format("attempt {} ran and got no answer: {}", attempt, record.cut_));
     }
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -21,6 +21,11 @@
     int runs_ = 0;
     // 0 while there is no answer.
     int status_ = 0;
+    // Set for attempts of unusual callers, which draw from numbers of their own.
+    std::optional<std::chrono::milliseconds> work_ {};
+    std::string body_ {};
+    // How its connection was ended from the other side without an answer, where nothing but the gateway can be the cause.
+    std::string cut_ {};
 };
 
 class Violations {
@@ -42,6 +47,7 @@
     bool isPausing_ = false;
     // Requests a second that it takes from all gateways, as it says in its responses; 0 for no limit.
     int limitPerSecond_ = 0;
+    int usualLimitPerSecond_ = 0;
     int arrivals_ = 0;
     std::unique_ptr<standin::LoopServer> upstream_;
     std::unique_ptr<FaultProxy> proxy_;
@@ -53,9 +59,16 @@
     std::chrono::steady_clock::time_point stoppingAt_ {};
     std::chrono::steady_clock::time_point harmedAt_ {};
     std::chrono::steady_clock::time_point restartAt_ {};
-    bool isExpectedToEnd_ = false;
+    AskedEnd asked_;
 };
 
+// A planned stop ends within the grace time.
+inline constexpr std::chrono::seconds graceTime { 6 };
+
+auto headerOf(const std::string& message, const std::string& name) -> std::string;
+// What an upstream answers to an attempt.
+auto bodyOf(const std::string& attempt) -> std::string;
+
 // Sends one request after the other on a kept connection, to another gateway once it ends.
 class Caller {
 public:
@@ -99,10 +112,12 @@
     auto random(std::size_t below) -> std::size_t { return random_() % below; }
     // Draws for what was added after the seeds in seeds.txt: what these draw stays as it was.
     auto randomOfLater(std::size_t below) -> std::size_t { return laterRandom_() % below; }
+    auto randomOfUnusual(std::size_t below) -> std::size_t { return unusualRandom_() % below; }
     // Another writer puts an entry there that names nothing to use.
     auto putOddEntry() -> void;
     auto runOne(Server& server, const std::string& request) -> standin::ScriptedBytes;
-    auto damaged(std::string response) -> std::string;
+    auto judgeRun(const Server& server, const std::string& request, const AttemptRecord& record) -> void;
+    auto damaged(std::string response, std::mt19937_64& draws) -> std::string;
     auto checkAll() -> void;
 
     asio::io_context& loop_;
@@ -111,6 +126,8 @@
     std::string folder_;
     std::mt19937_64 random_;
     std::mt19937_64 laterRandom_;
+    // Draws for unusual callers and what was added with them.
+    std::mt19937_64 unusualRandom_;
     std::map<std::string, AttemptRecord> attempts_;
     Violations violations_;
     std::vector<std::unique_ptr<GatewaySlot>> gateways_;
--- a/standin/fault_proxy.cpp
+++ b/standin/fault_proxy.cpp
@@ -87,6 +87,13 @@
     }
 }
 
+auto FaultProxy::setCut(bool isCut) -> void
+{
+    isCut_ = isCut;
+    if (isCut_)
+        resetAll();
+}
+
 auto FaultProxy::acceptNext() -> void
 {
     acceptor_.async_accept([this](NetError error, Tcp::socket socket) {
@@ -97,6 +104,9 @@
         pair->far_.connect({ asio::ip::make_address_v4(server_.host_), server_.port_ }, failure);
         if (failure) {
             pair->close();
+        } else if (isCut_) {
+            pairs_.push_back(pair);
+            resetAll();
         } else {
             pairs_.push_back(pair);
             pump(pair, true);
--- a/standin/fault_proxy.h
+++ b/standin/fault_proxy.h
@@ -37,6 +37,8 @@
     auto setFault(LinkFault fault) -> void;
     auto setConnects(Connects connects) -> void;
     auto resetAll() -> void;
+    // Resets all connections, and new ones as soon as they are accepted; the port stays taken.
+    auto setCut(bool isCut) -> void;
     auto stop() -> void;
 
 private:
@@ -53,6 +55,7 @@
     SocketAddress server_;
     SocketAddress address_;
     LinkFault fault_ = LinkFault::None;
+    bool isCut_ = false;
     std::vector<std::weak_ptr<Pair>> pairs_;
     // Connections of its own that fill the queue of the listener while others are not answered.
     std::vector<Tcp::socket> fillers_;
--- a/standin/loop_peer.cpp
+++ b/standin/loop_peer.cpp
@@ -145,6 +145,12 @@
     asio::write(state_->socket_, asio::buffer(bytes), ignored);
 }
 
+auto LoopClient::endSending() -> void
+{
+    NetError ignored;
+    state_->socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
 auto LoopClient::read(const std::shared_ptr<State>& state) -> void
 {
     state->socket_.async_read_some(asio::buffer(state->buffer_), [state](NetError error, std::size_t count) {
--- a/standin/loop_peer.h
+++ b/standin/loop_peer.h
@@ -68,6 +68,8 @@
 
     auto send(const std::string& bytes) -> void;
     auto close() -> void { closeQuietly(state_->socket_); }
+    // Sends nothing more, and still reads.
+    auto endSending() -> void;
     auto received() const -> const std::string& { return state_->received_; }
     // The server has ended the connection.
     auto isEnded() const -> bool { return state_->isEnded_; }
