An alarm that is ended does not act any more

Cause: cancelling a timer does not stop its handler once the loop has queued it, and sockets are served before timers in a turn. Callers could see a timeout, or a refusal within their rate. Change: an alarm knows that it has ended, and its handler asks. Measured: the new test passes; two alarms of one turn, the first of which ends the second.

--- a/src/loop/loop_alarm.cpp
+++ b/src/loop/loop_alarm.cpp
@@ -6,24 +6,39 @@
     class LoopAlarm final : public PendingTimer {
     public:
         LoopAlarm(asio::io_context& loop, Duration wait)
-            : timer_(std::make_shared<asio::steady_timer>(loop, wait))
+            : state_(std::make_shared<State>(loop, wait))
         {
         }
-        ~LoopAlarm() override { timer_->cancel(); }
+        ~LoopAlarm() override
+        {
+            state_->isCancelled_ = true;
+            state_->timer_.cancel();
+        }
         LoopAlarm(const LoopAlarm&) = delete;
         auto operator=(const LoopAlarm&) -> LoopAlarm& = delete;
 
-        // The action may end this alarm; the timer lives until the handler has returned.
+        // The action may end this alarm; the state lives until the handler has returned. Cancelling the timer does not stop a
+        // handler that the loop has already queued.
         auto arm(std::function<void()> action) -> void
         {
-            timer_->async_wait([timer = timer_, action = std::move(action)](NetError error) {
-                if (!error)
+            state_->timer_.async_wait([state = state_, action = std::move(action)](NetError error) {
+                if (!error && !state->isCancelled_)
                     action();
             });
         }
 
     private:
-        std::shared_ptr<asio::steady_timer> timer_;
+        struct State {
+            State(asio::io_context& loop, Duration wait)
+                : timer_(loop, wait)
+            {
+            }
+
+            asio::steady_timer timer_;
+            bool isCancelled_ = false;
+        };
+
+        std::shared_ptr<State> state_;
     };
 }
 
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -2,6 +2,7 @@
 #include "loop/call_channel.h"
 #include "loop/caller_listener.h"
 #include "loop/line_log.h"
+#include "loop/loop_alarm.h"
 #include "loop/upstream_pool.h"
 #include "standin/loop_peer.h"
 
@@ -11,6 +12,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace sapphirepass;
@@ -244,6 +246,25 @@
     CHECK(server.received().size() < 200);
 }
 
+TEST_CASE("an alarm that ends in the turn of the loop in which it is due does not act", "[alarm]")
+{
+    asio::io_context loop;
+    LoopAlarmClock alarms(loop);
+    int acted = 0;
+    std::unique_ptr<PendingTimer> first;
+    std::unique_ptr<PendingTimer> second;
+    const auto act = [&] {
+        ++acted;
+        first.reset();
+        second.reset();
+    };
+    first = alarms.after(1ms, act);
+    second = alarms.after(1ms, act);
+    std::this_thread::sleep_for(5ms);
+    loop.run();
+    CHECK(acted == 1);
+}
+
 // The pages let a sound answer be followed by bytes that belong to nothing. A length that was damaged to be shorter looks the
 // same, and nothing tells the two apart, so the answer counts as its own length says.
 TEST_CASE("bytes behind a response are dropped, whatever they are, and its length decides what it is", "[pool]")
