An address that is none, named by a peer, ends no process

Found while looking for ways in which a process ends by itself: heartbeats are checked for the address of their sender, but not for those of the peers that they name and of the sender's pages. One that is no IPv4 address threw on the event loop, and the process ended by SIGABRT. No such heartbeat is known to have been seen. Measured: the new tests pass.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -56,7 +56,15 @@
 {
     closeQuietly(socket_);
     buffer_.clear();
-    const Tcp::endpoint endpoint { asio::ip::make_address_v4(server_.host_), server_.port_ };
+    NetError invalid;
+    const Tcp::endpoint endpoint { asio::ip::make_address_v4(server_.host_, invalid), server_.port_ };
+    if (invalid) {
+        asio::post(socket_.get_executor(), [self = shared_from_this(), number = number_] {
+            if (number == self->number_)
+                self->fail("the server's address is none");
+        });
+        return;
+    }
     socket_.async_connect(endpoint, [self = shared_from_this(), number = number_](NetError error) {
         if (number != self->number_ || !self->done_)
             return;
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -1,6 +1,7 @@
 // The gateway's connections on loopback: what servers and callers may do to them.
 #include "loop/call_channel.h"
 #include "loop/caller_listener.h"
+#include "loop/datagram_socket.h"
 #include "loop/line_log.h"
 #include "loop/loop_alarm.h"
 #include "loop/upstream_pool.h"
@@ -246,6 +247,28 @@
     CHECK(server.received().size() < 200);
 }
 
+TEST_CASE("a call to a server whose address is none fails", "[pool]")
+{
+    asio::io_context loop;
+    const auto channel = std::make_shared<CallChannel>(loop, SocketAddress { "", 80 });
+    std::optional<CallResult> result;
+    channel->call(HttpRequest { http::verb::get, "/", 11 }, 2s, [&result](CallResult told) { result = std::move(told); });
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    CHECK(std::get<CallError>(*result).kind_ == CallErrorKind::NotSent);
+}
+
+TEST_CASE("a datagram to an address that is none does not keep others from theirs", "[datagram]")
+{
+    asio::io_context loop;
+    const auto address = freeAddress();
+    std::string received;
+    DatagramSocket socket(loop, [&received](std::string_view bytes, const SocketAddress&) { received = bytes; });
+    REQUIRE(socket.open(address).empty());
+    socket.send("hello", { { "", 1 }, { "nowhere", 1 }, address });
+    CHECK(runUntil(loop, [&received] { return received == "hello"; }));
+    socket.close();
+}
+
 TEST_CASE("an alarm that ends in the turn of the loop in which it is due does not act", "[alarm]")
 {
     asio::io_context loop;
