A Retry-After of a peer that is no number is passed over

"nan" passed both bounds, and its conversion to a duration is undefined. Callers could be told any wait. Change: the check says what is in range. Measured: the new test passes.

--- a/src/gateway/requests/request_handler.cpp
+++ b/src/gateway/requests/request_handler.cpp
@@ -56,7 +56,8 @@
         const auto text = response[http::field::retry_after];
         double seconds = 0;
         const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-        if (error != std::errc() || seconds < 0 || seconds > maxRetryAfterSeconds)
+        const bool isInRange = seconds >= 0 && seconds <= maxRetryAfterSeconds;
+        if (error != std::errc() || !isInRange)
             return std::nullopt;
         return fromSeconds(seconds);
     }
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -972,6 +972,19 @@
     CHECK(fixture.calls() == 0);
 }
 
+TEST_CASE("a peer's Retry-After that is no number is passed over", "[request][delegation]")
+{
+    CutOffFixture fixture;
+    fixture.start(fixture.request("/order/1", "secret", http::verb::post));
+    auto refusal = fixture.refusal();
+    refusal.set(http::field::retry_after, "nan");
+    fixture.delegates_.finish(refusal);
+    CHECK(fixture.status() == 503);
+    const auto wait = std::stod(std::string(fixture.answers_.back()[http::field::retry_after]));
+    CHECK(wait > 0);
+    CHECK(wait < 1);
+}
+
 TEST_CASE("a cut-off instance without a peer that reaches upstreams refuses at once", "[request][delegation]")
 {
     CutOffFixture fixture;
