Requests that end with the process leave their log lines

Lines of requests that a gateway cuts off as it is destroyed were written to a log that nobody flushed. Found by the review. Change: the destructor flushes once all connections have ended. No test: what is left then is only what the final answers have not covered.

--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -213,6 +213,7 @@
 {
     for (auto* listener : listeners())
         listener->closeAll();
+    log_.flush();
     adapter_.source_->stop();
     coldProber_.stop();
     linkProber_.stop();
