--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -106,19 +106,19 @@
     isHead_ = false;
     mustContinue_ = false;
     waiting_.reset();
-    unread_.reset();
+    selfWhilePaused_.reset();
     hasBytes_ = buffer_.size() > 0;
     since_ = clock_.now();
     state_ = State::Reading;
 }
 
-// Waits without a part of the buffer: requests that were sent ahead are parsed from it while the wait goes on.
+// No asynchronous read refers to the buffer: pipelined requests are parsed from it while the wait goes on.
 auto CallerChannel::readMore() -> void
 {
     if (isWaitingForBytes_ || state_ == State::Closed)
         return;
     if (state_ != State::Reading && buffer_.size() >= mostAhead) {
-        unread_ = shared_from_this();
+        selfWhilePaused_ = shared_from_this();
         return;
     }
     isWaitingForBytes_ = true;
@@ -385,7 +385,7 @@
 {
     state_ = State::Closed;
     waiting_.reset();
-    unread_.reset();
+    selfWhilePaused_.reset();
     closeQuietly(socket_);
     if (const auto running = std::exchange(running_, nullptr))
         running->cancel();
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -91,8 +91,8 @@
     bool isHead_ = false;
     // Set while the connection waits for memory: it is not read on, so nothing else keeps it.
     std::shared_ptr<CallerChannel> waiting_;
-    // The same while a request is answered and nothing is read, as enough was sent ahead of its response.
-    std::shared_ptr<CallerChannel> unread_;
+    // Set while reading is paused, as much was sent ahead of a response: nothing else keeps the connection alive then.
+    std::shared_ptr<CallerChannel> selfWhilePaused_;
     // The body is refused: what arrives is discarded.
     bool isDiscarding_ = false;
     // The connection outlives a caller that reads the response slowly.
