--- a/soak/gateway_process.h
+++ b/soak/gateway_process.h
@@ -27,7 +27,7 @@
     bool isKill_ = false;
 };
 
-// What is wrong with the end of a process; empty if it is the one asked for.
+// Why the end of a process is not the one asked for; empty if it is.
 auto faultOfEnd(int waitStatus, const AskedEnd& asked) -> std::string;
 
 class GatewayProcess {
--- a/soak/unusual_caller.cpp
+++ b/soak/unusual_caller.cpp
@@ -34,8 +34,12 @@
             leave();
         }
     }
-    if (client_ && isPlanned_ && (now() >= leavesAt_ || (parts_.empty() && waiting_.empty())))
-        form_ == Form::Together&& waiting_.empty() ? plan() : leave();
+    if (client_ && isPlanned_ && (now() >= leavesAt_ || (parts_.empty() && waiting_.empty()))) {
+        if (form_ == Form::Together && waiting_.empty())
+            plan();
+        else
+            leave();
+    }
     if (isClosing_ && parts_.empty())
         return;
     if (!client_ && !isClosing_)
--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -61,7 +61,7 @@
     if (invalid) {
         asio::post(socket_.get_executor(), [self = shared_from_this(), number = number_] {
             if (number == self->number_)
-                self->fail("the server's address is none");
+                self->fail("invalid server address");
         });
         return;
     }
--- a/src/loop/datagram_socket.cpp
+++ b/src/loop/datagram_socket.cpp
@@ -41,7 +41,7 @@
     for (const auto& address : to) {
         NetError ignored;
         const auto host = asio::ip::make_address_v4(address.host_, ignored);
-        // Named by a peer that is in error.
+        // Heartbeats may name invalid addresses.
         if (ignored)
             continue;
         socket_.send_to(asio::buffer(bytes), { host, address.port_ }, 0, ignored);
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -43,7 +43,7 @@
 class Gateway final : private RateAskSender, private LimitAskSender, private MemoryListener {
 public:
     Gateway(asio::io_context& loop, const Clock& clock, GatewaySettings settings, GatewayAdapter adapter);
-    // Cuts off what is still in flight.
+    // Ends what is still in flight without a response.
     ~Gateway() override;
     Gateway(const Gateway&) = delete;
     auto operator=(const Gateway&) -> Gateway& = delete;
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -247,7 +247,7 @@
     CHECK(server.received().size() < 200);
 }
 
-TEST_CASE("a call to a server whose address is none fails", "[pool]")
+TEST_CASE("a call to a server with an invalid address fails", "[pool]")
 {
     asio::io_context loop;
     const auto channel = std::make_shared<CallChannel>(loop, SocketAddress { "", 80 });
@@ -257,7 +257,7 @@
     CHECK(std::get<CallError>(*result).kind_ == CallErrorKind::NotSent);
 }
 
-TEST_CASE("a datagram to an address that is none does not keep others from theirs", "[datagram]")
+TEST_CASE("a datagram to an invalid address does not keep others from theirs", "[datagram]")
 {
     asio::io_context loop;
     const auto address = freeAddress();
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -972,7 +972,7 @@
     CHECK(fixture.calls() == 0);
 }
 
-TEST_CASE("a peer's Retry-After that is no number is passed over", "[request][delegation]")
+TEST_CASE("a peer's Retry-After that is not a number is ignored", "[request][delegation]")
 {
     CutOffFixture fixture;
     fixture.start(fixture.request("/order/1", "secret", http::verb::post));
