--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -1,5 +1,6 @@
 #include "loop/upstream_channel.h"
 
+#include "base/connection_end.h"
 #include "base/field.h"
 #include "base/http_status.h"
 #include "gateway/requests/response_head.h"
@@ -115,7 +116,7 @@
 auto UpstreamChannel::onWritten(NetError error) -> void
 {
     isWriting_ = false;
-    isTainted_ = isTainted_ || error;
+    writeFailure_ = error;
 }
 
 auto UpstreamChannel::newParser() -> void
@@ -198,9 +199,9 @@
 auto UpstreamChannel::onEnd(NetError error) -> void
 {
     isOpen_ = false;
-    const bool inOrder = error == asio::error::eof;
+    const bool inOrder = isOrderlyEnd(error, writeFailure_);
     if (!inOrder || !parser_->got_some() || !parser_->need_eof())
-        return lose(TransportErrorKind::ConnectionLost, inOrder ? "closed" : error.message());
+        return lose(TransportErrorKind::ConnectionLost, inOrder ? "closed" : (writeFailure_ ? writeFailure_ : error).message());
     NetError failure;
     parser_->put_eof(failure);
     if (failure || !parser_->is_done())
@@ -238,7 +239,7 @@
         onLateResponse_(response);
         return lose(TransportErrorKind::InvalidResponse, "answer-without-id");
     }
-    const bool reusable = !ended && !isTainted_ && !isWriting_ && parser_->keep_alive() && buffer_.size() == 0;
+    const bool reusable = !ended && !isTainted_ && !isWriting_ && !writeFailure_ && parser_->keep_alive() && buffer_.size() == 0;
     hasCarriedResponse_ = true;
     if (reusable)
         statedIdle_ = statedIdle(response);
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -81,6 +81,7 @@
     bool isOpen_ = false;
     bool isReading_ = false;
     bool isWriting_ = false;
+    NetError writeFailure_;
     // An answer to another request came on it: it carries no further one.
     bool isTainted_ = false;
     bool isHeldBack_ = false;
--- /dev/null
+++ b/tests/broken_response_test.cpp
@@ -0,0 +1,92 @@
+// Responses that a faulty server damages or breaks off must not reach callers, wherever responses are read.
+#include "loop/call_channel.h"
+#include "standin/early_responder.h"
+#include "standin/local_pool.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirepass;
+using namespace sapphirepass::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+// More than the kernel takes: the request is still being written when its response comes.
+constexpr std::size_t uploadBytes = 16 * 1024 * 1024;
+
+auto uploadTo(const std::string& response, EarlyEnd end) -> AttemptOutcome
+{
+    PoolFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
+    EarlyResponder server(fixture.loop_, response, end);
+    fixture.upstream_->entry_.address_ = server.address();
+    auto outcome = fixture.call("t0", std::string(uploadBytes, 'u'));
+    CHECK(server.requests() == 1);
+    return outcome;
+}
+
+}
+
+// A reset that the pending write saw was read as the end of the body.
+TEST_CASE("a response without a length that is reset during the upload is not complete", "[pool][broken-response]")
+{
+    const std::string response = GENERATE(as<std::string> {},
+        "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTry-Id: t0\r\nProof: p\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\nConnection: close\r\n\r\npart",
+        "HTTP/1.1 500 Internal Server Error\r\nTry-Id: t0\r\nProof: p\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nContent-Length: 10\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+    const auto end = GENERATE(EarlyEnd::Reset, EarlyEnd::CloseUnread);
+    CAPTURE(response, static_cast<int>(end));
+    CHECK(lossOf(uploadTo(response, end)) == TransportErrorKind::ConnectionLost);
+}
+
+TEST_CASE("a response that is complete before its upload is reset is passed on", "[pool][broken-response]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTry-Id: t0\r\nProof: p\r\n";
+    struct Case {
+        std::string rest_;
+        EarlyEnd end_;
+    };
+    const auto row = GENERATE_COPY(values<Case>({
+        { "\r\nbody", EarlyEnd::HalfClose },
+        { "\r\nbody", EarlyEnd::HalfCloseThenReset },
+        { "Content-Length: 4\r\n\r\nbody", EarlyEnd::Reset },
+        { "Content-Length: 4\r\n\r\nbody", EarlyEnd::CloseUnread },
+        { "Content-Length: 4\r\n\r\nbody", EarlyEnd::Keep },
+        { "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", EarlyEnd::Reset },
+    }));
+    CAPTURE(row.rest_, static_cast<int>(row.end_));
+    const auto outcome = uploadTo(head + row.rest_, row.end_);
+    REQUIRE(std::holds_alternative<UpstreamResponse>(outcome));
+    CHECK(std::get<UpstreamResponse>(outcome).body() == "body");
+}
+
+namespace {
+
+// The result of one call to a server that responds while the call's body is still being written.
+auto callDuringUpload(const std::string& response, EarlyEnd end) -> CallResult
+{
+    asio::io_context loop;
+    EarlyResponder server(loop, response, end);
+    const auto channel = std::make_shared<CallChannel>(loop, server.address());
+    HttpRequest request { http::verb::put, "/", 11 };
+    request.body() = std::string(uploadBytes, 'u');
+    std::optional<CallResult> result;
+    channel->call(std::move(request), 10s, [&result](CallResult told) { result = std::move(told); });
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    return *std::move(result);
+}
+
+}
+
+TEST_CASE("a call whose answer without a length ends with its connection has failed", "[pool][broken-response]")
+{
+    const auto end = GENERATE(EarlyEnd::Reset, EarlyEnd::CloseUnread, EarlyEnd::HalfClose, EarlyEnd::HalfCloseThenReset);
+    const std::string response = GENERATE(as<std::string> {}, "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\npart");
+    CAPTURE(response, static_cast<int>(end));
+    const auto result = callDuringUpload(response, end);
+    REQUIRE(std::holds_alternative<CallError>(result));
+    CHECK(std::get<CallError>(result).kind_ == CallErrorKind::AnswerLost);
+}
