LOST: a response that states an absurd length does not end the process

What callers saw (tried after the operators' report of bytes without end): one response with Content-Length: and some body threw std::bad_alloc out of the gateway's event loop, which ends the process and all its requests. Calls of the store and of health paths also read a stated body beyond their limit whole (33 MB of 1 MB allowed).

Cause: the parser was eager. It finds at the end of the head that the stated length is beyond the limit, but in that mode goes on with the body if some of it has come with the head; the error is lost and the body reserves what was stated.

Change: MessageParser, one class for all channels, is not eager and returns the first error. The forms moved to the stand-in and are played against calls too.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -83,7 +83,6 @@
     bytes_ = out.str();
     isSent_ = true;
     parser_.emplace();
-    parser_->eager(true);
     parser_->body_limit(maxBodyBytes_);
     isWriting_ = true;
     // Writes in steps: a step that has ended must not be followed by another one on the connection of the next call.
@@ -111,7 +110,7 @@
     if (error)
         return fail(error.message());
     buffer_.commit(count);
-    if (const auto failure = parseArrived(*parser_, buffer_))
+    if (const auto failure = parser_->parseArrived(buffer_))
         return fail(failure.message());
     if (!parser_->is_done())
         return buffer_.size() > maxUnparsedBytes ? fail("header too large") : readMore();
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/message_parser.h"
 #include "base/socket_address.h"
 #include "loop/net_type.h"
 
@@ -62,7 +63,7 @@
     std::string bytes_;
     Done done_;
     boost::beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<MessageParser<false>> parser_;
     bool isConnected_ = false;
     bool isSent_ = false;
     bool isWriting_ = false;
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -99,7 +99,6 @@
 {
     limits_ = handler_.limits();
     parser_.emplace();
-    parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes_));
     parser_->body_limit(limits_.bodyBytes_);
     hasHeader_ = false;
@@ -161,7 +160,7 @@
 
 auto CallerChannel::parseBuffer() -> void
 {
-    if (const auto error = parseArrived(*parser_, buffer_))
+    if (const auto error = parser_->parseArrived(buffer_))
         return refuse(error);
     if (!hasHeader_ && parser_->is_header_done() && !onHeader())
         return;
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -1,6 +1,7 @@
 // One connection of a caller: reads requests, has them answered one after the other, notices when the caller leaves.
 #pragma once
 
+#include "base/message_parser.h"
 #include "gateway/declaration/declaration_type.h"
 #include "gateway/requests/memory_budget.h"
 #include "gateway/requests/running_request.h"
@@ -50,7 +51,7 @@
         // A refusal was written; what the caller still sends is discarded, as closing at once could destroy the refusal.
         Draining,
         Closed };
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = MessageParser<true>;
 
     auto beginRequest() -> void;
     auto readMore() -> void;
--- a/src/loop/net_type.h
+++ b/src/loop/net_type.h
@@ -22,22 +22,6 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
-// Gives a parser what has arrived. An error, or none: then the parser is done or needs more.
-template <typename Parser>
-auto parseArrived(Parser& parser, boost::beast::flat_buffer& buffer) -> NetError
-{
-    while (buffer.size() > 0 && !parser.is_done()) {
-        NetError error;
-        const auto used = parser.put(buffer.data(), error);
-        buffer.consume(used);
-        if (error && error != http::error::need_more)
-            return error;
-        if (error || used == 0)
-            break;
-    }
-    return {};
-}
-
 // How long a peer may stay silent.
 enum class PeerPatience {
     // A server: requests that it does not acknowledge are given up early enough to be tried elsewhere.
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -122,7 +122,6 @@
 auto UpstreamChannel::newParser() -> void
 {
     parser_.emplace();
-    parser_->eager(true);
     parser_->body_limit(budget_.maxResponse());
     if (request_->method() == http::verb::head)
         parser_->skip(true);
@@ -153,7 +152,7 @@
 
 auto UpstreamChannel::parseBuffer() -> void
 {
-    if (const auto error = parseArrived(*parser_, buffer_))
+    if (const auto error = parser_->parseArrived(buffer_))
         return lose(TransportErrorKind::InvalidResponse, error.message());
     if (auto excess = findExcess(); !excess.empty())
         return lose(TransportErrorKind::InvalidResponse, std::move(excess));
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -1,6 +1,7 @@
 // One connection to an upstream.
 #pragma once
 
+#include "base/message_parser.h"
 #include "gateway/requests/header_names.h"
 #include "gateway/requests/response_budget.h"
 #include "gateway/requests/upstream_caller.h"
@@ -44,7 +45,7 @@
     auto isHeldBack() const -> bool { return isHeldBack_; }
 
 private:
-    using Parser = http::response_parser<http::string_body>;
+    using Parser = MessageParser<false>;
 
     auto onConnected(NetError error) -> void;
     auto writeRequest() -> void;
--- a/standin/endless_server.h
+++ b/standin/endless_server.h
@@ -5,6 +5,7 @@
 
 #include "base/socket_address.h"
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,8 +16,18 @@
 struct EndlessBytes {
     std::string first_;
     std::string repeated_;
+    // Time between two sends. Without one, many repetitions are sent at once.
+    std::chrono::milliseconds pause_ {};
 };
 
+struct EndlessForm {
+    const char* name_;
+    EndlessBytes bytes_;
+};
+
+// Parts of a response that a faulty server may repeat without end. Those without a first part repeat whole responses or none.
+auto endlessForms() -> std::vector<EndlessForm>;
+
 class EndlessServer {
 public:
     // Requests whose head contains "/good" get the ordinary response.
@@ -37,6 +48,7 @@
     auto read(const std::shared_ptr<Connection>& connection) -> void;
     auto answer(const std::shared_ptr<Connection>& connection) -> void;
     auto sendMore(const std::shared_ptr<Connection>& connection) -> void;
+    auto sendLater(const std::shared_ptr<Connection>& connection) -> void;
 
     Tcp::acceptor acceptor_;
     SocketAddress address_;
--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -14,6 +14,8 @@
 // More than the kernel takes: the request is still being written when its response comes.
 constexpr std::size_t uploadBytes = 16 * 1024 * 1024;
 
+const std::string before = "Try-Id: t0\r\nProof: p\r\n";
+
 auto uploadTo(const std::string& response, EarlyEnd end) -> AttemptOutcome
 {
     PoolFixture fixture([](int, const std::string&) -> ScriptedBytes { return {}; });
@@ -90,3 +92,28 @@
     REQUIRE(std::holds_alternative<CallError>(result));
     CHECK(std::get<CallError>(result).kind_ == CallErrorKind::AnswerLost);
 }
+
+// The parser lost its own error if some of the body came with the head, and reserved the stated bytes.
+TEST_CASE("a response that states an absurd length is given up at once", "[pool][broken-response]")
+{
+    const std::string length = GENERATE("1000001", "9000000000000000000", "18446744073709551615", "18446744073709551616", "99999999999999999999999999");
+    const std::string body = GENERATE("", "body");
+    CAPTURE(length, body);
+    PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 200 OK\r\n" + before + "Content-Length: " + length + "\r\n\r\n" + body }; });
+    CHECK(lossOf(fixture.call("t0")) == TransportErrorKind::InvalidResponse);
+}
+
+TEST_CASE("a call whose answer states more than the channel takes has failed at once", "[pool][broken-response]")
+{
+    const std::string length = GENERATE("1001", "9000000000000000000", "18446744073709551615");
+    const std::string body = GENERATE("", "body");
+    CAPTURE(length, body);
+    asio::io_context loop;
+    LoopServer server(loop, [&](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body }; });
+    const auto channel = std::make_shared<CallChannel>(loop, server.address(), 1'000);
+    std::optional<CallResult> result;
+    channel->call(HttpRequest { http::verb::get, "/", 11 }, 10s, [&result](CallResult told) { result = std::move(told); });
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    REQUIRE(std::holds_alternative<CallError>(*result));
+    CHECK(std::get<CallError>(*result).message_ != "no answer in time");
+}
--- a/tests/endless_response_test.cpp
+++ b/tests/endless_response_test.cpp
@@ -1,12 +1,12 @@
 // Upstreams whose bytes never end must cost neither the gateway's memory nor other requests.
+#include "loop/call_channel.h"
 #include "standin/endless_server.h"
 #include "standin/kept_beliefs.h"
 #include "standin/local_gateway.h"
+#include "standin/resident_memory.h"
 
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <malloc.h>
-#include <unistd.h>
 
 using namespace sapphirepass;
 using namespace sapphirepass::standin;
@@ -19,39 +19,6 @@
 constexpr std::size_t memoryMb = 128;
 constexpr std::size_t allowedMb = memoryMb;
 
-auto residentMb() -> std::size_t
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) / (1024 * 1024);
-}
-
-const std::string chunkedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-struct Endless {
-    const char* name_;
-    EndlessBytes bytes_;
-};
-
-auto endlessResponses() -> std::vector<Endless>
-{
-    const std::string filler(1'000, 'x');
-    return {
-        { "status line", { "HTTP/1.1 200 ", filler } },
-        { "header fields", { "HTTP/1.1 200 OK\r\n", "X-Filler: " + filler + "\r\n" } },
-        { "body that ends with the connection", { "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nConnection: close\r\n\r\n", filler } },
-        { "body with a huge length", { "HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nResponse-Signature: p\r\nContent-Length: 33000000\r\n\r\n", filler } },
-        { "chunks", { chunkedHead, "3e8\r\n" + filler + "\r\n" } },
-        { "chunk extension", { chunkedHead + "1;", filler } },
-        { "trailers", { chunkedHead + "0\r\n", "X-Filler: " + filler + "\r\n" } },
-        { "interim responses", { "", "HTTP/1.1 103 Early Hints\r\nX-Filler: y\r\n\r\n" } },
-        { "responses to another request", { "", "HTTP/1.1 200 OK\r\nAttempt-Id: t0\r\nResponse-Signature: p\r\nContent-Length: 4\r\n\r\nlate" } },
-        { "no HTTP", { "", filler } },
-    };
-}
-
 // The requests' deadlines must not end the responses in place of the bounds, however busy the machine is.
 auto declaredWithoutHurry() -> nlohmann::json
 {
@@ -67,9 +34,39 @@
 
 }
 
+// Answers of the store, of its copies at peers and of health paths.
+TEST_CASE("calls whose answers have no end are given up within their bounds", "[endless]")
+{
+    const auto endless = GENERATE(from_range(endlessForms()));
+    CAPTURE(endless.name_);
+    asio::io_context loop;
+    EndlessServer server(loop, endless.bytes_, "");
+    ::malloc_trim(0);
+    const auto before = residentMb();
+    std::vector<CallResult> results;
+    std::vector<std::shared_ptr<CallChannel>> channels;
+    for (std::size_t i = 0; i < connections; ++i) {
+        constexpr std::uint64_t maxBodyBytes = 1'024 * 1'024;
+        channels.push_back(std::make_shared<CallChannel>(loop, server.address(), maxBodyBytes));
+        channels.back()->call(HttpRequest { http::verb::get, "/endless", 11 }, 60s, [&results](CallResult told) { results.push_back(std::move(told)); });
+    }
+    std::size_t highest = 0;
+    CHECK(runUntil(loop, [&] {
+        highest = std::max(highest, residentMb());
+        return results.size() == connections;
+    }));
+    // Repeated whole answers have no first part; the call has the first of them.
+    for (const auto& result : results)
+        CHECK((std::holds_alternative<CallError>(result) || endless.bytes_.first_.empty()));
+    CHECK(runUntil(loop, [&] { return server.ended() == connections; }));
+    CHECK(highest - std::min(highest, before) <= allowedMb);
+    for (const auto& channel : channels)
+        channel->stop();
+}
+
 TEST_CASE("responses without end are given up within the gateway's memory, and other requests are answered meanwhile", "[endless]")
 {
-    const auto endless = GENERATE(from_range(endlessResponses()));
+    const auto endless = GENERATE(from_range(endlessForms()));
     CAPTURE(endless.name_);
     GatewayFixture fixture([](int, const std::string&) -> ScriptedBytes { return { orderAnswer }; });
     EndlessServer server(fixture.loop_, endless.bytes_, orderAnswer);
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -504,6 +504,7 @@
         { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000000000000000\r\n\r\nabcd", "HTTP/1.1 413" },
         { "GET /x HTTP/1.1\r\nHost: a\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", "HTTP/1.1 431" },
     }));
     CAPTURE(row.bytes_);
