--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -1,5 +1,6 @@
 // Responses that a faulty server damages or breaks off must not reach callers, wherever responses are read.
 #include "loop/call_channel.h"
+#include "standin/damaged_head.h"
 #include "standin/early_responder.h"
 #include "standin/local_pool.h"
 
@@ -93,6 +94,64 @@
     CHECK(std::get<CallError>(result).kind_ == CallErrorKind::AnswerLost);
 }
 
+// The line was joined to the value of the field before; without its length, all that came was taken for the body.
+TEST_CASE("a response with a damaged field name or a folded line is none", "[pool][broken-response]")
+{
+    for (const auto& head : damagedHeads(before)) {
+        CAPTURE(head);
+        for (const auto after : { AfterBytes::Close, AfterBytes::Keep }) {
+            PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 200 OK\r\n" + head + "\r\nbody and more", after }; });
+            CHECK(lossOf(fixture.call("t0", "order")) == TransportErrorKind::InvalidResponse);
+        }
+    }
+}
+
+TEST_CASE("a damaged line that arrives in parts is found", "[pool][broken-response]")
+{
+    const std::string line = GENERATE(as<std::string> {}, " X-Further: 1\r\n", "\tontent-Length: 4\r\n", "X-Further: 1\r\n 2\r\n");
+    const auto response = "HTTP/1.1 200 OK\r\n" + before + line + "Content-Length: 4\r\n\r\nbody";
+    for (std::size_t cut = 1; cut < response.size(); ++cut) {
+        CAPTURE(response.substr(0, cut));
+        PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { response.substr(0, cut) }; });
+        asio::steady_timer rest(fixture.loop_, 2ms);
+        rest.async_wait([&](NetError) { fixture.server_.push(response.substr(cut)); });
+        CHECK(lossOf(fixture.call("t0")) == TransportErrorKind::InvalidResponse);
+    }
+}
+
+TEST_CASE("a response with a folded line among its trailers is none", "[pool][broken-response]")
+{
+    const std::string trailer = GENERATE(as<std::string> {}, "X-Sum: 1\r\n X-Further: 2\r\n", "X-Sum: 1\r\n\t2\r\n", " X-Sum: 1\r\n", "X Sum: 1\r\n");
+    CAPTURE(trailer);
+    PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 200 OK\r\n" + before + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n" }; });
+    CHECK(lossOf(fixture.call("t0")) == TransportErrorKind::InvalidResponse);
+}
+
+TEST_CASE("blanks at the start of lines of a body are passed on", "[pool][broken-response]")
+{
+    const std::string body = " a\r\n b\r\n\tc\r\n\r\n d\r\n";
+    const auto isChunked = GENERATE(false, true);
+    const auto framed = isChunked ? fmt::format("Transfer-Encoding: chunked\r\n\r\n3\r\n a\r\r\n{:x}\r\n{}\r\n0\r\nX-Sum: 1\r\n\r\n", body.size() - 3, body.substr(3)) : fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+    PoolFixture fixture([&](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 200 OK\r\n" + before + framed }; });
+    CHECK(fixture.body(fixture.call("t0")) == body);
+}
+
+// Answers of the store, of its copies at peers and of health paths.
+TEST_CASE("a call whose answer has a damaged field name or a folded line has failed", "[pool][broken-response]")
+{
+    for (const auto& head : damagedHeads(before)) {
+        CAPTURE(head);
+        asio::io_context loop;
+        LoopServer server(loop, [&](int, const std::string&) -> ScriptedBytes { return { "HTTP/1.1 200 OK\r\n" + head + "\r\nbody and more" }; });
+        const auto channel = std::make_shared<CallChannel>(loop, server.address());
+        std::optional<CallResult> result;
+        channel->call(HttpRequest { http::verb::get, "/", 11 }, 10s, [&result](CallResult told) { result = std::move(told); });
+        REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+        REQUIRE(std::holds_alternative<CallError>(*result));
+        CHECK(std::get<CallError>(*result).message_ != "no answer in time");
+    }
+}
+
 // The parser lost its own error if some of the body came with the head, and reserved the stated bytes.
 TEST_CASE("a response that states an absurd length is given up at once", "[pool][broken-response]")
 {
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -502,6 +502,11 @@
         { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        // A folded line: without its length, the body was read as a request of its own.
+        { "POST /x HTTP/1.1\r\nHost: a\r\n Content-Length: 29\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\n\tontent-Length: 29\r\n\r\nGET /y HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n", "HTTP/1.1 400" },
+        { "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: 1\r\n 2\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", "HTTP/1.1 413" },
         { "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000000000000000\r\n\r\nabcd", "HTTP/1.1 413" },
