--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -22,7 +22,7 @@
     // Larger bodies stream through and so can be sent to one upstream only.
     constexpr std::int64_t maxBufferedBody = 64 * 1024;
     // Larger answers of known length stream through; when they break off, the caller sees the connection end.
-    constexpr std::int64_t maxBufferedAnswer = 256 * 1024;
+    constexpr std::size_t maxHeldUpstreamAnswer = 256 * 1024;
     // Retries for each request in the long run, and at once, of what did not run and of what may have run.
     constexpr double notRunShare = 4;
     constexpr double notRunBurst = 200;
@@ -48,9 +48,9 @@
     }
 
     // By the upstreams' protocol a shed answer says when to come back.
-    auto isShed(const http::http_response& response) -> bool
+    auto isShed(const HttpAnswer& upstream) -> bool
     {
-        return response.status_code() == http::status_codes::ServiceUnavailable && response.headers().has("Retry-After");
+        return upstream.status_ == http::status_codes::ServiceUnavailable && upstream.headers_.has("Retry-After");
     }
 
     auto remainingTime(const Grant& grant, const Clock& clock) -> std::chrono::milliseconds
@@ -100,35 +100,25 @@
         return refusal;
     }
 
-    auto contentType(const http::http_response& response) -> utility::string_t
+    auto contentType(const HttpAnswer& upstream) -> utility::string_t
     {
         utility::string_t type = "application/octet-stream";
-        response.headers().match("Content-Type", type);
+        upstream.headers_.match("Content-Type", type);
         return type;
     }
 
-    // The declared length of the body that follows, if there is one.
-    auto bodyLength(const std::string& method, const http::http_response& response) -> std::optional<std::int64_t>
-    {
-        std::int64_t length = 0;
-        const bool bodiless = method == "HEAD" || response.status_code() == http::status_codes::NoContent || response.status_code() == http::status_codes::NotModified;
-        if (bodiless || !response.headers().match("Content-Length", length))
-            return std::nullopt;
-        return length;
-    }
-
     // Status and headers for the caller.
-    auto startAnswer(const http::http_response& upstream) -> http::http_response
+    auto startAnswer(const HttpAnswer& upstream) -> http::http_response
     {
-        http::http_response response(upstream.status_code());
-        response.set_reason_phrase(upstream.reason_phrase());
+        http::http_response response(static_cast<http::status_code>(upstream.status_));
+        response.set_reason_phrase(upstream.reason_);
         return response;
     }
 
     // After the body, as setting that replaces the content type.
-    auto copyHeaders(const http::http_response& upstream, http::http_response& response) -> void
+    auto copyHeaders(const HttpAnswer& upstream, http::http_response& response) -> void
     {
-        for (const auto& header : sanitizeResponseHeaders(toHeaders(upstream.headers())))
+        for (const auto& header : sanitizeResponseHeaders(toHeaders(upstream.headers_)))
             response.headers()[header.name_] = header.value_;
     }
 }
@@ -141,7 +131,7 @@
     Grant grant_ {};
     std::shared_ptr<const Snapshot> snapshot_ {};
     std::set<std::string> tried_ {};
-    UpstreamBody body_ {};
+    RequestBody body_ {};
     int lost_ = 0;
     int notRun_ = 0;
     // Names the run at the upstream; empty if the caller has named it.
@@ -306,32 +296,34 @@
         headers.push_back({ std::string(requestIdHeader), exchange->runId_ });
     headers.push_back({ "Sapphirepass-Workspace", request.workspace_ });
     const auto target = query.empty() ? request.path_ : fmt::format("{}?{}", request.path_, query);
-    const UpstreamRequest call { request.method_, target, std::move(headers), exchange->body_, exchange->grant_.repeatability_, remaining };
-    upstreams_.call(assignment.upstream_, call).then([this, exchange, assignment](const UpstreamResult& result) {
-        finishCall(exchange, assignment, result);
+    HttpCall call { request.method_, target, std::move(headers), exchange->body_, exchange->grant_.repeatability_, remaining, maxHeldUpstreamAnswer };
+    upstreams_.call(assignment.upstream_.address_, std::move(call)).then([this, exchange, assignment](HttpCallResult result) {
+        finishCall(exchange, assignment, std::move(result));
     });
 }
 
-auto HttpRequestPipeline::finishCall(const ExchangePtr& exchange, const Assignment& assignment, const UpstreamResult& result) -> void
+auto HttpRequestPipeline::finishCall(const ExchangePtr& exchange, const Assignment& assignment, HttpCallResult result) -> void
 {
     if (isOk(result)) {
-        const auto& response = valueOf(result);
-        if (isShed(response))
+        auto upstream = valueOf(std::move(result));
+        if (isShed(upstream))
             retryOrRefuse(exchange, assignment, CallOutcome::Shed, notRunRefusal());
+        else if (std::holds_alternative<ArrivingBody>(upstream.body_))
+            answerStreamed(exchange, assignment, upstream);
         else
-            answer(exchange, assignment, response);
+            answerWhole(exchange, assignment, std::move(upstream));
         return;
     }
     const auto& error = errorOf(result);
     logEvent(EventId::UpstreamCallFailed, "upstream={} message=\"{}\"", assignment.upstream_.name_, error.message_);
     switch (error.kind_) {
-    case UpstreamErrorKind::NotSent:
+    case HttpCallErrorKind::NotSent:
         retryOrRefuse(exchange, assignment, CallOutcome::NotSent, notRunRefusal());
         return;
-    case UpstreamErrorKind::Lost:
+    case HttpCallErrorKind::Lost:
         retryOrRefuse(exchange, assignment, CallOutcome::Lost, lostRefusal(exchange->grant_.repeatability_));
         return;
-    case UpstreamErrorKind::TimedOut:
+    case HttpCallErrorKind::TimedOut:
         refuseLate(exchange, assignment);
         return;
     }
@@ -362,8 +354,7 @@
 {
     if (exchange->runId_.empty())
         return;
-    const UpstreamRequest call { "POST", fmt::format("/v1/cancel/{}", exchange->runId_), {}, MemoryBody {}, Repeatability::Once, cancelTimeout };
-    upstreams_.call(assignment.upstream_, call);
+    upstreams_.call(assignment.upstream_.address_, { "POST", fmt::format("/v1/cancel/{}", exchange->runId_), {}, MemoryBody {}, Repeatability::Once, cancelTimeout });
 }
 
 auto HttpRequestPipeline::noteAnswerBytes(const ExchangePtr& exchange, const Assignment& assignment, std::int64_t bytes) -> void
@@ -373,67 +364,34 @@
         parts_.links_->recordResponse(*exchange->snapshot_, { assignment.upstream_.service_, parts_.region_, domain->region_ }, bytes);
 }
 
-auto HttpRequestPipeline::answer(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream) -> void
+auto HttpRequestPipeline::answerWhole(const ExchangePtr& exchange, const Assignment& assignment, HttpAnswer upstream) -> void
 {
-    const auto length = bodyLength(exchange->request_.method_, upstream);
-    if (length && *length > maxBufferedAnswer)
-        answerStreamed(exchange, assignment, upstream, *length);
-    else
-        answerBuffered(exchange, assignment, upstream);
-}
-
-// The whole answer is here before any of it is passed on, so one that breaks off can be replaced by another
-// upstream's. Answers of unknown length always go this way: the library's listener damages its memory
-// when such a stream breaks off.
-auto HttpRequestPipeline::answerBuffered(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream) -> void
-{
-    upstream.extract_vector().then([this, exchange, assignment, upstream](const pplx::task<MemoryBody>& task) {
-        http::http_response response = startAnswer(upstream);
-        std::string failure;
-        try {
-            auto bytes = task.get();
-            const auto length = bodyLength(exchange->request_.method_, upstream);
-            noteAnswerBytes(exchange, assignment, static_cast<std::int64_t>(bytes.size()));
-            if (length && *length != static_cast<std::int64_t>(bytes.size()))
-                failure = "fewer bytes than announced";
-            if (failure.empty() && !exchange->once_.empty())
-                once_->recordOutcome(exchange->once_, RecordedAnswer { upstream.status_code(), contentType(upstream), std::string(bytes.begin(), bytes.end()) });
-            response.set_body(std::move(bytes));
-        } catch (const std::exception& error) {
-            failure = error.what();
-        }
-        if (!failure.empty()) {
-            logEvent(EventId::AnswerCut, "upstream={} message=\"{}\"", assignment.upstream_.name_, failure);
-            if (remainingTime(exchange->grant_, parts_.clock_).count() <= 0)
-                refuseLate(exchange, assignment);
-            else
-                retryOrRefuse(exchange, assignment, CallOutcome::Lost, lostRefusal(exchange->grant_.repeatability_));
-            return;
-        }
-        parts_.steering_.release(assignment, CallOutcome::Answered);
-        copyHeaders(upstream, response);
-        reply(exchange, response);
-    });
+    auto response = startAnswer(upstream);
+    auto bytes = std::get<MemoryBody>(std::move(upstream.body_));
+    noteAnswerBytes(exchange, assignment, static_cast<std::int64_t>(bytes.size()));
+    if (!exchange->once_.empty())
+        once_->recordOutcome(exchange->once_, RecordedAnswer { static_cast<http::status_code>(upstream.status_), contentType(upstream), std::string(bytes.begin(), bytes.end()) });
+    response.set_body(std::move(bytes));
+    parts_.steering_.release(assignment, CallOutcome::Answered);
+    copyHeaders(upstream, response);
+    reply(exchange, response);
 }
 
-auto HttpRequestPipeline::answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const http::http_response& upstream, std::int64_t length) -> void
+// If the body breaks off, the caller sees the connection end.
+auto HttpRequestPipeline::answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const HttpAnswer& upstream) -> void
 {
+    const auto& body = std::get<ArrivingBody>(upstream.body_);
     auto response = startAnswer(upstream);
-    response.set_body(upstream.body(), static_cast<utility::size64_t>(length), contentType(upstream));
+    response.set_body(body.stream_, static_cast<utility::size64_t>(body.length_), contentType(upstream));
     copyHeaders(upstream, response);
     // Too large to be kept for a repeat.
     settleOnce(exchange, Executed::Unknown);
-    noteAnswerBytes(exchange, assignment, length);
+    noteAnswerBytes(exchange, assignment, body.length_);
     // Holds the exchange, so that the pipeline lives until the slot is released.
-    upstream.content_ready().then([this, exchange, assignment](const pplx::task<http::http_response>& ready) {
-        auto outcome = CallOutcome::Answered;
-        try {
-            ready.wait();
-        } catch (const std::exception& error) {
-            outcome = CallOutcome::Lost;
-            logEvent(EventId::AnswerCut, "upstream={} message=\"{}\"", assignment.upstream_.name_, error.what());
-        }
-        parts_.steering_.release(assignment, outcome);
+    body.end_.then([this, exchange, assignment](const std::string& failure) {
+        if (!failure.empty())
+            logEvent(EventId::AnswerCut, "upstream={} message=\"{}\"", assignment.upstream_.name_, failure);
+        parts_.steering_.release(assignment, failure.empty() ? CallOutcome::Answered : CallOutcome::Lost);
     });
     reply(exchange, response);
 }
--- a/src/entry/http_request_pipeline.h
+++ b/src/entry/http_request_pipeline.h
@@ -9,8 +9,8 @@
 #include "config/config_state.h"
 #include "entry/in_flight.h"
 #include "fleet/request_gate.h"
-#include "forward/http_upstream_client.h"
 #include "forward/retry_policy.h"
+#include "http/http_call.h"
 #include "steering/link_meter.h"
 #include "steering/steering.h"
 
@@ -56,11 +56,10 @@
     auto collectBody(const ExchangePtr& exchange) -> void;
     auto steer(const ExchangePtr& exchange) -> void;
     auto forward(const ExchangePtr& exchange, const Assignment& assignment) -> void;
-    auto finishCall(const ExchangePtr& exchange, const Assignment& assignment, const UpstreamResult& result) -> void;
+    auto finishCall(const ExchangePtr& exchange, const Assignment& assignment, HttpCallResult result) -> void;
     auto retryOrRefuse(const ExchangePtr& exchange, const Assignment& assignment, CallOutcome outcome, const Refusal& refusal) -> void;
-    auto answer(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
-    auto answerBuffered(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream) -> void;
-    auto answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const web::http::http_response& upstream, std::int64_t length) -> void;
+    auto answerWhole(const ExchangePtr& exchange, const Assignment& assignment, HttpAnswer upstream) -> void;
+    auto answerStreamed(const ExchangePtr& exchange, const Assignment& assignment, const HttpAnswer& upstream) -> void;
     auto noteAnswerBytes(const ExchangePtr& exchange, const Assignment& assignment, std::int64_t bytes) -> void;
     auto refuseLate(const ExchangePtr& exchange, const Assignment& assignment) -> void;
     auto cancelRun(const ExchangePtr& exchange, const Assignment& assignment) -> void;
@@ -70,7 +69,7 @@
     auto reply(const ExchangePtr& exchange, const web::http::http_response& response) -> void;
 
     PipelineParts parts_;
-    HttpUpstreamClient upstreams_;
+    HttpCaller upstreams_;
     RetryBudget notRunRetries_;
     RetryBudget lostRetries_;
     const RequestGate* gate_ = nullptr;
--- a/src/store/http_object_store.cpp
+++ b/src/store/http_object_store.cpp
@@ -1,6 +1,9 @@
 #include "store/http_object_store.h"
 
-#include <cpprest/http_client.h>
+#include "http/http_call.h"
+
+#include <cpprest/http_msg.h>
+#include <cpprest/json.h>
 #include <fmt/format.h>
 
 namespace sapphirepass {
@@ -53,55 +56,42 @@
 class HttpObjectStore::Transport {
 public:
     Transport(const SocketAddress& address, std::chrono::milliseconds timeout)
-        : base_(fmt::format("http://{}", formatSocketAddress(address)))
+        : address_(address)
         , timeout_(timeout)
     {
-        reads_ = makeClient(timeout);
     }
 
-    // Reads and watches may run twice, so a reused connection is fine.
     auto readCall(const std::string& path) -> Result<StoreAnswer, StoreError>
     {
-        return call(*reads_, http::http_request(http::methods::GET), path);
+        return call({ "GET", path, {}, MemoryBody {}, Repeatability::Idempotent, timeout_ });
     }
 
     auto watchCall(const std::string& path, std::chrono::milliseconds longest) -> Result<StoreAnswer, StoreError>
     {
-        auto client = makeClient(longest + timeout_);
-        return call(*client, http::http_request(http::methods::GET), path);
+        return call({ "GET", path, {}, MemoryBody {}, Repeatability::Once, longest + timeout_ });
     }
 
-    // A fresh connection each time: the client library sends a request again, unasked, when a reused connection closes.
-    auto writeCall(const http::http_request& request, const std::string& path) -> Result<StoreAnswer, StoreError>
+    auto writeCall(const std::string& method, const std::string& path, ObjectVersion expected, const std::string& value) -> Result<StoreAnswer, StoreError>
     {
-        auto client = makeClient(timeout_);
-        return call(*client, request, path);
+        return call({ method, path, { { "If-Match", fmt::format("{}", expected) }, { "Content-Type", "application/octet-stream" } }, MemoryBody(value.begin(), value.end()), Repeatability::Once, timeout_ });
     }
 
 private:
-    auto makeClient(std::chrono::milliseconds timeout) const -> std::unique_ptr<http::client::http_client>
-    {
-        http::client::http_client_config config;
-        config.set_timeout(timeout);
-        return std::make_unique<http::client::http_client>(base_, config);
-    }
-
-    auto call(http::client::http_client& client, http::http_request request, const std::string& path) const -> Result<StoreAnswer, StoreError>
+    auto call(HttpCall call) -> Result<StoreAnswer, StoreError>
     {
-        request.set_request_uri(path);
-        try {
-            auto response = client.request(request).get();
-            StoreAnswer answer { response.status_code(), parseVersion(response.headers()), response.extract_utf8string(true).get() };
-            return answer;
-        } catch (const http::http_exception& error) {
-            const bool refused = error.error_code() == std::errc::connection_refused || error.error_code() == std::errc::host_unreachable;
-            return StoreError { refused ? StoreErrorKind::Unreachable : StoreErrorKind::AnswerLost, error.what() };
+        const auto result = caller_.call(address_, std::move(call)).get();
+        if (!isOk(result)) {
+            const auto& error = errorOf(result);
+            return StoreError { error.kind_ == HttpCallErrorKind::NotSent ? StoreErrorKind::Unreachable : StoreErrorKind::AnswerLost, error.message_ };
         }
+        const auto& answer = valueOf(result);
+        const auto& body = std::get<MemoryBody>(answer.body_);
+        return StoreAnswer { static_cast<http::status_code>(answer.status_), parseVersion(answer.headers_), std::string(body.begin(), body.end()) };
     }
 
-    std::string base_;
+    SocketAddress address_;
     std::chrono::milliseconds timeout_;
-    std::unique_ptr<http::client::http_client> reads_;
+    HttpCaller caller_;
 };
 
 HttpObjectStore::HttpObjectStore(const SocketAddress& address, std::chrono::milliseconds timeout)
@@ -123,10 +113,7 @@
 
 auto HttpObjectStore::write(const std::string& name, const std::string& value, ObjectVersion expected) -> Result<ObjectVersion, StoreError>
 {
-    http::http_request request(http::methods::PUT);
-    request.headers().add("If-Match", expected);
-    request.set_body(value, "application/octet-stream");
-    auto answer = transport_->writeCall(request, "/v1/objects/" + name);
+    auto answer = transport_->writeCall("PUT", "/v1/objects/" + name, expected, value);
     if (!isOk(answer))
         return errorOf(answer);
     if (valueOf(answer).status_ != http::status_codes::OK)
@@ -136,9 +123,7 @@
 
 auto HttpObjectStore::remove(const std::string& name, ObjectVersion expected) -> Result<Done, StoreError>
 {
-    http::http_request request(http::methods::DEL);
-    request.headers().add("If-Match", expected);
-    auto answer = transport_->writeCall(request, "/v1/objects/" + name);
+    auto answer = transport_->writeCall("DELETE", "/v1/objects/" + name, expected, "");
     if (!isOk(answer))
         return errorOf(answer);
     if (valueOf(answer).status_ != http::status_codes::OK)
