--- a/src/entry/http_request_pipeline.cpp
+++ b/src/entry/http_request_pipeline.cpp
@@ -21,7 +21,8 @@
 
     // Larger bodies stream through and so can be sent to one upstream only.
     constexpr std::int64_t maxBufferedBody = 64 * 1024;
-    // Larger answers of known length stream through; when they break off, the caller sees the connection end.
+    // Larger answers of known length stream through; when they break off, the caller sees the connection end. Those of unknown length are held:
+    // the library's listener damages its memory when such a stream breaks off.
     constexpr std::size_t maxHeldUpstreamAnswer = 256 * 1024;
     // Retries for each request in the long run, and at once, of what did not run and of what may have run.
     constexpr double notRunShare = 4;
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -30,9 +30,16 @@
     using Parser = MessageParser<false, http::basic_dynamic_body<boost::beast::flat_buffer>>;
     using SteadyClock = std::chrono::steady_clock;
 
+    // Bytes of all answers that are held while they arrive.
+    constexpr std::size_t maxHeldAnswers = 32 * 1024 * 1024;
     constexpr std::size_t readBytes = 16 * 1024;
     constexpr std::size_t pieceBytes = 64 * 1024;
+    // A chunk header or trailer that is longer can't be read.
+    constexpr std::size_t maxUnparsedBytes = 64 * 1024;
     constexpr int maxInterimAnswers = 32;
+    // Of a body that is streamed through, so much is read ahead of its reader, for whom it is looked this often.
+    constexpr std::size_t maxAhead = 256 * 1024;
+    constexpr std::chrono::milliseconds readerPoll { 5 };
     // Kept connections that were idle for longer are not used again.
     constexpr std::chrono::seconds keepTime { 5 };
 
@@ -70,7 +77,7 @@
     }
 }
 
-// Kept connections.
+// Kept connections, and the bytes that answers hold.
 class HttpCaller::Shared {
 public:
     // A connection of its own strand; empty if none is kept.
@@ -95,6 +102,15 @@
         kept_[server].push_back({ std::move(socket), SteadyClock::now() });
     }
 
+    auto reserve(std::size_t bytes) -> bool
+    {
+        if (held_.fetch_add(bytes) + bytes <= maxHeldAnswers)
+            return true;
+        release(bytes);
+        return false;
+    }
+    auto release(std::size_t bytes) -> void { held_ -= bytes; }
+
 private:
     struct Kept {
         Tcp::socket socket_;
@@ -110,6 +126,7 @@
 
     std::mutex mutex_;
     std::map<SocketAddress, std::vector<Kept>> kept_;
+    std::atomic<std::size_t> held_ { 0 };
 };
 
 // One call. All of it runs on the strand of its connection.
@@ -122,8 +139,12 @@
         , isReused_(kept.has_value())
         , socket_(kept ? *std::move(kept) : Tcp::socket(asio::make_strand(crossplat::threadpool::shared_instance().service())))
         , timer_(socket_.get_executor())
+        , readerTimer_(socket_.get_executor())
     {
     }
+    ~Exchange() { shared_->release(reserved_); }
+    Exchange(const Exchange&) = delete;
+    auto operator=(const Exchange&) -> Exchange& = delete;
 
     auto start() -> pplx::task<HttpCallResult>
     {
@@ -219,6 +240,7 @@
     auto newParser() -> void
     {
         parser_.emplace();
+        // Bodies have bounds of their own here.
         parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         if (call_.method_ == "HEAD")
             parser_->skip(true);
@@ -247,9 +269,10 @@
             return lose(error.message());
         if (parser_->is_header_done() && !takeHead())
             return;
-        takeBody();
+        if (!takeBody())
+            return;
         if (!parser_->is_done())
-            return read();
+            return readMore();
         onWholeAnswer();
     }
 
@@ -282,7 +305,9 @@
         const auto length = parser_->is_done() ? 0 : parser_->content_length().value_or(0);
         if (call_.streamAbove_ && length > *call_.streamAbove_)
             beginStream(static_cast<std::int64_t>(length));
-        return true;
+        else if (length > maxHeldAnswer)
+            lose("the answer is too large");
+        return !isOver_;
     }
 
     auto beginStream(std::int64_t length) -> void
@@ -292,16 +317,51 @@
         told_.set(HttpCallResult { std::move(answer_) });
     }
 
-    auto takeBody() -> void
+    auto takeBody() -> bool
     {
         auto& body = parser_->get().body();
         const auto bytes = body.data();
         const auto* first = static_cast<const unsigned char*>(bytes.data());
-        if (!arriving_)
-            held_.insert(held_.end(), first, first + bytes.size());
-        else if (bytes.size() > 0)
+        if (arriving_ && bytes.size() > 0)
             arriving_->putn_nocopy(first, bytes.size()).wait();
+        if (!arriving_ && !hold(first, bytes.size())) {
+            lose("the answer is too large");
+            return false;
+        }
         body.consume(bytes.size());
+        if (!parser_->is_done() && buffer_.size() > maxUnparsedBytes) {
+            lose("a line of the answer is too long");
+            return false;
+        }
+        return true;
+    }
+
+    auto hold(const unsigned char* bytes, std::size_t count) -> bool
+    {
+        const auto size = held_.size() + count;
+        if (size > maxHeldAnswer)
+            return false;
+        if (size > held_.capacity()) {
+            const auto capacity = std::min(maxHeldAnswer, 2 * size);
+            if (!shared_->reserve(capacity - reserved_))
+                return false;
+            reserved_ = capacity;
+            held_.reserve(capacity);
+        }
+        held_.insert(held_.end(), bytes, bytes + count);
+        return true;
+    }
+
+    // A body that is streamed through is read as fast as its reader takes it.
+    auto readMore() -> void
+    {
+        if (!arriving_ || arriving_->in_avail() <= maxAhead)
+            return read();
+        readerTimer_.expires_after(readerPoll);
+        readerTimer_.async_wait([self = shared_from_this()](NetError error) {
+            if (!error && !self->isOver_)
+                self->readMore();
+        });
     }
 
     // An answer without a length ends with its connection, if that ends in order.
@@ -367,6 +427,7 @@
     {
         isOver_ = true;
         timer_.cancel();
+        readerTimer_.cancel();
     }
 
     std::shared_ptr<Shared> shared_;
@@ -375,6 +436,7 @@
     bool isReused_ = false;
     Tcp::socket socket_;
     asio::steady_timer timer_;
+    asio::steady_timer readerTimer_;
     pplx::task_completion_event<HttpCallResult> told_;
     pplx::task_completion_event<std::string> streamEnd_;
     std::string head_;
@@ -385,6 +447,7 @@
     std::optional<Parser> parser_;
     HttpAnswer answer_;
     MemoryBody held_;
+    std::size_t reserved_ = 0;
     std::optional<concurrency::streams::producer_consumer_buffer<unsigned char>> arriving_;
     // Of the connection in use: what is left of the one before is passed over.
     int number_ = 0;
--- a/src/http/http_call.h
+++ b/src/http/http_call.h
@@ -1,4 +1,4 @@
-// Calls to HTTP servers that may be faulty.
+// Calls to HTTP servers that may be faulty: what their answers take of the memory is bounded.
 #pragma once
 
 #include "base/request_type.h"
@@ -17,6 +17,9 @@
 
 namespace sapphirepass {
 
+// Bytes of one answer that are held in memory. Longer ones are given up unless they are streamed through.
+inline constexpr std::size_t maxHeldAnswer = 8 * 1024 * 1024;
+
 // A body is held in memory, so that it can be sent again, or streamed through once.
 using MemoryBody = std::vector<unsigned char>;
 struct StreamBody {
--- a/tests/entry_broken_response_test.cpp
+++ b/tests/entry_broken_response_test.cpp
@@ -1,14 +1,18 @@
-// Responses that a faulty upstream damages or breaks off, at the entry daemon and at its store.
+// Responses that a faulty upstream damages, breaks off or never ends, at the entry daemon and at its store.
 #include "bench/load/http_socket.h"
 #include "standin/background_loop.h"
 #include "standin/damaged_head.h"
 #include "standin/early_responder.h"
+#include "standin/endless_server.h"
 #include "standin/local_entry_http.h"
 #include "standin/loop_peer.h"
+#include "standin/resident_memory.h"
 #include "store/http_object_store.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <mutex>
 
 using namespace sapphirepass;
@@ -20,7 +24,7 @@
 auto configuration(const SocketAddress& upstream) -> std::string
 {
     return "declare region luzon; declare domain d region luzon; declare workspace acme rate 1000000 burst 1000000;"
-           "declare route quotes path /quotes service core deadline 10s;"
+           "declare route quotes path /quotes service core deadline 10s; declare route open path /open service free access open;"
            "declare upstream u0 service core domain d address "
         + formatSocketAddress(upstream) + " slots 100";
 }
@@ -86,6 +90,72 @@
     }
 }
 
+TEST_CASE("an entry gives up responses without end, and its memory is bounded", "[entry][endless]")
+{
+    const auto endless = GENERATE(from_range(endlessForms()));
+    CAPTURE(endless.name_);
+    // What states a length is streamed through as far as the caller takes it.
+    if (endless.bytes_.first_.find("Content-Length") != std::string::npos)
+        return;
+    constexpr std::size_t callers = 16;
+    constexpr std::size_t allowedMb = 128;
+    BackgroundLoop<EndlessServer> upstream(endless.bytes_, std::string());
+    const LocalEntry entry(configuration(upstream.address()));
+    ::malloc_trim(0);
+    const auto before = residentMb();
+    std::atomic<std::size_t> answered { 0 };
+    std::atomic<std::size_t> successes { 0 };
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < callers; ++i) {
+        threads.emplace_back([&] {
+            successes += isWholeSuccess(sendOrder(entry, "order")) ? 1 : 0;
+            ++answered;
+        });
+    }
+    std::size_t highest = before;
+    while (answered < callers && highest - before <= allowedMb) {
+        highest = std::max(highest, residentMb());
+        std::this_thread::sleep_for(2ms);
+    }
+    // The test must not take the machine's memory either.
+    if (highest - before > allowedMb)
+        upstream.stopServer();
+    for (auto& thread : threads)
+        thread.join();
+    CAPTURE(highest - before);
+    CHECK(highest - before <= allowedMb);
+    // Repeated whole responses have no first part; the entry's protocol has no ids, so the first of them is taken.
+    if (!endless.bytes_.first_.empty())
+        CHECK(successes == 0);
+}
+
+TEST_CASE("an entry reads a large response no faster than its caller", "[entry][endless]")
+{
+    constexpr std::size_t callers = 8;
+    constexpr std::size_t allowedMb = 64;
+    const EndlessBytes response { "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", std::string(1'000, 'x') };
+    BackgroundLoop<EndlessServer> upstream(response, std::string());
+    const LocalEntry entry(configuration(upstream.address()));
+    // No upstream serves this route: only the workspace's share of the rate is awaited.
+    sendOrder(entry, "order", "/open/1");
+    ::malloc_trim(0);
+    const auto before = residentMb();
+    std::vector<std::unique_ptr<load::HttpSocket>> sockets;
+    for (std::size_t i = 0; i < callers; ++i) {
+        sockets.push_back(std::make_unique<load::HttpSocket>(entry.address(), 20s));
+        sockets.back()->send(renderOrder(entry, "/quotes/1", "order"));
+    }
+    std::size_t highest = before;
+    constexpr int looks = 500;
+    for (int i = 0; i < looks && highest - before <= allowedMb; ++i) {
+        highest = std::max(highest, residentMb());
+        std::this_thread::sleep_for(2ms);
+    }
+    upstream.stopServer();
+    CAPTURE(highest - before);
+    CHECK(highest - before <= allowedMb);
+}
+
 TEST_CASE("the answers of a faulty store are given up", "[store][broken-response]")
 {
     std::string response;
@@ -120,3 +190,32 @@
     REQUIRE_FALSE(isOk(written));
     CHECK(errorOf(written).kind_ == StoreErrorKind::AnswerLost);
 }
+
+TEST_CASE("answers of the store without end are given up within bounds", "[store][endless]")
+{
+    const auto endless = GENERATE(from_range(endlessForms()));
+    CAPTURE(endless.name_);
+    constexpr std::size_t allowedMb = 64;
+    BackgroundLoop<EndlessServer> server(endless.bytes_, std::string());
+    HttpObjectStore store(server.address(), 10s);
+    ::malloc_trim(0);
+    const auto before = residentMb();
+    std::atomic<bool> isRead { false };
+    std::optional<Result<StoredObject, StoreError>> read;
+    std::thread reader([&] {
+        read = store.read("a");
+        isRead = true;
+    });
+    std::size_t highest = before;
+    while (!isRead && highest - before <= allowedMb) {
+        highest = std::max(highest, residentMb());
+        std::this_thread::sleep_for(2ms);
+    }
+    if (highest - before > allowedMb)
+        server.stopServer();
+    reader.join();
+    CAPTURE(highest - before);
+    CHECK(highest - before <= allowedMb);
+    if (!endless.bytes_.first_.empty())
+        CHECK_FALSE(isOk(*read));
+}
