Entry: small answers are kept when large ones fill the memory

The bound on all answers that arrive together, new in, would have given up sound small ones beside large ones without end. Each holds 256 KB in any case now, which is what the pipeline holds of answers with a length; only larger ones are given up. Too many interim answers have a message of their own.

[entry] but [knownentry], [forward], [store], [once], [stop], [endless]: all passed on arm64.

--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -30,8 +30,9 @@
     using Parser = MessageParser<false, http::basic_dynamic_body<boost::beast::flat_buffer>>;
     using SteadyClock = std::chrono::steady_clock;
 
-    // Bytes of all answers that are held while they arrive.
+    // Bytes of all answers that are held while they arrive, and those that each may hold in any case.
     constexpr std::size_t maxHeldAnswers = 32 * 1024 * 1024;
+    constexpr std::size_t guaranteedBytes = 256 * 1024;
     constexpr std::size_t readBytes = 16 * 1024;
     constexpr std::size_t pieceBytes = 64 * 1024;
     // A chunk header or trailer that is longer can't be read.
@@ -102,9 +103,10 @@
         kept_[server].push_back({ std::move(socket), SteadyClock::now() });
     }
 
-    auto reserve(std::size_t bytes) -> bool
+    // Counts more bytes of an answer, unless they are too many.
+    auto reserve(std::size_t bytes, bool isGuaranteed) -> bool
     {
-        if (held_.fetch_add(bytes) + bytes <= maxHeldAnswers)
+        if (held_.fetch_add(bytes) + bytes <= maxHeldAnswers || isGuaranteed)
             return true;
         release(bytes);
         return false;
@@ -283,13 +285,16 @@
             return true;
         const auto& message = parser_->get();
         const auto status = message.result_int();
-        const bool isInterim = status / 100 == 1 && message.result() != http::status::switching_protocols;
-        if (!isHttpStatus(status) || (status / 100 == 1 && !isInterim) || interimAnswers_ > maxInterimAnswers) {
+        // No call asks for another protocol.
+        if (!isHttpStatus(status) || message.result() == http::status::switching_protocols) {
             lose("the status is out of range");
             return false;
         }
-        if (isInterim) {
-            ++interimAnswers_;
+        if (status / 100 == 1) {
+            if (++interimAnswers_ > maxInterimAnswers) {
+                lose("too many interim answers");
+                return false;
+            }
             newParser();
             if (buffer_.size() > 0)
                 parseBuffer();
@@ -342,8 +347,8 @@
         if (size > maxHeldAnswer)
             return false;
         if (size > held_.capacity()) {
-            const auto capacity = std::min(maxHeldAnswer, 2 * size);
-            if (!shared_->reserve(capacity - reserved_))
+            const auto capacity = std::min(size <= guaranteedBytes ? guaranteedBytes : maxHeldAnswer, 2 * size);
+            if (!shared_->reserve(capacity - reserved_, capacity <= guaranteedBytes))
                 return false;
             reserved_ = capacity;
             held_.reserve(capacity);
