The end of a connection awaits the write that may have taken its reset

An end without an error was judged by the writes told before it. The gateway's loop tells a write first that failed first, but nothing promises that order, and at the entry several threads run the loop: there the read could be told first, and a response that was reset during its upload could still pass for complete.

If a write is under way when the read meets an end of file, the socket tells whether the peer has only ended its sending; then the response is complete at once. Otherwise the connection is gone, the write fails at once, and its error decides.

--- a/src/base/connection_end.h
+++ b/src/base/connection_end.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include <boost/asio/error.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace sapphirepass {
 
@@ -13,4 +16,12 @@
     return read == boost::asio::error::eof && (!write || write == boost::asio::error::broken_pipe);
 }
 
+// Whether the peer has ended its sending, in order, and still takes what is written to it.
+inline auto isHalfClosed(int socket) -> bool
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 } // namespace sapphirepass
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -208,9 +208,13 @@
     // A failed write is told by the read: the server may have answered before it closed.
     auto onWritten(NetError error) -> void
     {
+        isWriting_ = false;
         writeFailure_ = error;
-        isWriting_ = unsent_ > 0 && !error;
-        if (isWriting_ && !isOver_)
+        if (isOver_)
+            return;
+        if (std::exchange(endAwaitsWrite_, false))
+            return onEnd(asio::error::eof);
+        if (unsent_ > 0 && !error)
             readPiece();
     }
 
@@ -236,6 +240,7 @@
         if (count == 0)
             return fail(HttpCallErrorKind::Lost, "the body of the request broke off");
         unsent_ -= static_cast<std::int64_t>(count);
+        isWriting_ = true;
         asio::async_write(socket_, asio::buffer(piece_.data(), count), onWrittenHandler());
     }
 
@@ -374,6 +379,10 @@
     {
         if (isReused_ && !hasBytes_ && std::holds_alternative<MemoryBody>(call_.body_))
             return reconnect();
+        // A reset may have gone to the write, which is about to be told.
+        endAwaitsWrite_ = error == asio::error::eof && isWriting_ && !isHalfClosed(socket_.native_handle());
+        if (endAwaitsWrite_)
+            return;
         const bool isOrderly = isOrderlyEnd(error, writeFailure_);
         if (!isOrderly || !parser_->is_header_done() || !parser_->need_eof())
             return lose(isOrderly ? "closed" : (writeFailure_ ? writeFailure_ : error).message());
@@ -389,6 +398,7 @@
     {
         ++number_;
         isReused_ = false;
+        isWriting_ = false;
         writeFailure_ = {};
         buffer_.clear();
         closeSocket(socket_);
@@ -397,7 +407,7 @@
 
     auto onWholeAnswer() -> void
     {
-        const bool mayKeep = call_.repeatability_ == Repeatability::Idempotent && !isWriting_ && !writeFailure_ && parser_->keep_alive() && !parser_->need_eof() && buffer_.size() == 0;
+        const bool mayKeep = call_.repeatability_ == Repeatability::Idempotent && !isWriting_ && unsent_ == 0 && !writeFailure_ && parser_->keep_alive() && !parser_->need_eof() && buffer_.size() == 0;
         end();
         if (mayKeep)
             shared_->keep(server_, std::move(socket_));
@@ -459,6 +469,8 @@
     int interimAnswers_ = 0;
     bool isWriting_ = false;
     NetError writeFailure_;
+    // The connection has ended; how, the write under way will show.
+    bool endAwaitsWrite_ = false;
     bool hasBytes_ = false;
     bool hasHead_ = false;
     bool isOver_ = false;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -117,6 +117,8 @@
 {
     isWriting_ = false;
     writeFailure_ = error;
+    if (std::exchange(endAwaitsWrite_, false) && done_)
+        onEnd(asio::error::eof);
 }
 
 auto UpstreamChannel::newParser() -> void
@@ -198,6 +200,10 @@
 auto UpstreamChannel::onEnd(NetError error) -> void
 {
     isOpen_ = false;
+    // A reset may have gone to the write, which is about to be told.
+    endAwaitsWrite_ = error == asio::error::eof && isWriting_ && !isHalfClosed(socket_.native_handle());
+    if (endAwaitsWrite_)
+        return;
     const bool inOrder = isOrderlyEnd(error, writeFailure_);
     if (!inOrder || !parser_->got_some() || !parser_->need_eof())
         return lose(TransportErrorKind::ConnectionLost, inOrder ? "closed" : (writeFailure_ ? writeFailure_ : error).message());
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -83,6 +83,8 @@
     bool isReading_ = false;
     bool isWriting_ = false;
     NetError writeFailure_;
+    // The connection has ended; how, the write under way will show.
+    bool endAwaitsWrite_ = false;
     // An answer to another request came on it: it carries no further one.
     bool isTainted_ = false;
     bool isHeldBack_ = false;
