--- a/src/base/connection_end.h
+++ b/src/base/connection_end.h
@@ -16,7 +16,7 @@
     return read == boost::asio::error::eof && (!write || write == boost::asio::error::broken_pipe);
 }
 
-// Whether the peer has ended its sending, in order, and still takes what is written to it.
+// Whether the peer has shut down its sending side in order and the connection is still open for writing.
 inline auto isHalfClosed(int socket) -> bool
 {
     tcp_info info {};
--- a/src/http/http_call.cpp
+++ b/src/http/http_call.cpp
@@ -205,7 +205,7 @@
         };
     }
 
-    // A failed write is told by the read: the server may have answered before it closed.
+    // The read reports the failure of a write: the server may have answered before it closed.
     auto onWritten(NetError error) -> void
     {
         isWriting_ = false;
@@ -379,7 +379,7 @@
     {
         if (isReused_ && !hasBytes_ && std::holds_alternative<MemoryBody>(call_.body_))
             return reconnect();
-        // A reset may have gone to the write, which is about to be told.
+        // The pending write may have received a reset; its handler is about to run.
         endAwaitsWrite_ = error == asio::error::eof && isWriting_ && !isHalfClosed(socket_.native_handle());
         if (endAwaitsWrite_)
             return;
@@ -464,12 +464,12 @@
     MemoryBody held_;
     std::size_t reserved_ = 0;
     std::optional<concurrency::streams::producer_consumer_buffer<unsigned char>> arriving_;
-    // Of the connection in use: what is left of the one before is passed over.
+    // Number of the connection in use; handlers of an earlier one are ignored.
     int number_ = 0;
     int interimAnswers_ = 0;
     bool isWriting_ = false;
     NetError writeFailure_;
-    // The connection has ended; how, the write under way will show.
+    // The read met the end of the connection; the pending write decides whether it was orderly.
     bool endAwaitsWrite_ = false;
     bool hasBytes_ = false;
     bool hasHead_ = false;
--- a/src/loop/upstream_channel.cpp
+++ b/src/loop/upstream_channel.cpp
@@ -200,7 +200,7 @@
 auto UpstreamChannel::onEnd(NetError error) -> void
 {
     isOpen_ = false;
-    // A reset may have gone to the write, which is about to be told.
+    // The pending write may have received a reset; its handler is about to run.
     endAwaitsWrite_ = error == asio::error::eof && isWriting_ && !isHalfClosed(socket_.native_handle());
     if (endAwaitsWrite_)
         return;
--- a/src/loop/upstream_channel.h
+++ b/src/loop/upstream_channel.h
@@ -83,7 +83,7 @@
     bool isReading_ = false;
     bool isWriting_ = false;
     NetError writeFailure_;
-    // The connection has ended; how, the write under way will show.
+    // The read met the end of the connection; the pending write decides whether it was orderly.
     bool endAwaitsWrite_ = false;
     // An answer to another request came on it: it carries no further one.
     bool isTainted_ = false;
