What a followed instance sends, and whether a call was delivered, can be seen

Operators could not tell a full link of an instance from a store that does not answer: both logged "no answer in time". Nor did anything show how long a declaration took to reach the followers of an instance.

Three things tell the hypotheses on the large declaration apart: - source-lost says "request not delivered in time" where the store's machine has not acknowledged the request, as the kernel counts it (SIOCOUTQ); - large-feed-sent (242) has size and duration of each large response to a follower, and what all followers have yet to read; - the metrics gateway_control_bytes_sent_total and gateway_control_bytes_unread.

No decision changes. Test: a reader that pauses leaves its response unread, and it counts as written once it has been read.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -43,7 +43,7 @@
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this(), number = number_](NetError error) {
         if (!error && number == self->number_)
-            self->fail("no answer in time");
+            self->fail(self->isSent_ && unacknowledged(self->socket_) > 0 ? "request not delivered in time" : "no answer in time");
     });
     isReused_ = isConnected_ && socket_.is_open();
     if (isReused_)
--- a/src/loop/caller_channel.cpp
+++ b/src/loop/caller_channel.cpp
@@ -265,6 +265,7 @@
     if (bodyHold_)
         bodyHold_->release();
     since_ = clock_.now();
+    answeredAt_ = since_;
     keepAfter_ = mayKeep && !handler_.isClosing();
     body_ = std::move(response.body());
     head_ = renderHead(response, body_.size(), keepAfter_, limits_.idleTimeout_);
@@ -295,6 +296,8 @@
     if (state_ == State::Closed)
         return;
     ++answered_;
+    if (!error)
+        handler_.responseWritten({ head_.size() + body_.size(), clock_.now() - answeredAt_ });
     body_ = std::string();
     if (readerHold_)
         readerHold_->release();
@@ -366,6 +369,14 @@
         close();
 }
 
+auto CallerChannel::unreadBytes() -> std::size_t
+{
+    if (state_ != State::Writing)
+        return 0;
+    const auto total = head_.size() + body_.size();
+    return total - std::min(total, written_) + unacknowledged(socket_);
+}
+
 auto CallerChannel::beReadingPatient() -> void
 {
     if (!std::exchange(isPatient_, true))
--- a/src/loop/caller_channel.h
+++ b/src/loop/caller_channel.h
@@ -13,6 +13,15 @@
 
 namespace sapphirepass {
 
+// A response whose last bytes have been handed to the kernel.
+struct WrittenResponse {
+    std::size_t bytes_ = 0;
+    // Since the response was ready.
+    Duration duration_ {};
+
+    auto operator<=>(const WrittenResponse&) const = default;
+};
+
 class CallerHandler {
 public:
     using Answer = std::function<void(HttpResponse)>;
@@ -25,6 +34,7 @@
     virtual auto isClosing() const -> bool = 0;
     // Where the bytes of requests and responses count; null if they do not.
     virtual auto memory() -> MemoryBudget* { return nullptr; }
+    virtual auto responseWritten(const WrittenResponse&) -> void { }
 };
 
 class CallerChannel : public std::enable_shared_from_this<CallerChannel> {
@@ -43,6 +53,8 @@
     // Ends the connection and the request under way. Holds no memory after that.
     auto close() -> void;
     auto isOpen() const -> bool { return state_ != State::Closed; }
+    // Bytes of the response being written that the caller has not acknowledged.
+    auto unreadBytes() -> std::size_t;
 
 private:
     enum class State { Reading,
@@ -103,6 +115,7 @@
     std::size_t written_ = 0;
     std::size_t acknowledged_ = 0;
     std::uint64_t answered_ = 0;
+    MonotonicTime answeredAt_ {};
     // When the request under way began to arrive, the connection became idle, or the caller last read some of the response.
     MonotonicTime since_ {};
     bool hasBytes_ = false;
--- a/src/loop/caller_listener.cpp
+++ b/src/loop/caller_listener.cpp
@@ -113,6 +113,16 @@
     }
 }
 
+auto CallerListener::unreadBytes() const -> std::size_t
+{
+    std::size_t sum = 0;
+    for (const auto& entry : channels_) {
+        if (const auto channel = entry.lock())
+            sum += channel->unreadBytes();
+    }
+    return sum;
+}
+
 auto CallerListener::sweep() -> void
 {
     for (const auto& entry : channels_) {
--- a/src/loop/caller_listener.h
+++ b/src/loop/caller_listener.h
@@ -35,6 +35,8 @@
     // Applies time limits and forgets closed connections. Called now and then.
     auto sweep() -> void;
     auto openCount() const -> std::size_t { return channels_.size(); }
+    // Bytes of responses that callers have not acknowledged.
+    auto unreadBytes() const -> std::size_t;
 
 private:
     auto acceptNext() -> void;
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -28,6 +28,8 @@
     constexpr std::size_t maxNamedPeers = 64;
     // After a request to stop: new connections are taken until callers have looked up another instance.
     constexpr Duration acceptAfterStop = 1'500ms;
+    // Of responses at the control address.
+    constexpr std::size_t loggedResponseBytes = 64 * 1024;
     constexpr const char* metricsPath = "/metrics";
     // Addresses in one answer of the directory.
     constexpr std::size_t mostAddresses = 64;
@@ -189,7 +191,7 @@
         answer(answerPublic(request));
         return nullptr;
     })
-    , controlPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) { return answerControl(request, answer); })
+    , controlPages_([this](const HttpRequest& request, const CallerHandler::Answer& answer) { return answerControl(request, answer); }, [this](const WrittenResponse& response) { onControlWritten(response); })
     , front_(loop, frontHandler_, clock)
     , directory_(loop, publicPages_, clock)
     , ready_(loop, publicPages_, clock)
@@ -262,6 +264,13 @@
     return nullptr;
 }
 
+auto Gateway::onControlWritten(const WrittenResponse& response) -> void
+{
+    metrics_.increment({ "gateway_control_bytes_sent_total", {} }, asMetric(response.bytes_));
+    if (response.bytes_ >= loggedResponseBytes)
+        log_.write(EventId::LargeFeedSent, { { "bytes", response.bytes_ }, { "took_ms", response.duration_ / 1ms }, { "unread_bytes", control_.unreadBytes() } });
+}
+
 auto Gateway::answerReadiness() const -> HttpResponse
 {
     return isReady() ? problemResponse(200, "ready", Executed::No) : problemResponse(503, "not ready", Executed::No);
@@ -320,6 +329,7 @@
     metrics_.set({ "gateway_delegations_in_flight", {} }, asMetric(delegates_.inFlight()));
     metrics_.set({ "gateway_upstreams_cold", {} }, asMetric(upstreams_.coldCount()));
     metrics_.set({ "gateway_upstreams_limited", {} }, asMetric(upstreams_.limitedCount()));
+    metrics_.set({ "gateway_control_bytes_unread", {} }, asMetric(control_.unreadBytes()));
     metrics_.set({ "gateway_peers_ready", {} }, asMetric(fleet_.allReadyMembers().size()));
     metrics_.set({ "gateway_log_lines_dropped_total", {} }, asMetric(log_.dropped()));
     for (const auto& [service, shares] : placer_.regionShares().all()) {
@@ -655,7 +665,7 @@
 
 auto Gateway::noteStatus() -> void
 {
-    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", runs_.size() }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "feed_lost_ms", beliefs_.outageDuration(Feed::Upstreams) / 1ms }, { "peers_ready", fleet_.allReadyMembers().size() } });
+    log_.write(EventId::GatewayStatus, { { "ready", isReady() }, { "in_flight", runs_.size() }, { "connections", front_.openCount() }, { "opened", pool_.counts().opened_ }, { "reused", pool_.counts().reused_ }, { "store_calls", adapter_.source_->calls() }, { "feed_lost_ms", beliefs_.outageDuration(Feed::Upstreams) / 1ms }, { "peers_ready", fleet_.allReadyMembers().size() }, { "control_bytes_unread", control_.unreadBytes() } });
 }
 
 auto Gateway::beginStop() -> void
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -108,16 +108,25 @@
     public:
         using Answerer = std::function<std::shared_ptr<RunningRequest>(const HttpRequest& request, const Answer& answer)>;
 
-        explicit PageHandler(Answerer answerer)
+        using WrittenListener = std::function<void(const WrittenResponse& response)>;
+
+        explicit PageHandler(Answerer answerer, WrittenListener onWritten = {})
             : answerer_(std::move(answerer))
+            , onWritten_(std::move(onWritten))
         {
         }
         auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override { return answerer_(request, answer); }
         auto limits() const -> CallerLimits override { return {}; }
         auto isClosing() const -> bool override { return false; }
+        auto responseWritten(const WrittenResponse& response) -> void override
+        {
+            if (onWritten_)
+                onWritten_(response);
+        }
 
     private:
         Answerer answerer_;
+        WrittenListener onWritten_;
     };
     class Run;
 
@@ -126,6 +135,7 @@
     auto answerPublic(const HttpRequest& request) const -> HttpResponse;
     // For operators and other instances; callers do not reach it.
     auto answerControl(const HttpRequest& request, const CallerHandler::Answer& answer) -> std::shared_ptr<RunningRequest>;
+    auto onControlWritten(const WrittenResponse& response) -> void;
     auto answerDirectory(std::string_view query) const -> HttpResponse;
     auto answerReadiness() const -> HttpResponse;
     auto answerMetrics() -> HttpResponse;
