--- a/tests/feed_relay_test.cpp
+++ b/tests/feed_relay_test.cpp
@@ -1,8 +1,7 @@
 // Instances that follow feeds at another instance, over loopback.
-#include "loop/caller_listener.h"
-#include "platform/store_source.h"
 #include "platform/wire_names.h"
 #include "standin/kept_beliefs.h"
+#include "standin/peer_pages.h"
 #include "standin/platform_store.h"
 
 #include <catch2/catch.hpp>
@@ -13,29 +12,6 @@
 
 namespace {
 
-// Serves an instance's feeds to its followers.
-class PeerPages final : public CallerHandler {
-public:
-    explicit PeerPages(platform::StoreSource& source)
-        : source_(source)
-    {
-    }
-    auto handle(HttpRequest request, Answer answer) -> std::shared_ptr<RunningRequest> override
-    {
-        ++asked_;
-        lists_ += request.target().find("watch=") == std::string_view::npos ? 1 : 0;
-        return source_.answerPeer(request, std::move(answer));
-    }
-    auto limits() const -> CallerLimits override { return {}; }
-    auto isClosing() const -> bool override { return false; }
-
-    int asked_ = 0;
-    int lists_ = 0;
-
-private:
-    platform::StoreSource& source_;
-};
-
 // A watcher that reads from the store and a follower that reads from the watcher. The follower reaches the store at an
 // address of its own.
 struct RelayFixture {
