A store whose bytes are arriving is not lost because a probe gets no answer

Callers saw nothing of this fault alone; it makes a slow change slower.

Cause: the probe's answer waits behind the declaration on the link of the instance itself. A megabyte takes 0.84 s at 10 Mbit/s, a probe 0.7 s at most.

Change: a probe that ends by its time limit says nothing if bytes of the store have arrived since it was sent. What ends otherwise counts as before, so does a time limit in which nothing came. A call that never got a connection now says "no connection in time".

Same cause elsewhere: the list of evacuations is the only probe of the store; health requests of upstreams and link probes open connections of their own to other machines.

Test: it failed before (three feeds lost); passes now, and a store that sends nothing more is still found silent.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -43,7 +43,7 @@
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this(), number = number_](NetError error) {
         if (!error && number == self->number_)
-            self->fail(self->isSent_ && unacknowledged(self->socket_) > 0 ? "request not delivered in time" : "no answer in time");
+            self->failByTimeout();
     });
     isReused_ = isConnected_ && socket_.is_open();
     if (isReused_)
@@ -110,6 +110,7 @@
     if (error)
         return fail(error.message());
     buffer_.commit(count);
+    receivedBytes_ += count;
     if (const auto failure = parser_->parseArrived(buffer_))
         return fail(failure.message());
     if (!parser_->is_done())
@@ -128,6 +129,19 @@
 }
 
 auto CallChannel::fail(std::string message) -> void
+{
+    end({ isSent_ ? CallErrorKind::AnswerLost : CallErrorKind::NotSent, std::move(message), isReused_ });
+}
+
+auto CallChannel::failByTimeout() -> void
+{
+    if (!isSent_)
+        return end({ CallErrorKind::NotSent, "no connection in time", isReused_, true });
+    const auto* why = unacknowledged(socket_) > 0 ? "request not delivered in time" : "no answer in time";
+    end({ CallErrorKind::AnswerLost, why, isReused_, true });
+}
+
+auto CallChannel::end(CallError error) -> void
 {
     timer_.cancel();
     isConnected_ = false;
@@ -135,7 +149,7 @@
     const auto done = std::move(done_);
     done_ = nullptr;
     if (done)
-        done(CallError { isSent_ ? CallErrorKind::AnswerLost : CallErrorKind::NotSent, std::move(message), isReused_ });
+        done(std::move(error));
 }
 
 auto CallChannel::stop() -> void
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -25,6 +25,8 @@
     std::string message_;
     // The call went out on a connection that had been opened for an earlier one.
     bool wasReused_ = false;
+    // Ended by its time limit.
+    bool isTimeout_ = false;
 
     auto operator<=>(const CallError&) const = default;
 };
@@ -47,6 +49,8 @@
     auto call(HttpRequest request, Duration limit, Done done) -> void;
     // Drops the call under way, unanswered.
     auto stop() -> void;
+    // Bytes of all answers so far, incomplete ones included.
+    auto receivedBytes() const -> std::uint64_t { return receivedBytes_; }
 
 private:
     auto connect() -> void;
@@ -54,6 +58,8 @@
     auto readMore() -> void;
     auto onRead(NetError error, std::size_t count) -> void;
     auto fail(std::string message) -> void;
+    auto failByTimeout() -> void;
+    auto end(CallError error) -> void;
 
     Tcp::socket socket_;
     asio::steady_timer timer_;
@@ -69,6 +75,7 @@
     bool isWriting_ = false;
     bool isReused_ = false;
     std::uint64_t number_ = 0;
+    std::uint64_t receivedBytes_ = 0;
 };
 
 } // namespace sapphirepass
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -114,7 +114,10 @@
 auto PlatformStore::answerGet(const std::shared_ptr<Connection>& connection, const std::string& kind, const std::string& query) -> void
 {
     connection->kind_ = kind;
-    connection->readsUpTo_ = valueIn(query, "serializable") == "1" ? copiesAt_ : std::nullopt;
+    const bool mayBeCopy = valueIn(query, "serializable") == "1";
+    if (mayBeCopy && areCopiesSwallowed_)
+        return;
+    connection->readsUpTo_ = mayBeCopy ? copiesAt_ : std::nullopt;
     if (const auto from = valueIn(query, "watch"); !from.empty()) {
         if (const auto left = swallowed_.find(kind); left != swallowed_.end() && left->second > 0) {
             --left->second;
@@ -184,7 +187,30 @@
     const auto text = render(body);
     NetError ignored;
     const auto era = isEraHidden_ ? std::string() : fmt::format("Store-Era: {}\r\n", era_);
-    asio::write(connection->socket_, asio::buffer(fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\n{}Content-Length: {}\r\n\r\n{}", status, era, text.size(), text)), ignored);
+    auto bytes = fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\n{}Content-Length: {}\r\n\r\n{}", status, era, text.size(), text);
+    if (connection->kind_ == heldKind_ && body.contains("events"))
+        held_.emplace_back(connection, std::move(bytes));
+    else
+        asio::write(connection->socket_, asio::buffer(bytes), ignored);
+}
+
+auto PlatformStore::sendHeld(std::size_t bytes) -> void
+{
+    for (auto& [connection, rest] : held_) {
+        NetError ignored;
+        const auto part = std::min(bytes, rest.size());
+        asio::write(connection->socket_, asio::buffer(rest.data(), part), ignored);
+        rest.erase(0, part);
+    }
+    std::erase_if(held_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+auto PlatformStore::heldBytes() const -> std::size_t
+{
+    std::size_t sum = 0;
+    for (const auto& [connection, rest] : held_)
+        sum += rest.size();
+    return sum;
 }
 
 auto PlatformStore::render(const Json& body) const -> std::string
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -49,6 +49,12 @@
     auto revision() const -> std::int64_t { return revision_; }
     // The next so many watches of a kind are read and never answered; their connections stay open.
     auto swallowWatches(const std::string& kind, std::size_t count) -> void { swallowed_[kind] = count; }
+    // Changes of a kind are sent from now on only as sendHeld() says, as over a slow link.
+    auto holdChanges(const std::string& kind) -> void { heldKind_ = kind; }
+    auto sendHeld(std::size_t bytes) -> void;
+    auto heldBytes() const -> std::size_t;
+    // Reads that may come from a copy are never answered from now on.
+    auto swallowCopies() -> void { areCopiesSwallowed_ = true; }
     auto isSwallowed(const std::string& kind) const -> bool { return swallowed_.contains(kind) && swallowed_.at(kind) == 0; }
     auto calls() const -> std::size_t { return calls_; }
     // First pages of lists that were answered.
@@ -95,6 +101,10 @@
     std::size_t calls_ = 0;
     std::size_t lists_ = 0;
     std::map<std::string, std::size_t> swallowed_;
+    bool areCopiesSwallowed_ = false;
+    std::string heldKind_;
+    // What is still to be sent, by connection.
+    std::vector<std::pair<std::shared_ptr<Connection>, std::string>> held_;
     std::map<std::string, std::size_t> created_;
     Kinds kinds_;
     Kinds copiedKinds_;
--- a/tests/source_keepalive_test.cpp
+++ b/tests/source_keepalive_test.cpp
@@ -171,3 +171,43 @@
     upstreams.removeExpired();
     CHECK(upstreams.size() == 0);
 }
+
+// A declaration of a megabyte takes longer over a small link than a probe that waits behind it may take.
+TEST_CASE("a store that is sending a response is not lost because a probe gets no answer", "[source-keepalive]")
+{
+    Fixture fixture;
+    KeptBeliefs recorded;
+    fixture.start(recorded);
+    auto large = declared(2);
+    large["comment"] = std::string(1024 * 1024, 'c');
+    fixture.store_.holdChanges("config");
+    fixture.store_.swallowCopies();
+    fixture.store_.put("config", "main", large);
+    REQUIRE(fixture.store_.heldBytes() > large["comment"].get_ref<const std::string&>().size());
+    constexpr std::size_t piece = 1;
+    // A further probe is only sent when the one before has ended.
+    const auto endProbe = [&](std::size_t bytes) {
+        fixture.probe();
+        const auto calls = fixture.store_.calls();
+        return runUntil(fixture.loop_, [&] {
+            fixture.store_.sendHeld(bytes);
+            fixture.source_.probe();
+            return fixture.store_.calls() > calls;
+        });
+    };
+    REQUIRE(endProbe(piece));
+    REQUIRE(fixture.store_.heldBytes() > 0);
+    CHECK(recorded.lost_ == 0);
+    SECTION("the rest arrives")
+    {
+        fixture.store_.sendHeld(fixture.store_.heldBytes());
+        CHECK(runUntil(fixture.loop_, [&] { return recorded.versions_.back() == 2; }));
+    }
+    SECTION("nothing more arrives")
+    {
+        CHECK(runUntil(fixture.loop_, [&] {
+            fixture.source_.probe();
+            return recorded.lost_ == 3;
+        }));
+    }
+}
