A feed whose response is arriving is not asked for again

Cause: 0.7 s after others report a change, and 0.2 s after any answer of the store names a newer revision, a feed is taken for one whose watch was lost, and is asked for again, whatever has arrived already. A declaration of a megabyte takes 0.84 s at 10 Mbit/s, so the second response starts from nothing and competes with others for the same link.

Change: ArrivalTracker.

Test: two gateways, one of which gets the change byte by byte, on a clock of the test's own; without the check in Gateway::renewFeeds it asks again and fails. The stand-in store can send a response in parts.

--- a/src/gateway/feeds/discovery_source.h
+++ b/src/gateway/feeds/discovery_source.h
@@ -122,6 +122,8 @@
     // platform answers again.
     virtual auto probe() -> void = 0;
     virtual auto position(Feed feed) const -> FeedPosition = 0;
+    // Bytes that have arrived of the response that a waiting feed gets; 0 if there is none yet.
+    virtual auto bytesArriving(Feed feed) const -> std::uint64_t = 0;
     // The newest revision that any answer of the platform has named.
     virtual auto newestRevision() const -> StoreRevision = 0;
     // Asks the platform beside the waiting watch of a feed whether the feed has missed a change, and reads the feed on a new
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -156,6 +156,7 @@
     , beliefs_(clock, upstreams_, fleet_, log_, settings_.drain_)
     , feedLag_(clock)
     , feedVerifier_(clock)
+    , arrivals_(clock)
     , pulse_(clock)
     , relayChoice_(fleet_, settings_.region_)
     , coldWatch_(clock, upstreams_, fleet_)
@@ -611,6 +612,9 @@
         // It is asked again anyway.
         if (beliefs_.outageDuration(feed) > Duration::zero())
             continue;
+        // The change is on its way; another request for it would only compete for the link.
+        if (arrivals_.isArriving(feed, adapter_.source_->bytesArriving(feed)))
+            continue;
         const auto& own = positions.at(static_cast<std::size_t>(feed));
         if (feedVerifier_.isDue(feed, positions, adapter_.source_->newestRevision()))
             adapter_.source_->verify(feed);
--- a/src/loop/gateway.h
+++ b/src/loop/gateway.h
@@ -1,6 +1,7 @@
 // The gateway daemon: wires decisions, beliefs and the event loop.
 #pragma once
 
+#include "gateway/feeds/arrival_tracker.h"
 #include "gateway/feeds/discovery_state.h"
 #include "gateway/feeds/feed_lag.h"
 #include "gateway/feeds/feed_verifier.h"
@@ -192,6 +193,7 @@
     DiscoveryState beliefs_;
     FeedLag feedLag_;
     FeedVerifier feedVerifier_;
+    ArrivalTracker arrivals_;
     SourceKeepalive pulse_;
     RelaySelector relayChoice_;
     ColdDetector coldWatch_;
--- a/standin/local_gateway.h
+++ b/standin/local_gateway.h
@@ -39,7 +39,7 @@
     auto start() -> void
     {
         GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(loop_, store_.address(), testStoreTimeout) };
-        gateway_ = std::make_unique<Gateway>(loop_, clock_, settings_, std::move(adapter));
+        gateway_ = std::make_unique<Gateway>(loop_, *gatewayClock_, settings_, std::move(adapter));
         startOrThrow(*gateway_);
     }
 
@@ -54,6 +54,8 @@
 
     asio::io_context loop_;
     SystemClock clock_;
+    // Of the gateways' decisions; their timers run on real time.
+    const Clock* gatewayClock_ = &clock_;
     PlatformStore store_ { loop_ };
     LoopServer server_;
     GatewaySettings settings_;
@@ -74,7 +76,7 @@
             settings_.seeds_ = formatSocketAddress(fixture.settings_.control_);
         }
         GatewayAdapter adapter { platform::headerNames(), { platform::directoryPath, platform::readinessPath }, std::make_unique<platform::StoreSource>(fixture.loop_, fixture.store_.address(), testStoreTimeout) };
-        gateway_ = std::make_unique<Gateway>(fixture.loop_, fixture.clock_, settings_, std::move(adapter));
+        gateway_ = std::make_unique<Gateway>(fixture.loop_, *fixture.gatewayClock_, settings_, std::move(adapter));
         startOrThrow(*gateway_);
     }
 
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -188,10 +188,12 @@
     NetError ignored;
     const auto era = isEraHidden_ ? std::string() : fmt::format("Store-Era: {}\r\n", era_);
     auto bytes = fmt::format("HTTP/1.1 {} -\r\nContent-Type: application/json\r\n{}Content-Length: {}\r\n\r\n{}", status, era, text.size(), text);
-    if (connection->kind_ == heldKind_ && body.contains("events"))
-        held_.emplace_back(connection, std::move(bytes));
-    else
+    if (toHold_ == 0 || connection->kind_ != heldKind_ || !body.contains("events")) {
         asio::write(connection->socket_, asio::buffer(bytes), ignored);
+        return;
+    }
+    --toHold_;
+    held_.emplace_back(connection, std::move(bytes));
 }
 
 auto PlatformStore::sendHeld(std::size_t bytes) -> void
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -49,8 +49,12 @@
     auto revision() const -> std::int64_t { return revision_; }
     // The next so many watches of a kind are read and never answered; their connections stay open.
     auto swallowWatches(const std::string& kind, std::size_t count) -> void { swallowed_[kind] = count; }
-    // Changes of a kind are sent from now on only as sendHeld() says, as over a slow link.
-    auto holdChanges(const std::string& kind) -> void { heldKind_ = kind; }
+    // The next so many responses with changes of a kind are sent only as sendHeld() says, as over a slow link.
+    auto holdChanges(const std::string& kind, std::size_t count = 1'000) -> void
+    {
+        heldKind_ = kind;
+        toHold_ = count;
+    }
     auto sendHeld(std::size_t bytes) -> void;
     auto heldBytes() const -> std::size_t;
     // Reads that may come from a copy are never answered from now on.
@@ -103,6 +107,7 @@
     std::map<std::string, std::size_t> swallowed_;
     bool areCopiesSwallowed_ = false;
     std::string heldKind_;
+    std::size_t toHold_ = 0;
     // What is still to be sent, by connection.
     std::vector<std::pair<std::shared_ptr<Connection>, std::string>> held_;
     std::map<std::string, std::size_t> created_;
