A call whose answer is still arriving at its time limit is not given up

A list or a short watch of a feed was given up after 0.6 to 1.6 s, however much of the answer had come, and begun anew; many instances on a full link would each time start from nothing.

Change: CallChannel extends its limit by a second, up to four times, if bytes have arrived since it was last set. A call without any byte ends as before, and so does an endless trickle, four seconds later. Bounds on bytes are unchanged.

Test: an answer that comes byte by byte beyond its limit; it failed before (the call was given up), passes now, and a trickle without end is still given up.

--- a/src/loop/call_channel.cpp
+++ b/src/loop/call_channel.cpp
@@ -9,11 +9,16 @@
 
 namespace sapphirepass {
 
+using namespace std::chrono_literals;
+
 namespace {
     constexpr std::size_t readBytes = 32 * 1024;
     constexpr std::size_t writeBytes = 64 * 1024;
     // A status line, header, chunk header or trailer that is longer can't be read. Complete ones are read as they arrive.
     constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+    // For answers that are still arriving.
+    constexpr Duration extension = 1s;
+    constexpr int maxExtensions = 4;
 }
 
 CallChannel::CallChannel(asio::io_context& loop, SocketAddress server, std::uint64_t maxBodyBytes)
@@ -40,11 +45,8 @@
     done_ = std::move(done);
     isSent_ = false;
     ++number_;
-    timer_.expires_after(limit);
-    timer_.async_wait([self = shared_from_this(), number = number_](NetError error) {
-        if (!error && number == self->number_)
-            self->failByTimeout();
-    });
+    extensions_ = 0;
+    startTimer(limit);
     isReused_ = isConnected_ && socket_.is_open();
     if (isReused_)
         write();
@@ -52,6 +54,25 @@
         connect();
 }
 
+auto CallChannel::startTimer(Duration limit) -> void
+{
+    receivedBefore_ = receivedBytes_;
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this(), number = number_](NetError error) {
+        if (!error && number == self->number_)
+            self->onTimeLimit();
+    });
+}
+
+// Another call would begin the answer anew and take as long.
+auto CallChannel::onTimeLimit() -> void
+{
+    if (receivedBytes_ == receivedBefore_ || extensions_ == maxExtensions)
+        return failByTimeout();
+    ++extensions_;
+    startTimer(extension);
+}
+
 auto CallChannel::connect() -> void
 {
     closeQuietly(socket_);
--- a/src/loop/call_channel.h
+++ b/src/loop/call_channel.h
@@ -45,7 +45,7 @@
 
     // Calls go to another server from now on; the connection to the one before ends.
     auto setServer(const SocketAddress& server) -> void;
-    // One call at a time.
+    // One call at a time. An answer that is still arriving at its time limit gets a few seconds more.
     auto call(HttpRequest request, Duration limit, Done done) -> void;
     // Drops the call under way, unanswered.
     auto stop() -> void;
@@ -53,6 +53,8 @@
     auto receivedBytes() const -> std::uint64_t { return receivedBytes_; }
 
 private:
+    auto startTimer(Duration limit) -> void;
+    auto onTimeLimit() -> void;
     auto connect() -> void;
     auto write() -> void;
     auto readMore() -> void;
@@ -76,6 +78,9 @@
     bool isReused_ = false;
     std::uint64_t number_ = 0;
     std::uint64_t receivedBytes_ = 0;
+    // When the time limit was last set.
+    std::uint64_t receivedBefore_ = 0;
+    int extensions_ = 0;
 };
 
 } // namespace sapphirepass
--- a/tests/gateway_loop_test.cpp
+++ b/tests/gateway_loop_test.cpp
@@ -194,6 +194,53 @@
     CHECK(server.received().size() < 200);
 }
 
+TEST_CASE("a call whose answer is still arriving at its time limit is not given up", "[pool]")
+{
+    asio::io_context loop;
+    constexpr std::size_t bodyBytes = 16 * 1024 * 1024;
+    const auto head = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", bodyBytes);
+    LoopServer server(loop, [&head](int, const std::string&) -> ScriptedBytes { return { head }; });
+    const auto channel = std::make_shared<CallChannel>(loop, server.address(), bodyBytes);
+    std::optional<CallResult> result;
+    channel->call(HttpRequest { http::verb::get, "/", 11 }, 1s, [&result](CallResult told) { result = std::move(told); });
+    REQUIRE(runUntil(loop, [&server] { return server.requests().size() == 1; }));
+    asio::steady_timer timer(loop, 2s);
+    bool isOver = false;
+    timer.async_wait([&isOver](NetError) { isOver = true; });
+    std::size_t sent = 0;
+    const auto sendOne = [&] {
+        server.push("a");
+        ++sent;
+    };
+    REQUIRE(runUntil(loop, [&] {
+        sendOne();
+        return isOver;
+    }));
+    REQUIRE_FALSE(result);
+    SECTION("the rest comes")
+    {
+        REQUIRE(runUntil(loop, [&] {
+            const auto part = std::min(bodyBytes - sent, std::size_t { 16 * 1024 });
+            server.push(std::string(part, 'a'));
+            sent += part;
+            return result.has_value();
+        }));
+        CHECK(std::get<HttpResponse>(*result).body() == std::string(bodyBytes, 'a'));
+    }
+    SECTION("nothing more comes")
+    {
+        REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+        CHECK(std::get<CallError>(*result).isTimeout_);
+    }
+    SECTION("it comes endlessly")
+    {
+        CHECK(runUntil(loop, [&] {
+            sendOne();
+            return result.has_value();
+        }));
+    }
+}
+
 TEST_CASE("a call to a server with an invalid address fails", "[pool]")
 {
     asio::io_context loop;
