A follower gives a live instance that is behind as well time to get a change

Cause: followers ask the store themselves 0.7 s after anyone reports a change, just as the instance that they follow does. A watcher on 10 Mbit/s needs 0.84 s to read a megabyte, so all its followers overtook it at the same moment, and 42 instances read the same megabyte through one link between regions.

Change: while the followed instance sends heartbeats and has not reported the change either, its followers wait for 1.4 s. An instance whose watch was lost asks the store after 0.7 s as before, and then refuses its followers at once, so these still get the change about when they did. One that has fallen silent, or has the change, is not waited for.

Test: FeedLag on a manual clock; the first section cannot hold without the parameter.

--- a/src/gateway/feeds/discovery_state.cpp
+++ b/src/gateway/feeds/discovery_state.cpp
@@ -206,8 +206,14 @@
 
 auto DiscoveryState::feedSourceChanged(Feed feed, std::optional<SocketAddress> peer) -> void
 {
-    feeds_[feed].isFollowing_ = peer.has_value();
     log_.write(EventId::SourceChosen, { { "feed", feedName(feed) }, { "follows", peer ? formatSocketAddress(*peer) : "platform" } });
+    feeds_[feed].followed_ = std::move(peer);
+}
+
+auto DiscoveryState::followedPeer(Feed feed) const -> std::optional<SocketAddress>
+{
+    const auto found = feeds_.find(feed);
+    return found == feeds_.end() ? std::nullopt : found->second.followed_;
 }
 
 auto DiscoveryState::bootstrapFailed(Feed feed, std::string_view why) -> void
@@ -224,7 +230,7 @@
 // platform, a removal that this instance receives is real, so it gets no grace period.
 auto DiscoveryState::noteFleetOutage() -> void
 {
-    if (feeds_[Feed::Upstreams].isFollowing_ && fleet_.isSourceLost())
+    if (feeds_[Feed::Upstreams].followed_ && fleet_.isSourceLost())
         feeds_[Feed::Upstreams].followerGraceUntil_ = clock_.now() + drainTime_ / followerGraceDivisor;
 }
 
--- a/src/gateway/feeds/discovery_state.h
+++ b/src/gateway/feeds/discovery_state.h
@@ -47,6 +47,8 @@
     auto noteFleetOutage() -> void;
     // Removes upstreams whose grace period has ended. To be called periodically.
     auto removeExpiredUpstreams() -> void;
+    // The instance that the feed is read from; empty for the platform.
+    auto followedPeer(Feed feed) const -> std::optional<SocketAddress>;
     // Ends evacuations that were only kept over a restore of the store. To be called periodically.
     auto releaseKeptEvacuations() -> void;
     // Other instances report a newer revision than this feed has received; the feed is being reconnected.
@@ -62,8 +64,8 @@
         bool isLost_ = false;
         // Whether the platform itself was out of reach since the feed was lost.
         bool isPlatformDown_ = false;
-        // Receives updates from another instance instead of the platform.
-        bool isFollowing_ = false;
+        // The instance that updates are received from; empty for the platform.
+        std::optional<SocketAddress> followed_;
         MonotonicTime lostAt_ {};
         // Until then, a missing entry may only have expired in the store during the outage.
         MonotonicTime removalGraceUntil_ {};
--- a/src/gateway/feeds/feed_lag.cpp
+++ b/src/gateway/feeds/feed_lag.cpp
@@ -18,7 +18,7 @@
 {
 }
 
-auto FeedLag::isOverdue(Feed feed, const FeedPosition& own, const StoreRevision& newestReported) -> bool
+auto FeedLag::isOverdue(Feed feed, const FeedPosition& own, const StoreRevision& newestReported, const std::optional<StoreRevision>& followed) -> bool
 {
     auto& state = states_.at(static_cast<std::size_t>(feed));
     const auto now = clock_.now();
@@ -32,7 +32,10 @@
         state = { newestReported, now + initialWait, initialWait };
         return false;
     }
-    if (now < state.dueAt_)
+    // The followed instance asks the platform itself when the change is overdue there. If all of its followers did so at the
+    // same moment, a large change would reach them later than through it.
+    const bool isSourceBehind = followed && *followed < state.awaitedRevision_;
+    if (now < state.dueAt_ + (isSourceBehind ? initialWait : Duration::zero()))
         return false;
     state.wait_ = std::min(maxWait, state.wait_ * 2);
     state.dueAt_ = now + state.wait_;
--- a/src/gateway/feeds/feed_lag.h
+++ b/src/gateway/feeds/feed_lag.h
@@ -5,6 +5,7 @@
 #include "gateway/feeds/discovery_source.h"
 
 #include <array>
+#include <optional>
 
 namespace sapphirepass {
 
@@ -12,9 +13,10 @@
 public:
     explicit FeedLag(const Clock& clock);
 
-    // Whether the feed should be reconnected now, given the newest revision that other instances report. Each time it is
-    // due, the wait before the next reconnection doubles.
-    auto isOverdue(Feed feed, const FeedPosition& own, const StoreRevision& newestReported) -> bool;
+    // Whether the feed should be reconnected now, given the newest revision that other instances report, and the newest one
+    // that the followed instance reports; empty if the feed follows none or none that is alive. Each time it is due, the wait
+    // before the next reconnection doubles.
+    auto isOverdue(Feed feed, const FeedPosition& own, const StoreRevision& newestReported, const std::optional<StoreRevision>& followed = std::nullopt) -> bool;
 
 private:
     struct State {
--- a/src/gateway/fleet/fleet_view.cpp
+++ b/src/gateway/fleet/fleet_view.cpp
@@ -11,6 +11,8 @@
 namespace {
     // Longer than a partition between regions, which can last an hour.
     constexpr Duration lostPeerRetention = 3h;
+    // Two heartbeats within a region.
+    constexpr Duration recentHeartbeat = 1s;
     // Bounds the size of heartbeats after the loss of many instances.
     constexpr std::size_t maxSilentMembers = 16;
 
@@ -255,6 +257,15 @@
     return newest;
 }
 
+auto FleetView::revisionReportedBy(const SocketAddress& control, std::size_t feed) const -> std::optional<StoreRevision>
+{
+    for (const auto& [name, member] : members_) {
+        if (member.hasReported_ && member.report_.control_ == control && clock_.now() - member.lastSeenAt_ <= recentHeartbeat)
+            return member.report_.lastChangeRevisions_.at(feed);
+    }
+    return std::nullopt;
+}
+
 auto FleetView::crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t
 {
     std::uint32_t upstreams = 0;
--- a/src/gateway/fleet/fleet_view.h
+++ b/src/gateway/fleet/fleet_view.h
@@ -155,6 +155,8 @@
     auto coldSenderCount(std::string_view upstream, std::size_t maxSenders) const -> std::optional<std::size_t>;
     // Revision of the newest change in the feed (an index into allFeeds) that a live instance reports; 0 if none does.
     auto newestRevisionReported(std::size_t feed) const -> StoreRevision;
+    // The same for the instance with this control address; empty if it has sent no heartbeat lately.
+    auto revisionReportedBy(const SocketAddress& control, std::size_t feed) const -> std::optional<StoreRevision>;
     // Number of upstreams that the request has crashed, as reported by other instances.
     auto crashesElsewhere(std::uint64_t fingerprint) const -> std::uint32_t;
 
--- a/src/loop/gateway.cpp
+++ b/src/loop/gateway.cpp
@@ -619,7 +619,9 @@
         if (feedVerifier_.isDue(feed, positions, adapter_.source_->newestRevision()))
             adapter_.source_->verify(feed);
         const auto newest = fleet_.newestRevisionReported(static_cast<std::size_t>(feed));
-        if (!feedLag_.isOverdue(feed, own, newest))
+        const auto source = beliefs_.followedPeer(feed);
+        const auto followed = source ? fleet_.revisionReportedBy(*source, static_cast<std::size_t>(feed)) : std::nullopt;
+        if (!feedLag_.isOverdue(feed, own, newest, followed))
             continue;
         beliefs_.feedBehind(feed, own, newest);
         adapter_.source_->reconnect(feed, newest);
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -95,6 +95,44 @@
     }
 }
 
+// A watcher that was still reading a megabyte from the store was overtaken by all its followers at once.
+TEST_CASE("a follower gives a live instance that is behind as well time to get a change", "[feed-lag]")
+{
+    ManualClock clock;
+    FeedLag lag(clock);
+    const auto isDue = [&](std::optional<StoreRevision> followed) { return lag.isOverdue(Feed::Declaration, { { 1, 10 }, { 1, 10 } }, { 1, 12 }, followed); };
+    CHECK_FALSE(isDue(StoreRevision { 1, 10 }));
+    clock.advance(800ms);
+    SECTION("as long as that has not got it either")
+    {
+        CHECK_FALSE(isDue(StoreRevision { 1, 10 }));
+        clock.advance(700ms);
+        CHECK(isDue(StoreRevision { 1, 10 }));
+    }
+    SECTION("not once that has it")
+    {
+        CHECK(isDue(StoreRevision { 1, 12 }));
+    }
+    SECTION("not once that has fallen silent")
+    {
+        CHECK(isDue(std::nullopt));
+    }
+}
+
+TEST_CASE("the revision of an instance counts only while its heartbeats come", "[fleet-view]")
+{
+    ManualClock clock;
+    FleetView fleet(clock, { 2s, 20s }, "self");
+    auto heartbeat = report("a");
+    heartbeat.control_ = { "127.0.0.1", 8002 };
+    heartbeat.lastChangeRevisions_ = { { { 0, 7 }, {}, {} } };
+    fleet.updateMember(heartbeat);
+    CHECK(fleet.revisionReportedBy({ "127.0.0.1", 8002 }, 0) == StoreRevision { 0, 7 });
+    CHECK_FALSE(fleet.revisionReportedBy({ "127.0.0.1", 8003 }, 0));
+    clock.advance(1'100ms);
+    CHECK_FALSE(fleet.revisionReportedBy({ "127.0.0.1", 8002 }, 0));
+}
+
 TEST_CASE("revisions reported by instances that fell silent are ignored", "[fleet-view]")
 {
     ManualClock clock;
